--- /dev/null
+++ b/include/gooseberrybeam/base/Ids.h
@@ -0,0 +1,48 @@
+/// \file
+/// Strongly typed identifiers.
+#ifndef GOOSEBERRYBEAM_BASE_IDS_H
+#define GOOSEBERRYBEAM_BASE_IDS_H
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+#include <string>
+
+namespace gooseberry {
+
+/// A name that cannot be confused with a name of another kind.
+/// \tparam Tag the kind of thing named.
+template <typename Tag> struct NamedId {
+  std::string Value_;
+
+  friend auto operator<=>(const NamedId &, const NamedId &) = default;
+  friend bool operator==(const NamedId &, const NamedId &) = default;
+
+  /// \returns whether no name is set.
+  bool isEmpty() const { return Value_.empty(); }
+};
+
+/// An organisation whose callers present keys.
+using OrganisationId = NamedId<struct OrganisationTag>;
+/// A class of work with a latency target.
+using ClassId = NamedId<struct ClassTag>;
+/// A model served by engines.
+using ModelId = NamedId<struct ModelTag>;
+/// A backend server, engine or plain service, named `ip:port`.
+using BackendId = NamedId<struct BackendTag>;
+/// An entry instance by its configured name.
+using InstanceId = NamedId<struct InstanceTag>;
+/// A data centre.
+using DataCentreId = NamedId<struct DataCentreTag>;
+/// A request, unique across instances.
+using RequestId = NamedId<struct RequestTag>;
+
+} // namespace gooseberry
+
+template <typename Tag> struct std::hash<gooseberry::NamedId<Tag>> {
+  std::size_t operator()(const gooseberry::NamedId<Tag> &Id) const noexcept {
+    return std::hash<std::string>()(Id.Value_);
+  }
+};
+
+#endif // GOOSEBERRYBEAM_BASE_IDS_H
