--- /dev/null
+++ b/tests/RetryPolicyTest.cpp
@@ -0,0 +1,93 @@
+#include "gooseberrybeam/retry/RetryPolicy.h"
+
+#include "gooseberrybeam/retry/HedgeDelay.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+FailedAttempt makeAttempt(AttemptFailure Failure, bool Idempotent) {
+  FailedAttempt Attempt;
+  Attempt.Class_ = ClassId{"availability"};
+  Attempt.Backend_ = BackendId{"127.0.0.1:1"};
+  Attempt.Failure_ = Failure;
+  Attempt.Idempotent_ = Idempotent;
+  Attempt.Deadline_ = TimePoint(1s);
+  return Attempt;
+}
+
+bool isRetry(const RetryDecision &Decision) {
+  return std::holds_alternative<RetryAgain>(Decision);
+}
+
+} // namespace
+
+TEST_CASE("Failed attempts are repeated only where that is safe", "[retry]") {
+  RetryPolicy Policy(RetryPolicyLimits{});
+  SECTION("a booking whose connection broke is not repeated") {
+    const auto Decision = Policy.onFailure(
+        makeAttempt(AttemptFailure::ConnectionLost, false), TimePoint(0s));
+    REQUIRE_FALSE(isRetry(Decision));
+    const Refusal &Why = std::get<Refusal>(Decision);
+    CHECK(Why.Reason_ == RefusalReason::OutcomeUnknown);
+    CHECK(Why.Execution_ == Execution::Unknown);
+  }
+  SECTION("a booking that was never sent is repeated") {
+    CHECK(isRetry(Policy.onFailure(
+        makeAttempt(AttemptFailure::ConnectFailed, false), TimePoint(0s))));
+  }
+  SECTION("a booking is not repeated once an earlier attempt may have run") {
+    FailedAttempt Attempt = makeAttempt(AttemptFailure::ConnectFailed, false);
+    Attempt.MayHaveRunBefore_ = true;
+    CHECK_FALSE(isRetry(Policy.onFailure(Attempt, TimePoint(0s))));
+  }
+  SECTION("a stock check is repeated after a silent connection") {
+    CHECK(isRetry(Policy.onFailure(
+        makeAttempt(AttemptFailure::SilentConnection, true), TimePoint(0s))));
+  }
+  SECTION("past the deadline the refusal says what is known") {
+    const auto Decision = Policy.onFailure(
+        makeAttempt(AttemptFailure::ConnectFailed, true), TimePoint(2s));
+    REQUIRE_FALSE(isRetry(Decision));
+    const Refusal &Why = std::get<Refusal>(Decision);
+    CHECK(Why.Reason_ == RefusalReason::DeadlineExceeded);
+    CHECK(Why.Execution_ == Execution::NotRun);
+  }
+  SECTION("attempts are bounded") {
+    FailedAttempt Attempt = makeAttempt(AttemptFailure::ConnectFailed, true);
+    Attempt.Attempts_ = RetryPolicyLimits{}.MaxAttempts_;
+    CHECK_FALSE(isRetry(Policy.onFailure(Attempt, TimePoint(0s))));
+  }
+}
+
+TEST_CASE("A dead backend server does not multiply its load", "[retry]") {
+  RetryPolicy Policy(RetryPolicyLimits{});
+  const FailedAttempt Attempt =
+      makeAttempt(AttemptFailure::ConnectFailed, true);
+  constexpr int Requests = 1000;
+  int Extra = 0;
+  for (int I = 0; I < Requests; ++I) {
+    Policy.onFirstAttempt(Attempt.Class_, Attempt.Backend_);
+    Extra += isRetry(Policy.onFailure(Attempt, TimePoint(0s))) ? 1 : 0;
+    Extra += Policy.tryHedge(Attempt.Class_, Attempt.Backend_) ? 1 : 0;
+  }
+  const RetryBudgetLimits Budget;
+  CHECK(Extra <= Requests * Budget.RetriesPerRequest_ + Budget.InitialBalance_);
+  CHECK(Extra > 0);
+}
+
+TEST_CASE("A hedge waits for the slow end of what is usual", "[retry]") {
+  HedgeDelay Delay{HedgeDelayLimits{}};
+  SECTION("nothing is known at first") {
+    CHECK(Delay.asDelay() == HedgeDelayLimits{}.Max_);
+  }
+  SECTION("most answers take 10 ms and one in twenty 100 ms") {
+    for (int I = 0; I < 400; ++I)
+      Delay.onAnswer(I % 20 == 0 ? Duration(100ms) : Duration(10ms));
+    CHECK(Delay.asDelay() >= 10ms);
+    CHECK(Delay.asDelay() <= 100ms);
+  }
+}
