--- /dev/null
+++ b/include/gooseberrybeam/leases/KvHolding.h
@@ -0,0 +1,42 @@
+/// \file
+/// Engine memory held for one request.
+#ifndef GOOSEBERRYBEAM_LEASES_KVHOLDING_H
+#define GOOSEBERRYBEAM_LEASES_KVHOLDING_H
+
+#include "gooseberrybeam/base/Ids.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace gooseberry {
+
+/// Who answers for a holding: one process's life under an instance name.
+struct Holder {
+  InstanceId Instance_;
+  std::uint64_t Incarnation_ = 0;
+
+  friend auto operator<=>(const Holder &, const Holder &) = default;
+};
+
+/// \param Value a holder.
+/// \returns it as engines see it, `<instance>#<incarnation>`.
+std::string asText(const Holder &Value);
+
+/// \param Text a holder as engines see it.
+/// \param Into takes the holder.
+/// \returns false, and leaves \p Into alone, if \p Text is not a holder.
+bool parseHolder(std::string_view Text, Holder &Into);
+
+/// One holding as an engine lists it.
+struct KvHolding {
+  std::string Kv_; ///< The engine's name for it.
+  RequestId Request_;
+  Holder Holder_;
+  std::uint32_t Pieces_ = 0;
+};
+
+} // namespace gooseberry
+
+#endif // GOOSEBERRYBEAM_LEASES_KVHOLDING_H
--- /dev/null
+++ b/tests/IdempotencyTest.cpp
@@ -0,0 +1,357 @@
+#include "gooseberrybeam/idempotency/IdempotentCall.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <vector>
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start{};
+
+/// A table of one process: outcomes are as the service would give them.
+class RowStore {
+public:
+  TransactOutcome apply(const TableTransaction &Transaction) {
+    TableConflict Conflict;
+    for (const TableCondition &Condition : Transaction.Conditions_)
+      if (versionOf(Condition.Key_) != Condition.Version_)
+        Conflict.Rows_.push_back(rowOf(Condition.Key_));
+    if (!Conflict.Rows_.empty())
+      return Conflict;
+    ++Commits_;
+    for (const TableWrite &Write : Transaction.Writes_) {
+      if (Write.Value_)
+        Rows_[Write.Key_] = TableRow{Write.Key_, *Write.Value_, Commits_};
+      else
+        Rows_.erase(Write.Key_);
+    }
+    return TableCommitted{Commits_};
+  }
+
+  ReadOutcome read(const std::string &Key) const {
+    TableRows Found;
+    if (Rows_.count(Key) != 0)
+      Found.Rows_.push_back(Rows_.at(Key));
+    return Found;
+  }
+
+  TableVersion commitCount() const { return Commits_; }
+
+private:
+  TableVersion versionOf(const std::string &Key) const {
+    return Rows_.count(Key) != 0 ? Rows_.at(Key).Version_ : AbsentVersion;
+  }
+  TableRow rowOf(const std::string &Key) const {
+    return Rows_.count(Key) != 0 ? Rows_.at(Key) : TableRow{Key, "", 0};
+  }
+
+  std::map<std::string, TableRow> Rows_;
+  TableVersion Commits_ = 0;
+};
+
+IdempotentRequest makeRequest(std::string Nonce,
+                              const std::string &Body = "slot 4") {
+  IdempotentRequest Request;
+  Request.RowKey_ = idempotencyRowKey(OrganisationId{"club"}, "key-1");
+  Request.Fingerprint_ = requestFingerprint("POST", "/track/book", Body);
+  Request.Holder_ = "entry-" + Nonce + "#1";
+  Request.Nonce_ = std::move(Nonce);
+  Request.NowUnixSeconds_ = 1000;
+  Request.ExpiresAtUnixSeconds_ = 1000 + 86400;
+  Request.Deadline_ = Start + 1s;
+  return Request;
+}
+
+IdempotentCall makeCall(std::string Nonce, const std::string &Body = "slot 4",
+                        bool HolderGone = false) {
+  return IdempotentCall(makeRequest(std::move(Nonce), Body),
+                        [HolderGone](std::string_view) { return HolderGone; });
+}
+
+IdempotencyAction runInsert(RowStore &Store, IdempotentCall &Call) {
+  const IdempotencyAction First = Call.start();
+  return Call.onTransact(Store.apply(std::get<WriteLedger>(First).Transaction_),
+                         Start);
+}
+
+template <typename T> bool is(const IdempotencyAction &Action) {
+  return std::holds_alternative<T>(Action);
+}
+
+} // namespace
+
+TEST_CASE("A booking with an idempotency key runs at most once",
+          "[idempotency]") {
+  RowStore Store;
+  IdempotentCall First = makeCall("a");
+  REQUIRE(is<SendToBackend>(runInsert(Store, First)));
+  const StoredAnswer Answer{201, "application/json", R"({"slot":4})"};
+
+  SECTION("a repeat while it runs waits for its holder") {
+    IdempotentCall Repeat = makeCall("b");
+    CHECK(is<WaitForHolder>(runInsert(Store, Repeat)));
+    SECTION("and past its deadline is told that it is in progress") {
+      const auto Late =
+          Repeat.onRead(Store.read(makeRequest("b").RowKey_), Start + 2s);
+      CHECK(std::get<Refusal>(Late).Reason_ ==
+            RefusalReason::IdempotencyInProgress);
+    }
+    SECTION("and gets the first answer when it is there") {
+      Store.apply(First.recordAnswer(Answer));
+      const auto Next =
+          Repeat.onRead(Store.read(makeRequest("b").RowKey_), Start + 50ms);
+      REQUIRE(is<AnswerCaller>(Next));
+      CHECK(std::get<AnswerCaller>(Next).Answer_ == Answer);
+      CHECK(std::get<AnswerCaller>(Next).Replayed_);
+    }
+  }
+  SECTION("a repeat after its holder died is told that nobody knows") {
+    IdempotentCall Repeat = makeCall("b", "slot 4", true);
+    const auto Next = runInsert(Store, Repeat);
+    CHECK(std::get<Refusal>(Next).Reason_ == RefusalReason::OutcomeUnknown);
+    CHECK(std::get<Refusal>(Next).Execution_ == Execution::Unknown);
+  }
+  SECTION("the same key with another body is refused") {
+    IdempotentCall Other = makeCall("b", "slot 9");
+    const auto Next = runInsert(Store, Other);
+    CHECK(std::get<Refusal>(Next).Reason_ ==
+          RefusalReason::IdempotencyKeyReused);
+    CHECK(std::get<Refusal>(Next).Execution_ == Execution::NotRun);
+  }
+  SECTION("a request that no backend server took may be repeated") {
+    Store.apply(First.recordNotStarted());
+    IdempotentCall Repeat = makeCall("b");
+    CHECK(is<SendToBackend>(runInsert(Store, Repeat)));
+  }
+  SECTION("a lost outcome is remembered") {
+    Store.apply(First.recordUnknown());
+    IdempotentCall Repeat = makeCall("b");
+    CHECK(std::get<Refusal>(runInsert(Store, Repeat)).Reason_ ==
+          RefusalReason::OutcomeUnknown);
+  }
+  SECTION("two writes are made for a booking") {
+    Store.apply(First.recordAnswer(Answer));
+    CHECK(Store.commitCount() == 2);
+  }
+  SECTION("an expired record makes room") {
+    IdempotentRequest Later = makeRequest("b");
+    Later.NowUnixSeconds_ = Later.ExpiresAtUnixSeconds_ + 1;
+    IdempotentCall Call(Later, [](std::string_view) { return false; });
+    CHECK(is<WriteLedger>(runInsert(Store, Call)));
+  }
+}
+
+TEST_CASE("The table service's faults do not let a booking run twice",
+          "[idempotency]") {
+  RowStore Store;
+  IdempotentCall Call = makeCall("a");
+  const auto Insert = std::get<WriteLedger>(Call.start());
+  SECTION("while it is down the refusal is honest") {
+    const auto Next = Call.onTransact(TableUnavailable{}, Start);
+    CHECK(std::get<Refusal>(Next).Execution_ == Execution::NotRun);
+    CHECK_FALSE(Call.mayHaveLeftRow());
+  }
+  SECTION("a lost reply is read back before anything is sent") {
+    Store.apply(Insert.Transaction_);
+    REQUIRE(is<ReadLedger>(Call.onTransact(TableUnknown{}, Start)));
+    SECTION("and the call finds its own row") {
+      CHECK(is<SendToBackend>(
+          Call.onRead(Store.read(makeRequest("a").RowKey_), Start)));
+    }
+    SECTION("or refuses, not run, and removes the row later") {
+      const auto Next = Call.onRead(TableUnavailable{}, Start);
+      CHECK(std::get<Refusal>(Next).Execution_ == Execution::NotRun);
+      REQUIRE(Call.mayHaveLeftRow());
+      const auto Row =
+          std::get<TableRows>(Store.read(makeRequest("a").RowKey_)).Rows_.at(0);
+      Store.apply(Call.removeLeftRow(Row).value());
+      IdempotentCall Repeat = makeCall("b");
+      CHECK(is<SendToBackend>(runInsert(Store, Repeat)));
+    }
+  }
+  SECTION("an insert that lands late meets the one made in its place") {
+    Call.onTransact(TableUnknown{}, Start);
+    const auto Again = Call.onRead(TableRows{}, Start);
+    const auto Late = Store.apply(Insert.Transaction_);
+    REQUIRE(std::holds_alternative<TableCommitted>(Late));
+    const auto Outcome = Store.apply(std::get<WriteLedger>(Again).Transaction_);
+    REQUIRE(std::holds_alternative<TableConflict>(Outcome));
+    CHECK(is<SendToBackend>(Call.onTransact(Outcome, Start)));
+  }
+}
+
+namespace {
+
+/// One caller's attempt in a history.
+struct Caller {
+  std::unique_ptr<IdempotentCall> Call_;
+  IdempotencyAction Next_;
+  bool Ended_ = false;
+  bool Executed_ = false;
+  bool SaidNotRun_ = false;
+};
+
+/// Runs repeats of one key on several instances, step by step in a seeded
+/// order, over a table that refuses, loses replies and applies writes late.
+class IdempotencyHistory {
+public:
+  /// \param Seed the run.
+  /// \param TrustLostReplies a broken variant that sends on a lost reply.
+  IdempotencyHistory(unsigned Seed, bool TrustLostReplies)
+      : Random_(Seed), TrustLostReplies_(TrustLostReplies) {}
+
+  void run() {
+    for (int I = 0; I < 5; ++I)
+      addCaller();
+    for (int Step = 0; Step < 400; ++Step)
+      stepOne();
+  }
+
+  int executions() const { return Executions_; }
+
+  bool isNotRunTrue() const {
+    for (const Caller &Each : Callers_)
+      if (Each.SaidNotRun_ && Each.Executed_)
+        return false;
+    return true;
+  }
+
+private:
+  void addCaller() {
+    const std::string Nonce = std::to_string(Callers_.size());
+    IdempotentRequest Request = makeRequest(Nonce);
+    auto IsGone = [this](std::string_view Holder) {
+      return Dead_.count(std::string(Holder)) != 0;
+    };
+    Caller Added;
+    Added.Call_ = std::make_unique<IdempotentCall>(Request, IsGone);
+    Added.Next_ = Added.Call_->start();
+    Callers_.push_back(std::move(Added));
+  }
+
+  void stepOne() {
+    Now_ += 10ms;
+    if (!LateWrites_.empty() && Random_() % 4 == 0) {
+      Store_.apply(LateWrites_.back());
+      LateWrites_.pop_back();
+    }
+    const std::size_t Index = Random_() % Callers_.size();
+    Caller &Chosen = Callers_[Index];
+    if (Chosen.Ended_)
+      return;
+    if (Random_() % 40 == 0) {
+      Dead_.insert(makeRequest(std::to_string(Index)).Holder_);
+      Chosen.Ended_ = true;
+      return;
+    }
+    std::visit([&](const auto &Action) { carryOut(Chosen, Action); },
+               IdempotencyAction(Chosen.Next_));
+  }
+
+  void carryOut(Caller &Chosen, const WriteLedger &Write) {
+    Chosen.Next_ = Chosen.Call_->onTransact(transact(Write.Transaction_), Now_);
+  }
+
+  TransactOutcome transact(const TableTransaction &Transaction) {
+    switch (Random_() % 5) {
+    case 0:
+      return TableUnavailable{};
+    case 1:
+      LateWrites_.push_back(Transaction);
+      return lostReply();
+    case 2:
+      Store_.apply(Transaction);
+      return lostReply();
+    default:
+      return Store_.apply(Transaction);
+    }
+  }
+
+  TransactOutcome lostReply() const {
+    if (TrustLostReplies_)
+      return TableCommitted{1};
+    return TableUnknown{};
+  }
+
+  void carryOut(Caller &Chosen, const ReadLedger &Read) {
+    ReadOutcome Outcome = Store_.read(Read.Key_);
+    if (Random_() % 5 == 0)
+      Outcome = TableUnavailable{};
+    Chosen.Next_ = Chosen.Call_->onRead(Outcome, Now_);
+  }
+
+  void carryOut(Caller &Chosen, const WaitForHolder & /*Wait*/) {
+    Chosen.Next_ = Chosen.Call_->onTimer();
+  }
+
+  void carryOut(Caller &Chosen, const SendToBackend & /*Send*/) {
+    if (Random_() % 4 == 0) {
+      Store_.apply(Chosen.Call_->recordNotStarted());
+      end(Chosen, Execution::NotRun);
+      return;
+    }
+    ++Executions_;
+    Chosen.Executed_ = true;
+    if (Random_() % 3 == 0)
+      transact(Chosen.Call_->recordUnknown());
+    else
+      transact(Chosen.Call_->recordAnswer(StoredAnswer{201, "", "done"}));
+    end(Chosen, Execution::Unknown);
+  }
+
+  void carryOut(Caller &Chosen, const AnswerCaller & /*Answer*/) {
+    end(Chosen, Execution::Unknown);
+  }
+
+  void carryOut(Caller &Chosen, const Refusal &Why) {
+    end(Chosen, Why.Execution_);
+  }
+
+  void end(Caller &Chosen, Execution Said) {
+    Chosen.Ended_ = true;
+    Chosen.SaidNotRun_ = Said == Execution::NotRun;
+    if (Callers_.size() < 12)
+      addCaller();
+  }
+
+  std::mt19937 Random_;
+  bool TrustLostReplies_;
+  RowStore Store_;
+  std::vector<Caller> Callers_;
+  std::vector<TableTransaction> LateWrites_;
+  std::set<std::string> Dead_;
+  TimePoint Now_ = Start;
+  int Executions_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("Histories of repeated bookings hold at most one execution",
+          "[idempotency][history]") {
+  int Ran = 0;
+  for (unsigned Seed = 1; Seed <= 1000; ++Seed) {
+    IdempotencyHistory History(Seed, false);
+    History.run();
+    INFO("seed " << Seed);
+    REQUIRE(History.executions() <= 1);
+    REQUIRE(History.isNotRunTrue());
+    Ran += History.executions();
+  }
+  CHECK(Ran > 0);
+  SECTION("the checker finds a call that trusts a lost reply") {
+    int Doubles = 0;
+    for (unsigned Seed = 1; Seed <= 100; ++Seed) {
+      IdempotencyHistory History(Seed, true);
+      History.run();
+      Doubles += History.executions() > 1 ? 1 : 0;
+    }
+    CHECK(Doubles > 0);
+  }
+}
