--- a/include/gooseberrybeam/base/Ids.h
+++ b/include/gooseberrybeam/base/Ids.h
@@ -15,7 +15,9 @@
 template <typename Tag> struct NamedId {
   std::string Value_;
 
-  friend auto operator<=>(const NamedId &, const NamedId &) = default;
+  friend std::strong_ordering operator<=>(const NamedId &A, const NamedId &B) {
+    return A.Value_.compare(B.Value_) <=> 0;
+  }
   friend bool operator==(const NamedId &, const NamedId &) = default;
 
   /// \returns whether no name is set.
--- /dev/null
+++ b/src/routing/SpeedModel.cpp
@@ -0,0 +1,59 @@
+#include "gooseberrybeam/routing/SpeedModel.h"
+
+#include <algorithm>
+
+namespace gooseberry {
+
+namespace {
+
+/// Weight of a new observation.
+constexpr double Gain = 0.2;
+/// Prompts below this length say little about the time for each token.
+constexpr std::uint32_t MinLearnedTokens = 64;
+/// Duration of a decode step of one generation, in microseconds.
+constexpr double NominalStepMicros = 15e3;
+/// What each generation in the batch adds, in microseconds.
+constexpr double NominalBatchMicros = 500;
+
+void blend(double &Estimate, double Observed) {
+  Estimate += Gain * (Observed - Estimate);
+}
+
+double nominalStep(std::uint32_t Batch) {
+  return NominalStepMicros + NominalBatchMicros * Batch;
+}
+
+Duration asDuration(double Micros) {
+  return Duration(static_cast<Duration::rep>(Micros));
+}
+
+} // namespace
+
+void SpeedModel::learnPrefill(std::uint32_t Tokens, Duration Took) {
+  if (Tokens >= MinLearnedTokens)
+    blend(PrefillMicros_, static_cast<double>(Took.count()) / Tokens);
+}
+
+void SpeedModel::learnTransfer(std::uint32_t Pieces, Duration Took) {
+  if (Pieces > 0)
+    blend(TransferMicros_, static_cast<double>(Took.count()) / Pieces);
+}
+
+void SpeedModel::learnStep(std::uint32_t Batch, Duration Step) {
+  if (Step > Duration::zero())
+    blend(StepFactor_, static_cast<double>(Step.count()) / nominalStep(Batch));
+}
+
+Duration SpeedModel::prefillTime(std::uint32_t Tokens) const {
+  return asDuration(PrefillMicros_ * std::max(Tokens, 1U));
+}
+
+Duration SpeedModel::transferTime(std::uint32_t Pieces) const {
+  return asDuration(TransferMicros_ * Pieces);
+}
+
+Duration SpeedModel::stepTime(std::uint32_t Batch) const {
+  return asDuration(StepFactor_ * nominalStep(Batch));
+}
+
+} // namespace gooseberry
