--- /dev/null
+++ b/src/orders/EngineOrder.cpp
@@ -0,0 +1,88 @@
+#include "gooseberrybeam/orders/EngineOrder.h"
+
+#include <boost/json.hpp>
+
+namespace json = boost::json;
+
+namespace gooseberry {
+namespace {
+
+bool readString(const json::object &Object, std::string_view Name,
+                std::string &Into) {
+  const json::value *Value = Object.if_contains(Name);
+  if (!Value || !Value->is_string())
+    return false;
+  Into.assign(Value->get_string().data(), Value->get_string().size());
+  return true;
+}
+
+bool readRole(const json::object &Object, EngineRole &Into) {
+  std::string Text;
+  if (!readString(Object, "role", Text))
+    return false;
+  if (Text != asCode(EngineRole::Prefill) && Text != asCode(EngineRole::Decode))
+    return false;
+  Into = Text == asCode(EngineRole::Prefill) ? EngineRole::Prefill
+                                             : EngineRole::Decode;
+  return true;
+}
+
+} // namespace
+
+std::string_view asCode(EngineRole Role) {
+  return Role == EngineRole::Prefill ? "prefill" : "decode";
+}
+
+bool isReached(const EngineGoal &Goal, const EngineGoal &Seen) {
+  const bool ModelReached = Goal.Model_.isEmpty() || Goal.Model_ == Seen.Model_;
+  const bool AdapterReached =
+      Goal.Adapter_.empty() || Goal.Adapter_ == Seen.Adapter_;
+  const bool VersionReached =
+      Goal.Version_.empty() || Goal.Version_ == Seen.Version_;
+  return Goal.Role_ == Seen.Role_ && ModelReached && AdapterReached &&
+         VersionReached;
+}
+
+std::string engineOrderRowKey(const BackendId &Engine) {
+  return "order/" + Engine.Value_;
+}
+
+std::string encodeEngineOrder(const EngineOrderRow &Row) {
+  json::object Object;
+  Object["role"] = asCode(Row.Goal_.Role_);
+  Object["model"] = Row.Goal_.Model_.Value_;
+  Object["adapter"] = Row.Goal_.Adapter_;
+  Object["version"] = Row.Goal_.Version_;
+  Object["holder"] = Row.Holder_;
+  Object["fence"] = Row.Fence_;
+  Object["confirmed"] = Row.Confirmed_;
+  return json::serialize(Object);
+}
+
+Result<EngineOrderRow, EngineOrderError>
+parseEngineOrder(std::string_view Value) {
+  boost::system::error_code Error;
+  const json::value Parsed =
+      json::parse(json::string_view(Value.data(), Value.size()), Error);
+  if (Error || !Parsed.is_object())
+    return EngineOrderError::Malformed;
+  const json::object &Object = Parsed.get_object();
+  EngineOrderRow Row;
+  if (!readRole(Object, Row.Goal_.Role_) ||
+      !readString(Object, "model", Row.Goal_.Model_.Value_) ||
+      !readString(Object, "adapter", Row.Goal_.Adapter_) ||
+      !readString(Object, "version", Row.Goal_.Version_) ||
+      !readString(Object, "holder", Row.Holder_))
+    return EngineOrderError::Malformed;
+  const json::value *Fence = Object.if_contains("fence");
+  const json::value *Confirmed = Object.if_contains("confirmed");
+  if (!Fence || !Confirmed || !Confirmed->is_bool())
+    return EngineOrderError::Malformed;
+  Row.Fence_ = Fence->to_number<FencingNumber>(Error);
+  if (Error)
+    return EngineOrderError::Malformed;
+  Row.Confirmed_ = Confirmed->get_bool();
+  return Row;
+}
+
+} // namespace gooseberry
--- a/tests/IdempotencyTest.cpp
+++ b/tests/IdempotencyTest.cpp
@@ -1,8 +1,8 @@
 #include "gooseberrybeam/idempotency/IdempotentCall.h"
+#include "support/RowStore.h"
 
 #include <catch2/catch.hpp>
 
-#include <map>
 #include <memory>
 #include <random>
 #include <set>
@@ -15,47 +15,6 @@
 
 constexpr TimePoint Start{};
 
-/// A table of one process: outcomes are as the service would give them.
-class RowStore {
-public:
-  TransactOutcome apply(const TableTransaction &Transaction) {
-    TableConflict Conflict;
-    for (const TableCondition &Condition : Transaction.Conditions_)
-      if (versionOf(Condition.Key_) != Condition.Version_)
-        Conflict.Rows_.push_back(rowOf(Condition.Key_));
-    if (!Conflict.Rows_.empty())
-      return Conflict;
-    ++Commits_;
-    for (const TableWrite &Write : Transaction.Writes_) {
-      if (Write.Value_)
-        Rows_[Write.Key_] = TableRow{Write.Key_, *Write.Value_, Commits_};
-      else
-        Rows_.erase(Write.Key_);
-    }
-    return TableCommitted{Commits_};
-  }
-
-  ReadOutcome read(const std::string &Key) const {
-    TableRows Found;
-    if (Rows_.count(Key) != 0)
-      Found.Rows_.push_back(Rows_.at(Key));
-    return Found;
-  }
-
-  TableVersion commitCount() const { return Commits_; }
-
-private:
-  TableVersion versionOf(const std::string &Key) const {
-    return Rows_.count(Key) != 0 ? Rows_.at(Key).Version_ : AbsentVersion;
-  }
-  TableRow rowOf(const std::string &Key) const {
-    return Rows_.count(Key) != 0 ? Rows_.at(Key) : TableRow{Key, "", 0};
-  }
-
-  std::map<std::string, TableRow> Rows_;
-  TableVersion Commits_ = 0;
-};
-
 IdempotentRequest makeRequest(std::string Nonce,
                               const std::string &Body = "slot 4") {
   IdempotentRequest Request;
