--- a/include/gooseberrybeam/base/Result.h
+++ b/include/gooseberrybeam/base/Result.h
@@ -45,6 +45,8 @@
 template <typename... Handlers> struct Overloaded : Handlers... {
   using Handlers::operator()...;
 };
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
 } // namespace gooseberry
 
--- /dev/null
+++ b/src/config/ReadCopyUpdate.cpp
@@ -0,0 +1,43 @@
+#include "gooseberrybeam/config/ReadCopyUpdate.h"
+
+#include <urcu/urcu-bp.h>
+
+#if defined(__SANITIZE_THREAD__)
+extern "C" void __tsan_acquire(void *);
+extern "C" void __tsan_release(void *);
+#endif
+
+namespace gooseberry {
+namespace {
+
+// ThreadSanitizer does not see the grace period inside liburcu; these tell it
+// that the end of each read section happens before the end of the wait.
+void annotateRelease([[maybe_unused]] const void *Cell) {
+#if defined(__SANITIZE_THREAD__)
+  __tsan_release(const_cast<void *>(Cell));
+#endif
+}
+
+void annotateAcquire([[maybe_unused]] const void *Cell) {
+#if defined(__SANITIZE_THREAD__)
+  __tsan_acquire(const_cast<void *>(Cell));
+#endif
+}
+
+} // namespace
+
+ReadSection::ReadSection(const void *Cell) : Cell_(Cell) {
+  urcu_bp_read_lock();
+}
+
+ReadSection::~ReadSection() {
+  annotateRelease(Cell_);
+  urcu_bp_read_unlock();
+}
+
+void waitForReaders(const void *Cell) {
+  urcu_bp_synchronize_rcu();
+  annotateAcquire(Cell);
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/tests/ConfigurationTest.cpp
@@ -0,0 +1,121 @@
+#include "gooseberrybeam/config/Configuration.h"
+
+#include "gooseberrybeam/config/SnapshotCell.h"
+#include "support/SeededCheck.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <thread>
+
+using namespace gooseberry;
+
+namespace {
+
+Entity organisation(std::string Name, double Rate) {
+  Organisation Value;
+  Value.Name_.Value_ = std::move(Name);
+  Value.RateTokensPerSecond_ = Rate;
+  return Value;
+}
+
+EntityChange setting(const Entity &Value) { return {refOf(Value), Value}; }
+
+/// A snapshot whose two halves are always equal.
+struct Twin {
+  std::uint64_t Left_ = 0;
+  std::uint64_t Right_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("A successor shares what did not change", "[config]") {
+  ConfigDelta Delta;
+  for (int I = 0; I < 500; ++I)
+    Delta.push_back(setting(organisation("org" + std::to_string(I), I)));
+  const Configuration First = Configuration().with(Delta, 1);
+  const ConfigDelta Change = {setting(organisation("org7", 70))};
+  const Configuration Second = First.with(Change, 2);
+
+  SECTION("the changed entity differs, the predecessor stays as it was") {
+    CHECK(First.findOrganisation("org7")->RateTokensPerSecond_ == 7);
+    CHECK(Second.findOrganisation("org7")->RateTokensPerSecond_ == 70);
+    CHECK(First.revision() == 1);
+    CHECK(Second.revision() == 2);
+  }
+  SECTION("others are the same objects") {
+    CHECK(First.findOrganisation("org8") == Second.findOrganisation("org8"));
+  }
+  SECTION("parts make up the whole") {
+    std::size_t Sum = 0;
+    for (std::uint32_t Part = 0; Part < 8; ++Part)
+      Sum += Second.partOf(Part, 8).size();
+    CHECK(Sum == Second.size());
+  }
+}
+
+TEST_CASE("Keys lead to organisations until withdrawn", "[config]") {
+  const KeyGrant Grant{hashKey("secret"), {"club"}};
+  const ConfigDelta Delta = {setting(organisation("club", 5)), setting(Grant)};
+  const Configuration Config = Configuration().with(Delta, 1);
+  REQUIRE(Config.findOrganisationOfKey(hashKey("secret")));
+  CHECK(Config.findOrganisationOfKey(hashKey("secret"))->Name_.Value_ ==
+        "club");
+  CHECK_FALSE(Config.findOrganisationOfKey(hashKey("Secret")));
+  SECTION("a withdrawn key is unknown") {
+    const ConfigDelta Withdrawal = {{refOf(Grant), std::nullopt}};
+    CHECK_FALSE(
+        Config.with(Withdrawal, 2).findOrganisationOfKey(hashKey("secret")));
+  }
+  SECTION("the hash is SHA-256, written in hex and read back") {
+    CHECK(asHex(hashKey("abc")) == "ba7816bf8f01cfea414140de5dae2223"
+                                   "b00361a396177a9cb410ff61f20015ad");
+    CHECK(parseKeyHash(asHex(hashKey("abc"))) == hashKey("abc"));
+    CHECK_FALSE(parseKeyHash("ba78"));
+  }
+}
+
+TEST_CASE("The shared map agrees with an ordinary one", "[config]") {
+  CHECK(checkSeeded([](const std::vector<std::pair<std::uint8_t, int>> &Steps) {
+    SharedMap<Organisation> Map;
+    std::map<std::string, double> Model;
+    for (const auto &[Number, Rate] : Steps) {
+      const std::string Name = std::to_string(Number);
+      if (Rate % 3 == 0) {
+        Map = Map.without(Name);
+        Model.erase(Name);
+      } else {
+        Map = Map.with(std::make_shared<const Organisation>(
+            std::get<Organisation>(organisation(Name, Rate))));
+        Model[Name] = Rate;
+      }
+    }
+    RC_ASSERT(Map.size() == Model.size());
+    for (const auto &[Name, Rate] : Model)
+      RC_ASSERT(Map.find(Name) && Map.find(Name)->RateTokensPerSecond_ == Rate);
+  }));
+}
+
+TEST_CASE("Readers of a snapshot cell see whole snapshots in order",
+          "[config][concurrency]") {
+  constexpr int Readers = 3;
+  constexpr std::uint64_t Snapshots = 300;
+  SnapshotCell<Twin> Cell(std::make_shared<const Twin>());
+  std::array<int, Readers> Faults{};
+  std::vector<std::thread> Threads;
+  Threads.reserve(Readers);
+  for (int I = 0; I < Readers; ++I)
+    Threads.emplace_back([&Cell, &Count = Faults[static_cast<size_t>(I)]] {
+      std::uint64_t Newest = 0;
+      while (Newest < Snapshots) {
+        const auto Seen = Cell.read();
+        Count += Seen->Left_ != Seen->Right_ || Seen->Left_ < Newest ? 1 : 0;
+        Newest = Seen->Left_;
+      }
+    });
+  for (std::uint64_t I = 1; I <= Snapshots; ++I)
+    Cell.publish(std::make_shared<const Twin>(Twin{I, I}));
+  for (std::thread &Reader : Threads)
+    Reader.join();
+  CHECK(Faults == std::array<int, Readers>{});
+}
