--- a/tools/common/Exchange.cpp
+++ b/tools/common/Exchange.cpp
@@ -82,4 +82,10 @@
   IsBroken_ = static_cast<bool>(Error);
 }
 
+void Exchange::breakOff() {
+  IsBroken_ = true;
+  if (!Link_.IsSilent_)
+    Link_.Stream_.close();
+}
+
 } // namespace gooseberry
--- a/tools/common/Exchange.h
+++ b/tools/common/Exchange.h
@@ -63,6 +63,9 @@
   /// Ends a started reply.
   asio::awaitable<void> endStream();
 
+  /// Ends the connection without completing the reply.
+  void breakOff();
+
   /// \returns whether the connection can carry further exchanges.
   bool isUsable() const { return !IsBroken_ && Request_.keep_alive(); }
 
