--- a/tools/common/Flags.cpp
+++ b/tools/common/Flags.cpp
@@ -22,8 +22,9 @@
   std::vector<option> Options;
   int Code = FirstFlagCode;
   for (const auto &Entry : Flags)
-    Options.push_back(
-        {Entry.Name_.c_str(), required_argument, nullptr, Code++});
+    Options.push_back({Entry.Name_.c_str(),
+                       Entry.TakesValue_ ? required_argument : no_argument,
+                       nullptr, Code++});
   Options.push_back({"help", no_argument, nullptr, 'h'});
   Options.push_back({nullptr, 0, nullptr, 0});
   return Options;
@@ -68,7 +69,7 @@
     if (Code < FirstFlagCode)
       return BadUsage;
     const auto &Entry = Flags[static_cast<std::size_t>(Code - FirstFlagCode)];
-    if (!Entry.Set_(optarg)) {
+    if (!Entry.Set_(Entry.TakesValue_ ? optarg : "true")) {
       std::fprintf(stderr, "--%s: '%s' is not accepted; wanted: %s\n",
                    Entry.Name_.c_str(), optarg, Entry.Help_.c_str());
       return BadUsage;
--- a/tools/common/Flags.h
+++ b/tools/common/Flags.h
@@ -15,6 +15,7 @@
   std::string Name_;                          ///< Without the leading dashes.
   std::string Help_;                          ///< One line, with the unit.
   std::function<bool(std::string_view)> Set_; ///< False if it is not accepted.
+  bool TakesValue_ = true; ///< Else it is a switch, set to `true`.
 };
 
 /// \param Target where the text goes.
--- a/tools/common/LineClient.cpp
+++ b/tools/common/LineClient.cpp
@@ -58,13 +58,17 @@
       Text_.erase(0, End + 1);
       co_return Line;
     }
-    if (!co_await readMore())
+    const bool HasMore = co_await readMore();
+    if (!HasMore)
       co_return std::nullopt;
   }
 }
 
 asio::awaitable<std::string> LineClient::readAll() {
-  while (co_await readMore()) {
+  for (;;) {
+    const bool HasMore = co_await readMore();
+    if (!HasMore)
+      break;
   }
   co_return std::move(Text_);
 }
--- a/tools/common/StandinServer.cpp
+++ b/tools/common/StandinServer.cpp
@@ -58,7 +58,10 @@
 
 asio::awaitable<void> StandinServer::serve(std::shared_ptr<Connection> Link) {
   beast::flat_buffer Buffer;
-  while (co_await serveOne(*Link, Buffer)) {
+  for (;;) {
+    const bool IsUsable = co_await serveOne(*Link, Buffer);
+    if (!IsUsable)
+      break;
   }
   if (Link->IsSilent_)
     co_await sleepFor(SilentPark);
--- a/tools/standin_engine/EngineDecode.cpp
+++ b/tools/standin_engine/EngineDecode.cpp
@@ -52,7 +52,10 @@
 EngineHandler::openSource(const DecodeOrder &Order,
                           std::shared_ptr<Import> Entry, json::object &Head) {
   const auto Endpoint = parseEndpoint(Order.Address_);
-  if (!Endpoint || !co_await Entry->Source_->connect(*Endpoint))
+  if (!Endpoint)
+    co_return "transfer_stalled";
+  const bool IsConnected = co_await Entry->Source_->connect(*Endpoint);
+  if (!IsConnected)
     co_return "transfer_stalled";
   json::object Body;
   Body["kv"] = Order.SourceKv_;
