Keep the membership in an epoch row, and leases through witnesses

Cause: parts of limits may be reissued only when their former holder can serve no more, also while the table service is down or holders are paused.

The epoch document changes by compare-and-set on a small head row; the last 16 documents stay, so that a member that skipped epochs knows the witnesses of each. A lease lasts 3 s from the sending time of a read that lists the incarnation or of heartbeats acknowledged by a majority of up to 7 witnesses in the same epoch. A removed member is gone once those that may still acknowledge it are no majority of its witnesses in any epoch that it can be in, and 3.2 s have passed. Polling one row with all members was weighed against the head row: at 320 members it would cost some 12 KB/s a daemon.

An instance that reaches the table but no peer is removed and rejoins.

--- /dev/null
+++ b/include/gooseberrybeam/membership/MembershipCore.h
@@ -0,0 +1,170 @@
+/// \file
+/// One instance's part in the membership. Free of I/O.
+#ifndef GOOSEBERRYBEAM_MEMBERSHIP_MEMBERSHIPCORE_H
+#define GOOSEBERRYBEAM_MEMBERSHIP_MEMBERSHIPCORE_H
+
+#include "gooseberrybeam/membership/DepartureJudge.h"
+#include "gooseberrybeam/membership/EpochEditor.h"
+#include "gooseberrybeam/membership/LeaseKeeper.h"
+#include "gooseberrybeam/membership/MembershipActions.h"
+#include "gooseberrybeam/membership/SilenceMonitor.h"
+
+#include <random>
+#include <vector>
+
+namespace gooseberry {
+
+/// The row that holds the number of the current epoch.
+inline constexpr std::string_view EpochHeadKey = "membership/head";
+/// Prefix of the rows that hold the latest epoch documents.
+inline constexpr std::string_view EpochPrefix = "membership/epoch/";
+
+/// Who this instance is.
+struct MembershipSettings {
+  MemberId Self_;
+  std::string PeerAddress_;
+  DataCentreId DataCentre_;
+  std::size_t Shards_ = ShardCount;
+  std::uint64_t Seed_ = 1; ///< Seeds the jitter of polls and retries.
+};
+
+/// Counters of one core; each only grows.
+struct MembershipCounters {
+  std::uint64_t Reads_ = 0;
+  std::uint64_t Writes_ = 0;
+  std::uint64_t Conflicts_ = 0;
+  std::uint64_t Epochs_ = 0;
+  std::uint64_t Heartbeats_ = 0;
+};
+
+/// Joins, keeps the instance lease, proposes the removal of silent members,
+/// and tells which former members are gone.
+class MembershipCore {
+public:
+  /// \param Settings who this instance is.
+  explicit MembershipCore(MembershipSettings Settings);
+
+  /// Carries out what is due; called at least every 100 ms.
+  /// \param Now the clock reading.
+  void tick(TimePoint Now);
+
+  /// Takes the outcome of a `ReadMembership`.
+  /// \param Token the action's token.
+  /// \param Outcome the outcome.
+  /// \param Now the clock reading.
+  void noteRead(std::uint64_t Token, const ReadOutcome &Outcome, TimePoint Now);
+
+  /// Takes the outcome of a `WriteMembership`.
+  /// \param Token the action's token.
+  /// \param Outcome the outcome.
+  /// \param Now the clock reading.
+  void noteTransact(std::uint64_t Token, const TransactOutcome &Outcome,
+                    TimePoint Now);
+
+  /// Takes a message of another member.
+  /// \param From the sender, as authenticated by the transport.
+  /// \param Message the message.
+  /// \param Now the clock reading.
+  void receive(const MemberId &From, const MembershipMessage &Message,
+               TimePoint Now);
+
+  /// \param Revision the configuration revision now in force here.
+  void setRevision(std::uint64_t Revision) { Revision_ = Revision; }
+
+  /// Leaves for good: the lease ends at once. Holdings must have been returned
+  /// or dropped before.
+  /// \param Now the clock reading.
+  void leave(TimePoint Now);
+
+  /// The platform has stopped listing an instance that it listed before.
+  /// \param Name the instance.
+  void notePlatformGone(const InstanceId &Name);
+
+  /// \returns what to carry out, in order; each action once.
+  std::vector<MembershipAction> takeActions();
+
+  /// \returns until when this instance may serve.
+  TimePoint validUntil() const { return Lease_.validUntil(); }
+  /// \returns the epoch in force here; epoch 0 before the first.
+  const EpochDocument &document() const { return Document_; }
+  /// \returns whether the epoch in force lists this incarnation.
+  bool isMember() const { return Document_.hasMember(Settings_.Self_); }
+  /// \returns whether this incarnation has left and the epoch says so.
+  bool hasLeft() const { return IsLeaving_ && !isMember(); }
+  /// \returns the newest configuration revision that another member named.
+  std::uint64_t newestRevisionSeen() const { return NewestRevision_; }
+  /// \returns counters since the start.
+  const MembershipCounters &counters() const { return Counters_; }
+
+private:
+  enum class Purpose : std::uint8_t { Poll, Fetch, Write };
+  struct Pending {
+    std::uint64_t Token_ = 0;
+    Purpose Purpose_ = Purpose::Poll;
+    TimePoint SentAt_;
+  };
+
+  void poll(TimePoint Now);
+  void fetch(TimePoint Now);
+  void propose(TimePoint Now);
+  void startRead(Purpose For, TableQuery Query, TimePoint Now);
+  void noteHead(const TableRows &Rows, TimePoint SentAt);
+  void noteDocuments(const TableRows &Rows, TimePoint SentAt, TimePoint Now);
+  void adopt(const EpochDocument &Document, TimePoint Now);
+  void scheduleRetry(TimePoint Now);
+  void backOff(TimePoint Now);
+  EpochChange wantedChange(TimePoint Now) const;
+  void sendHeartbeats(TimePoint Now);
+  void sendSuspicions(TimePoint Now);
+  void sendQueries(TimePoint Now);
+  void announceGone(const MemberId &Id);
+  void send(const MemberId &To, MembershipMessage Message);
+  Duration jitter(Duration Least, Duration Most);
+
+  void onMessage(const MemberId &From, const Heartbeat &Message, TimePoint Now);
+  void onMessage(const MemberId &From, const HeartbeatAck &Message,
+                 TimePoint Now);
+  void onMessage(const MemberId &From, const SuspectNotice &Message,
+                 TimePoint Now);
+  void onMessage(const MemberId &From, const EpochQuery &Message,
+                 TimePoint Now);
+  void onMessage(const MemberId &From, const EpochConfirm &Message,
+                 TimePoint Now);
+  void onMessage(const MemberId &From, const Goodbye &Message, TimePoint Now);
+  void onMessage(const MemberId &From, const DocumentRequest &Message,
+                 TimePoint Now);
+  void onMessage(const MemberId &From, const DocumentReply &Message,
+                 TimePoint Now);
+  void noteNewerEpoch(const MemberId &From, Epoch Seen, TimePoint Now);
+
+  MembershipSettings Settings_;
+  std::mt19937_64 Random_;
+  LeaseKeeper Lease_;
+  SilenceMonitor Silence_;
+  DepartureJudge Judge_;
+  EpochDocument Document_;
+  std::optional<EpochDocument> Proposed_;
+  std::optional<Pending> Pending_;
+  TableVersion HeadVersion_ = AbsentVersion;
+  Epoch HeadEpoch_ = 0;
+  bool IsHeadFresh_ = false; ///< The next write may build on `HeadVersion_`.
+  bool IsLeaving_ = false;
+  bool IsRemoved_ = false;
+  std::uint64_t Revision_ = 0;
+  std::uint64_t NewestRevision_ = 0;
+  std::uint64_t NextToken_ = 1;
+  unsigned Attempts_ = 0;
+  TimePoint NextPoll_;
+  TimePoint NextProposal_;
+  TimePoint NextFetch_;
+  TimePoint LastTick_;
+  TimePoint NextHeartbeat_;
+  TimePoint NextNotice_;
+  std::set<MemberId> GoneInEpoch_; ///< Gone, but the document names them.
+  std::vector<MembershipAction> Actions_;
+  MembershipCounters Counters_;
+};
+
+} // namespace gooseberry
+
+#endif // GOOSEBERRYBEAM_MEMBERSHIP_MEMBERSHIPCORE_H
--- /dev/null
+++ b/src/membership/EpochEditor.cpp
@@ -0,0 +1,126 @@
+#include "gooseberrybeam/membership/EpochEditor.h"
+
+#include <algorithm>
+#include <map>
+
+namespace gooseberry {
+
+namespace {
+
+void eraseMember(EpochDocument &Document, const MemberId &Id) {
+  std::erase_if(Document.Members_,
+                [&](const EpochMember &Each) { return Each.Id_ == Id; });
+}
+
+void eraseDeparted(EpochDocument &Document, const MemberId &Id) {
+  std::erase_if(Document.Departed_,
+                [&](const DepartedMember &Each) { return Each.Id_ == Id; });
+}
+
+const EpochMember *findName(const EpochDocument &Document,
+                            const InstanceId &Name) {
+  const auto Entry = std::find_if(
+      Document.Members_.begin(), Document.Members_.end(),
+      [&](const EpochMember &Each) { return Each.Id_.Name_ == Name; });
+  return Entry == Document.Members_.end() ? nullptr : &*Entry;
+}
+
+/// Removes an older incarnation. Its process has ended if the newcomer could
+/// bind the same address.
+void supersede(EpochDocument &Document, const EpochMember &Joining) {
+  const EpochMember *Found = findName(Document, Joining.Id_.Name_);
+  if (Found == nullptr)
+    return;
+  const EpochMember Old = *Found;
+  eraseMember(Document, Old.Id_);
+  if (Old.PeerAddress_ != Joining.PeerAddress_)
+    Document.Departed_.push_back({Old.Id_, Document.Epoch_});
+}
+
+void join(EpochDocument &Document, EpochMember Joining) {
+  supersede(Document, Joining);
+  Joining.Joined_ = Document.Epoch_;
+  Document.Members_.push_back(std::move(Joining));
+  std::sort(Document.Members_.begin(), Document.Members_.end(),
+            [](const EpochMember &Left, const EpochMember &Right) {
+              return Left.Id_ < Right.Id_;
+            });
+}
+
+std::map<MemberId, std::size_t> countShards(const EpochDocument &Document) {
+  std::map<MemberId, std::size_t> Counts;
+  for (const EpochMember &Each : Document.Members_)
+    Counts[Each.Id_] = 0;
+  for (const ShardOwner &Shard : Document.Shards_)
+    if (Counts.contains(Shard.Owner_))
+      ++Counts[Shard.Owner_];
+  return Counts;
+}
+
+MemberId leastLoaded(const std::map<MemberId, std::size_t> &Counts) {
+  return std::min_element(Counts.begin(), Counts.end(),
+                          [](const auto &Left, const auto &Right) {
+                            return Left.second < Right.second;
+                          })
+      ->first;
+}
+
+/// Gives orphaned shards, then those above an even share, to the members with
+/// the fewest.
+void spreadShards(EpochDocument &Document) {
+  auto Counts = countShards(Document);
+  const auto Move = [&](ShardOwner &Shard) {
+    const MemberId To = leastLoaded(Counts);
+    Shard = {To, Document.Epoch_};
+    ++Counts[To];
+  };
+  for (ShardOwner &Shard : Document.Shards_)
+    if (!Counts.contains(Shard.Owner_))
+      Move(Shard);
+  const std::size_t Members = Document.Members_.size();
+  const std::size_t Floor = Document.Shards_.size() / Members;
+  for (ShardOwner &Shard : Document.Shards_) {
+    const bool IsDone = Counts[leastLoaded(Counts)] >= Floor;
+    if (IsDone)
+      break;
+    if (Counts[Shard.Owner_] <= Floor)
+      continue;
+    --Counts[Shard.Owner_];
+    Move(Shard);
+  }
+}
+
+} // namespace
+
+EpochChangeOutcome changeEpoch(const EpochDocument &Current,
+                               const EpochChange &Change, std::size_t Shards) {
+  EpochDocument Next = Current;
+  ++Next.Epoch_;
+  for (const MemberId &Id : Change.Gone_) {
+    eraseMember(Next, Id);
+    eraseDeparted(Next, Id);
+  }
+  for (const MemberId &Id : Change.Remove_) {
+    if (!Next.hasMember(Id))
+      continue;
+    eraseMember(Next, Id);
+    Next.Departed_.push_back({Id, Next.Epoch_});
+  }
+  if (Change.Join_ && !Next.hasMember(Change.Join_->Id_)) {
+    const EpochMember *Same = findName(Next, Change.Join_->Id_.Name_);
+    if (Same != nullptr &&
+        Same->Id_.Incarnation_ > Change.Join_->Id_.Incarnation_)
+      return SupersededByNewer{};
+    join(Next, *Change.Join_);
+  }
+  if (Next.Members_ == Current.Members_ && Next.Departed_ == Current.Departed_)
+    return NothingToChange{};
+  if (Next.Shards_.empty())
+    Next.Shards_.resize(Shards);
+  // The last member's shards wait for the next one under its name.
+  if (!Next.Members_.empty())
+    spreadShards(Next);
+  return Next;
+}
+
+} // namespace gooseberry
