--- /dev/null
+++ b/include/gooseberrybeam/config/ConfigLogEntry.h
@@ -0,0 +1,26 @@
+/// \file
+/// One accepted change of the configuration.
+#ifndef GOOSEBERRYBEAM_CONFIG_CONFIGLOGENTRY_H
+#define GOOSEBERRYBEAM_CONFIG_CONFIGLOGENTRY_H
+
+#include "gooseberrybeam/config/Entity.h"
+#include "gooseberrybeam/config/Revision.h"
+
+#include <string>
+
+namespace gooseberry {
+
+/// What a revision changed, who asked for it and by which command.
+struct ConfigLogEntry {
+  Revision Number_ = NoRevision;
+  std::string Token_;  ///< Idempotency token of the operator's command.
+  std::string Author_; ///< As the operator gave it.
+  ConfigDelta Delta_;
+
+  friend bool operator==(const ConfigLogEntry &,
+                         const ConfigLogEntry &) = default;
+};
+
+} // namespace gooseberry
+
+#endif // GOOSEBERRYBEAM_CONFIG_CONFIGLOGENTRY_H
--- /dev/null
+++ b/include/gooseberrybeam/config/ConfigMessage.h
@@ -0,0 +1,66 @@
+/// \file
+/// Messages about the configuration between instances.
+#ifndef GOOSEBERRYBEAM_CONFIG_CONFIGMESSAGE_H
+#define GOOSEBERRYBEAM_CONFIG_CONFIGMESSAGE_H
+
+#include "gooseberrybeam/config/ConfigLogEntry.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace gooseberry {
+
+/// The sender holds this revision.
+struct ConfigHeld {
+  Revision Number_ = NoRevision;
+};
+
+/// Accepted changes, by growing revision without gaps.
+struct ConfigEntries {
+  std::vector<ConfigLogEntry> Entries_;
+};
+
+/// Asks for the changes that follow a revision.
+struct ConfigAsk {
+  Revision After_ = NoRevision;
+};
+
+/// The asked-for changes are no longer kept; a snapshot has to be asked for.
+struct ConfigTooOld {
+  Revision Number_ = NoRevision; ///< What the sender holds.
+};
+
+/// Asks for one part of the whole configuration.
+struct ConfigPartAsk {
+  std::uint32_t Part_ = 0;
+  std::uint32_t Parts_ = 1;
+};
+
+/// One part of the whole configuration.
+struct ConfigPart {
+  Revision Number_ = NoRevision; ///< The revision it was taken from.
+  std::uint32_t Part_ = 0;
+  std::uint32_t Parts_ = 1;
+  std::vector<Entity> Entities_;
+};
+
+/// Any message about the configuration. All may be lost, repeated, delayed or
+/// reordered.
+using ConfigMessage = std::variant<ConfigHeld, ConfigEntries, ConfigAsk,
+                                   ConfigTooOld, ConfigPartAsk, ConfigPart>;
+
+/// \param Message a message.
+/// \returns its bytes, JSON.
+std::string encodeConfigMessage(const ConfigMessage &Message);
+
+/// \param Bytes what `encodeConfigMessage` gave.
+/// \returns the message, or nothing if it is malformed.
+std::optional<ConfigMessage> parseConfigMessage(std::string_view Bytes);
+
+} // namespace gooseberry
+
+#endif // GOOSEBERRYBEAM_CONFIG_CONFIGMESSAGE_H
--- /dev/null
+++ b/src/config/ConfigMessage.cpp
@@ -0,0 +1,151 @@
+#include "gooseberrybeam/config/ConfigMessage.h"
+
+#include "gooseberrybeam/base/Result.h"
+#include "gooseberrybeam/config/ConfigRows.h"
+
+#include <boost/json.hpp>
+
+namespace gooseberry {
+namespace json = boost::json;
+namespace {
+
+/// Messages from peers nest no deeper than documents do.
+constexpr std::uint32_t MaxParts = 4096;
+
+json::object encode(const ConfigHeld &Message) {
+  return {{"type", "held"}, {"revision", Message.Number_}};
+}
+
+json::object encode(const ConfigEntries &Message) {
+  json::array Entries;
+  for (const ConfigLogEntry &Entry : Message.Entries_)
+    Entries.push_back(encodeLogEntry(Entry));
+  return {{"type", "entries"}, {"entries", std::move(Entries)}};
+}
+
+json::object encode(const ConfigAsk &Message) {
+  return {{"type", "ask"}, {"revision", Message.After_}};
+}
+
+json::object encode(const ConfigTooOld &Message) {
+  return {{"type", "too_old"}, {"revision", Message.Number_}};
+}
+
+json::object encode(const ConfigPartAsk &Message) {
+  return {
+      {"type", "part_ask"}, {"part", Message.Part_}, {"parts", Message.Parts_}};
+}
+
+json::object encode(const ConfigPart &Message) {
+  ConfigDelta Delta;
+  for (const Entity &Value : Message.Entities_)
+    Delta.push_back({refOf(Value), Value});
+  return {{"type", "part"},
+          {"revision", Message.Number_},
+          {"part", Message.Part_},
+          {"parts", Message.Parts_},
+          {"changes", encodeDelta(Delta)}};
+}
+
+/// Reads whole numbers of a message; remembers whether one was missing.
+class NumberReader {
+public:
+  explicit NumberReader(const json::object &Object) : Object_(Object) {}
+
+  std::uint64_t read(std::string_view Name) {
+    const json::value *Value = Object_.if_contains(Name);
+    json::error_code Error;
+    const std::uint64_t Number =
+        Value ? Value->to_number<std::uint64_t>(Error) : 0;
+    HasFault_ = HasFault_ || !Value || Error;
+    return Number;
+  }
+
+  bool hasFault() const { return HasFault_; }
+
+private:
+  const json::object &Object_;
+  bool HasFault_ = false;
+};
+
+std::optional<ConfigMessage> parseEntries(const json::object &Object) {
+  const json::value *Items = Object.if_contains("entries");
+  if (!Items || !Items->is_array())
+    return std::nullopt;
+  ConfigEntries Message;
+  for (const json::value &Item : Items->get_array()) {
+    std::optional<ConfigLogEntry> Entry = parseLogEntry(Item);
+    if (!Entry)
+      return std::nullopt;
+    Message.Entries_.push_back(std::move(*Entry));
+  }
+  return Message;
+}
+
+std::optional<ConfigMessage> parsePart(const json::object &Object,
+                                       ConfigPart Message) {
+  const json::value *Changes = Object.if_contains("changes");
+  ConfigFaults Faults;
+  if (!Changes)
+    return std::nullopt;
+  for (EntityChange &Change : parseDelta(*Changes, Faults))
+    if (Change.Value_)
+      Message.Entities_.push_back(std::move(*Change.Value_));
+  if (!Faults.empty())
+    return std::nullopt;
+  return Message;
+}
+
+std::optional<ConfigMessage> parsePartial(const json::object &Object,
+                                          bool IsAsk) {
+  NumberReader Numbers(Object);
+  const std::uint64_t Part = Numbers.read("part");
+  const std::uint64_t Parts = Numbers.read("parts");
+  const Revision Number = IsAsk ? NoRevision : Numbers.read("revision");
+  if (Numbers.hasFault() || Parts > MaxParts || Part >= Parts)
+    return std::nullopt;
+  const auto PartNumber = static_cast<std::uint32_t>(Part);
+  const auto PartCount = static_cast<std::uint32_t>(Parts);
+  if (IsAsk)
+    return ConfigPartAsk{PartNumber, PartCount};
+  return parsePart(Object, {Number, PartNumber, PartCount, {}});
+}
+
+std::optional<ConfigMessage> parseRevision(const json::object &Object,
+                                           std::string_view Type) {
+  NumberReader Numbers(Object);
+  const Revision Number = Numbers.read("revision");
+  if (Numbers.hasFault())
+    return std::nullopt;
+  if (Type == "held")
+    return ConfigHeld{Number};
+  if (Type == "ask")
+    return ConfigAsk{Number};
+  if (Type == "too_old")
+    return ConfigTooOld{Number};
+  return std::nullopt;
+}
+
+} // namespace
+
+std::string encodeConfigMessage(const ConfigMessage &Message) {
+  return std::visit(
+      [](const auto &Held) { return json::serialize(encode(Held)); }, Message);
+}
+
+std::optional<ConfigMessage> parseConfigMessage(std::string_view Bytes) {
+  json::error_code Error;
+  const json::value Value = json::parse(Bytes, Error);
+  const json::object *Object = Error ? nullptr : Value.if_object();
+  const json::value *TypeField = Object ? Object->if_contains("type") : nullptr;
+  if (!TypeField || !TypeField->is_string())
+    return std::nullopt;
+  const std::string_view Type = TypeField->get_string();
+  if (Type == "entries")
+    return parseEntries(*Object);
+  if (Type == "part_ask" || Type == "part")
+    return parsePartial(*Object, Type == "part_ask");
+  return parseRevision(*Object, Type);
+}
+
+} // namespace gooseberry
