Compare placement policies in virtual time

Adds bench/PolicyBench: the dispatchers of eight instances, fake engines with continuous batching, KV memory, prefix caches and serial links, reports with 100 ms lag, cache events with losses, seeded callers with an uneven balancer, seven faults, and as baselines round robin, least in flight, static 1/N limits, and an oracle (one instance, reports without lag).

Mends a fault that the bench found: a request whose question to its home was open when this instance became the home was queued twice.

--- /dev/null
+++ b/bench/PolicyBench.cpp
@@ -0,0 +1,98 @@
+/// \file
+/// Compares policies in virtual time and writes one CSV line for each run.
+///
+/// Usage: PolicyBench [--quick] [--seeds N] [--policy NAME] > results.csv
+///
+/// `--quick` runs without faults.
+#include "gooseberrybeam/routing/CostPairStrategy.h"
+#include "support/Baselines.h"
+#include "support/FleetRun.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <string_view>
+
+using namespace gooseberry;
+using namespace gooseberry::bench;
+
+namespace {
+
+std::unique_ptr<PairStrategy> makeCost(std::size_t Sample,
+                                       std::uint32_t SlotParts) {
+  CostPairOptions Settings;
+  Settings.Sample_ = Sample;
+  Settings.SlotParts_ = SlotParts;
+  return std::make_unique<CostPairStrategy>(Settings);
+}
+
+std::vector<Policy> makePolicies() {
+  constexpr auto Local = PlacementMode::Local;
+  constexpr auto Home = PlacementMode::Home;
+  constexpr std::size_t All = 64;
+  return {
+      {"round_robin", Local, Fairness::None,
+       [] { return std::make_unique<RoundRobin>(); }, false, false},
+      {"least_in_flight", Local, Fairness::None,
+       [] { return std::make_unique<LeastInFlight>(); }, false, false},
+      {"optimistic", Local, Fairness::Weighted, [] { return makeCost(All, 1); },
+       false, false},
+      {"two_choices", Local, Fairness::Weighted, [] { return makeCost(2, 1); },
+       false, false},
+      {"static_slots", Local, Fairness::Weighted,
+       [] { return makeCost(All, 8); }, false, false},
+      {"home_slack", Home, Fairness::None, {}, false, false},
+      {"home_equal", Home, Fairness::Equal, {}, false, false},
+      {"home", Home, Fairness::Weighted, {}, false, false},
+      {"home_static_limits", Home, Fairness::Weighted, {}, true, false},
+      {"oracle", Local, Fairness::Weighted, {}, false, true},
+  };
+}
+
+void print(const RunOptions &Options, const RunResult &Seen) {
+  std::printf(
+      "%s,%s,%.1f,%s,%llu,%llu,%llu,%llu,%llu,%llu,%.3f,%.5f,%.3f,%llu\n",
+      Options.Deployment_.Name_.c_str(), Options.Policy_.Name_.c_str(),
+      Options.Load_, asName(Options.Fault_).data(),
+      static_cast<unsigned long long>(Options.Seed_),
+      static_cast<unsigned long long>(Seen.Offered_),
+      static_cast<unsigned long long>(Seen.Met_),
+      static_cast<unsigned long long>(Seen.Late_),
+      static_cast<unsigned long long>(Seen.Refused_),
+      static_cast<unsigned long long>(Seen.Lost_), Seen.Goodput_,
+      Seen.WastedPrefill_, Seen.WorstServed_,
+      static_cast<unsigned long long>(Seen.Messages_));
+  std::fflush(stdout);
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  bool IsQuick = false;
+  std::uint64_t Seeds = 1;
+  std::string_view Only;
+  for (int I = 1; I < Count; ++I) {
+    const std::string_view Argument = Arguments[I];
+    if (Argument == "--quick")
+      IsQuick = true;
+    else if (Argument == "--seeds" && I + 1 < Count)
+      Seeds = std::strtoull(Arguments[++I], nullptr, 10);
+    else if (Argument == "--policy" && I + 1 < Count)
+      Only = Arguments[++I];
+  }
+  std::puts("deployment,policy,load,fault,seed,offered,met,late,refused,lost,"
+            "goodput_rps,wasted_prefill,worst_of_mean,peer_messages");
+  for (const Deployment &Of : {makeQureshi(), makeTesfaye()})
+    for (const Policy &Each : makePolicies()) {
+      if (!Only.empty() && Only != Each.Name_)
+        continue;
+      for (const double Load : {0.5, 0.8, 1.0, 1.3, 2.0})
+        for (int Which = 0; Which < (IsQuick ? 1 : FaultCount); ++Which)
+          for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+            RunOptions Options{Of,   Each,
+                               Load, static_cast<Fault>(Which),
+                               Seed, std::chrono::seconds(60)};
+            print(Options, FleetRun(Options).run());
+          }
+    }
+  return 0;
+}
--- a/include/gooseberrybeam/routing/Dispatcher.h
+++ b/include/gooseberrybeam/routing/Dispatcher.h
@@ -94,6 +94,9 @@
   /// \param Out takes the actions.
   void tick(TimePoint Now, DispatchActions &Out);
 
+  /// \param Model a model.
+  /// \returns the instance that places the model's work.
+  InstanceId homeOf(const ModelId &Model) const;
   /// \returns requests that wait in this instance's queues.
   std::size_t queued() const;
   /// \returns requests known, waiting or running.
@@ -134,7 +137,6 @@
                                        TimePoint, DispatchActions &);
 
   // Waiting and choosing.
-  InstanceId homeOf(const ModelId &Model) const;
   bool isOwn(const Generation &Of) const;
   bool isHome(const Generation &Of) const;
   void enqueue(Generation &Of, TimePoint Now);
--- a/include/gooseberrybeam/routing/GenerationProgress.h
+++ b/include/gooseberrybeam/routing/GenerationProgress.h
@@ -20,7 +20,7 @@
   TransferStalled, ///< The transfer makes no progress; the KV cache lives.
   KvGone,          ///< The KV cache died before it was imported.
   DecodeDone,      ///< `Tokens_` generated in `Took_`.
-  DecodeFailed,    ///< The stream broke after `Tokens_` in all.
+  DecodeFailed,    ///< The stream broke `Tokens_` after it was last started.
   Cancelled,       ///< The caller has gone or its deadline has passed.
 };
 
--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -78,6 +78,7 @@
                           Typical_.transferTime(kvPiecesOf(Item)) +
                           Typical_.stepTime(1);
   Of.Phase_ = Phase::Queued;
+  Of.IsAwaitingHome_ = false;
   Of.Since_ = Now;
   const TimePoint GiveUp = Item.Deadline_ - Needed;
   TimePoint LatestStart = firstTokenDue(Item) - Needed;
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -299,4 +299,17 @@
         CHECK(only<StartGeneration>(Fresh.Done_[Name]).size() <= 1);
     }
   }
+
+  SECTION("an unanswered question ends when this instance becomes the home") {
+    for (const InstanceId &Name : All.Names_) {
+      Cluster Fresh;
+      Fresh.Silent_ = {Fresh.Names_.begin(), Fresh.Names_.end()};
+      Fresh.submit(Name, workOf("r"), at(0));
+      Fresh.setMembers({Name}, at(50));
+      for (int Now = 60; Now < 1000; Now += 10)
+        Fresh.tick(at(Now));
+      CHECK(only<StartGeneration>(Fresh.Done_[Name]).size() == 1);
+      CHECK(Fresh.Instances_.at(Name).queued() == 0);
+    }
+  }
 }
