Add HTTP to callers, engines and the table service

Cause: the whole path needs the caller port and narrow adapters. Weighed for cancellation: Asio's cancellation slots through every coroutine, or one scope per request whose guards close what is pending; the scope also names the reason and reaches waits on another thread, so it was taken. Silent connections are found by idle timeouts on each expected byte; a timeout also discards the pool's idle connections to that server.

--- /dev/null
+++ b/include/gooseberrybeam/http/ConnectionPool.h
@@ -0,0 +1,58 @@
+/// \file
+/// Idle keep-alive connections, by server.
+#ifndef GOOSEBERRYBEAM_HTTP_CONNECTIONPOOL_H
+#define GOOSEBERRYBEAM_HTTP_CONNECTIONPOOL_H
+
+#include "gooseberrybeam/base/Ids.h"
+#include "gooseberrybeam/http/ClientConnection.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace gooseberry {
+
+/// Bounds of a pool.
+struct PoolLimits {
+  std::size_t IdlePerServer_ = 64;
+  Duration MaxIdle_ = std::chrono::seconds(20);
+  Duration ConnectTimeout_ = std::chrono::milliseconds(500);
+};
+
+/// Keeps connections for reuse. Used on one thread only.
+class ConnectionPool {
+public:
+  /// \param Limits bounds of the pool.
+  explicit ConnectionPool(PoolLimits Limits);
+
+  /// Takes an idle connection or makes one.
+  /// \param Server `ip:port`.
+  /// \param Scope aborts the attempt when cancelled.
+  /// \returns a connection or a failure.
+  Task<ClientConnection::Made> acquire(const BackendId &Server,
+                                       CancelScope &Scope);
+
+  /// Takes a connection back; it is closed unless it can be reused.
+  /// \param Server whose connection it is.
+  /// \param Connection the connection.
+  void release(const BackendId &Server,
+               std::unique_ptr<ClientConnection> Connection);
+
+  /// Closes all idle connections of a server, e.g. after a timeout on one.
+  /// \param Server whose connections to close.
+  void discard(const BackendId &Server);
+
+private:
+  struct Idle {
+    std::unique_ptr<ClientConnection> Connection_;
+    TimePoint Since_;
+  };
+
+  std::unique_ptr<ClientConnection> takeIdle(const BackendId &Server);
+
+  PoolLimits Limits_;
+  std::unordered_map<BackendId, std::vector<Idle>> Idle_;
+};
+
+} // namespace gooseberry
+
+#endif // GOOSEBERRYBEAM_HTTP_CONNECTIONPOOL_H
--- /dev/null
+++ b/src/http/CallerServer.cpp
@@ -0,0 +1,37 @@
+#include "gooseberrybeam/http/CallerServer.h"
+
+#include "http/CallerSession.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <vector>
+
+namespace gooseberry {
+
+CallerServer::CallerServer(asio::io_context &Context, RequestHandler &Handler,
+                           CallerLimits Limits, std::string IdPrefix)
+    : Context_(Context), Handler_(Handler), Limits_(Limits),
+      IdPrefix_(std::move(IdPrefix)) {}
+
+CallerServer::~CallerServer() = default;
+
+RequestId CallerServer::makeId() {
+  ++LastId_;
+  return {IdPrefix_ + std::to_string(LastId_)};
+}
+
+void CallerServer::serve(tcp::socket Socket) {
+  auto Session = std::make_unique<CallerSession>(*this, std::move(Socket));
+  asio::co_spawn(Context_, CallerSession::run(std::move(Session)),
+                 asio::detached);
+}
+
+void CallerServer::closeIdle() {
+  IsClosing_ = true;
+  const std::vector<CallerSession *> Open(Sessions_.begin(), Sessions_.end());
+  for (CallerSession *Session : Open)
+    Session->closeIfIdle();
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/src/http/CallerSession.cpp
@@ -0,0 +1,170 @@
+#include "http/CallerSession.h"
+
+#include "http/ReadDeadline.h"
+
+#include <boost/beast/http/read.hpp>
+
+#include <array>
+#include <charconv>
+#include <variant>
+
+namespace gooseberry {
+namespace {
+
+namespace http = beast::http;
+
+constexpr std::size_t FirstRead = 1024;
+constexpr std::string_view DeadlineField = "X-Request-Deadline-Ms";
+constexpr std::int64_t MaxDeadlineMs = 24LL * 3600 * 1000;
+constexpr Duration LingerTimeout = std::chrono::milliseconds(500);
+
+CallerError makeError(RefusalReason Reason, std::string_view Message) {
+  return {{Reason, Execution::NotRun, std::nullopt}, std::string(Message), ""};
+}
+
+/// Sets the deadline that the caller's field asks for.
+/// \returns false if the field is not a positive number of milliseconds.
+bool applyDeadline(CallerExchange &Exchange) {
+  const auto Range = Exchange.head().equal_range(asBeast(DeadlineField));
+  if (Range.first == Range.second)
+    return true;
+  const std::string_view Text = asStd(Range.first->value());
+  std::int64_t Milliseconds = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Milliseconds);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End || Milliseconds <= 0 ||
+      Milliseconds > MaxDeadlineMs)
+    return false;
+  Exchange.setDeadline(Exchange.arrival() +
+                       std::chrono::milliseconds(Milliseconds));
+  return true;
+}
+
+std::optional<CallerError> findHeadError(CallerExchange &Exchange) {
+  if (const auto Fault = findShapeFault(Exchange.head()))
+    return makeError(RefusalReason::MalformedRequest, asMessage(*Fault));
+  if (!applyDeadline(Exchange))
+    return makeError(RefusalReason::MalformedRequest,
+                     "X-Request-Deadline-Ms must be a positive integer.");
+  return std::nullopt;
+}
+
+std::optional<CallerError> errorOfRead(const boost::system::error_code &Error,
+                                       bool HasTimedOut) {
+  if (HasTimedOut)
+    return makeError(RefusalReason::RequestTimeout, "");
+  if (Error == http::error::header_limit)
+    return makeError(RefusalReason::RequestTooLarge,
+                     "The request's head is too large.");
+  if (Error == http::error::body_limit)
+    return makeError(RefusalReason::RequestTooLarge, "");
+  const bool IsParserError =
+      Error.category() ==
+      http::make_error_code(http::error::bad_version).category();
+  if (IsParserError && Error != http::error::end_of_stream &&
+      Error != http::error::partial_message)
+    return makeError(RefusalReason::MalformedRequest,
+                     "The request's head is malformed.");
+  return std::nullopt;
+}
+
+} // namespace
+
+CallerSession::CallerSession(CallerServer &Server, tcp::socket Socket)
+    : Server_(Server), Stream_(std::move(Socket)) {
+  boost::system::error_code Ignored;
+  Stream_.socket().set_option(tcp::no_delay(true), Ignored);
+  Server_.Sessions_.insert(this);
+}
+
+CallerSession::~CallerSession() { Server_.Sessions_.erase(this); }
+
+void CallerSession::closeIfIdle() {
+  if (IsIdle_)
+    Stream_.close();
+}
+
+Task<void> CallerSession::run(std::unique_ptr<CallerSession> Self) {
+  for (;;) {
+    const bool HasRequest = co_await Self->waitForRequest();
+    if (!HasRequest)
+      co_return;
+    const bool KeepsAlive = co_await Self->serveOne();
+    if (!KeepsAlive)
+      break;
+  }
+  co_await Self->finish();
+}
+
+Task<bool> CallerSession::waitForRequest() {
+  if (Buffer_.size() > 0)
+    co_return true;
+  if (Server_.IsClosing_)
+    co_return false;
+  IsIdle_ = true;
+  Stream_.expires_after(Server_.Limits_.KeepAlive_);
+  auto [Error, Read] =
+      co_await Stream_.async_read_some(Buffer_.prepare(FirstRead), AsTuple);
+  IsIdle_ = false;
+  Buffer_.commit(Read);
+  Stream_.expires_never();
+  co_return !Error;
+}
+
+Task<bool> CallerSession::serveOne() {
+  Parser Request;
+  Request.header_limit(Server_.Limits_.MaxHeaderBytes_);
+  Request.body_limit(Server_.Limits_.MaxBodyBytes_);
+  boost::system::error_code Error;
+  bool HasTimedOut = false;
+  {
+    const ReadDeadline Deadline(Stream_, Server_.Limits_.HeaderTimeout_);
+    auto [ReadError, Read] =
+        co_await http::async_read_header(Stream_, Buffer_, Request, AsTuple);
+    Error = ReadError;
+    HasTimedOut = Deadline.hasPassed();
+  }
+  CallerExchange Exchange(Stream_, Buffer_, Request, Server_.Limits_,
+                          Server_.makeId());
+  if (Error) {
+    auto ReadError = errorOfRead(Error, HasTimedOut);
+    if (ReadError)
+      co_await refuseHead(Exchange, std::move(*ReadError));
+    co_return false;
+  }
+  auto HeadError = findHeadError(Exchange);
+  if (HeadError) {
+    co_await refuseHead(Exchange, std::move(*HeadError));
+    co_return false;
+  }
+  if (Server_.IsClosing_)
+    Exchange.closeAfter();
+  co_await Server_.Handler_.handle(Exchange);
+  co_return Exchange.keepsAlive() && !Server_.IsClosing_;
+}
+
+Task<void> CallerSession::refuseHead(CallerExchange &Exchange,
+                                     CallerError Error) {
+  Exchange.closeAfter();
+  Server_.Handler_.noteRefused(Exchange.id(), Error);
+  co_await Exchange.refuse(std::move(Error));
+}
+
+// A close with unread input would reset the connection and could destroy the
+// answer on its way, so what is left of the request is read for a short time.
+Task<void> CallerSession::finish() {
+  boost::system::error_code Error;
+  Stream_.socket().shutdown(tcp::socket::shutdown_send, Error);
+  if (Error)
+    co_return;
+  std::array<char, 4096> Rest;
+  Stream_.expires_after(LingerTimeout);
+  for (int Reads = 0; Reads != 256; ++Reads) {
+    auto [ReadError, Read] =
+        co_await Stream_.async_read_some(asio::buffer(Rest), AsTuple);
+    if (ReadError)
+      co_return;
+  }
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/src/http/ClientConnection.cpp
@@ -0,0 +1,124 @@
+#include "gooseberrybeam/http/ClientConnection.h"
+
+#include <boost/asio/this_coro.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <cassert>
+#include <limits>
+
+namespace gooseberry {
+namespace {
+
+CallFailure failureOf(const boost::system::error_code &Error,
+                      const CancelScope &Scope, CallFailure Otherwise) {
+  if (Scope.isCancelled())
+    return CallFailure::Cancelled;
+  if (Error == beast::error::timeout)
+    return CallFailure::Timeout;
+  if (Error.category() ==
+      beast::http::make_error_code(beast::http::error::bad_version).category())
+    return Error == beast::http::error::end_of_stream ||
+                   Error == beast::http::error::partial_message
+               ? Otherwise
+               : CallFailure::Malformed;
+  return Otherwise;
+}
+
+} // namespace
+
+Task<ClientConnection::Made> ClientConnection::connect(tcp::endpoint Server,
+                                                       Duration Timeout,
+                                                       CancelScope &Scope) {
+  if (Scope.isCancelled())
+    co_return CallError{CallFailure::Cancelled, false};
+  beast::tcp_stream Stream(co_await asio::this_coro::executor);
+  Stream.expires_after(Timeout);
+  boost::system::error_code Error;
+  {
+    CancelScope::Guard Guard(Scope, [&Stream] { Stream.close(); });
+    auto [ConnectError] = co_await Stream.async_connect(Server, AsTuple);
+    Error = ConnectError;
+  }
+  if (Error)
+    co_return CallError{failureOf(Error, Scope, CallFailure::Connect), false};
+  Stream.socket().set_option(tcp::no_delay(true), Error);
+  co_return std::make_unique<ClientConnection>(std::move(Stream));
+}
+
+ClientConnection::ClientConnection(beast::tcp_stream Stream)
+    : Stream_(std::move(Stream)) {}
+
+CallError ClientConnection::failed(CallFailure Failure, bool MayHaveStarted) {
+  close();
+  return {Failure, MayHaveStarted};
+}
+
+Task<Result<ResponseHead, CallError>>
+ClientConnection::exchange(HttpRequest &Request, Duration IdleTimeout,
+                           CancelScope &Scope) {
+  if (Scope.isCancelled())
+    co_return failed(CallFailure::Cancelled, false);
+  CancelScope::Guard Guard(Scope, [this] { close(); });
+  Stream_.expires_after(IdleTimeout);
+  auto [SendError, Sent] =
+      co_await beast::http::async_write(Stream_, Request, AsTuple);
+  if (SendError)
+    co_return failed(failureOf(SendError, Scope, CallFailure::Send), Sent > 0);
+  Parser_.emplace();
+  Parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+  Stream_.expires_after(IdleTimeout);
+  auto [ReadError, Read] = co_await beast::http::async_read_header(
+      Stream_, Buffer_, *Parser_, AsTuple);
+  if (ReadError)
+    co_return failed(failureOf(ReadError, Scope, CallFailure::Receive), true);
+  const auto &Head = Parser_->get();
+  co_return ResponseHead{static_cast<int>(Head.result_int()), Head.base()};
+}
+
+Task<Result<std::size_t, CallError>>
+ClientConnection::readSome(std::span<char> Into, Duration IdleTimeout,
+                           CancelScope &Scope) {
+  assert(!Into.empty());
+  if (Scope.isCancelled())
+    co_return failed(CallFailure::Cancelled, true);
+  CancelScope::Guard Guard(Scope, [this] { close(); });
+  auto &Body = Parser_->get().body();
+  while (!Parser_->is_done()) {
+    Body.data = Into.data();
+    Body.size = Into.size();
+    Stream_.expires_after(IdleTimeout);
+    auto [Error, Read] = co_await beast::http::async_read_some(
+        Stream_, Buffer_, *Parser_, AsTuple);
+    if (Error && Error != beast::http::error::need_buffer)
+      co_return failed(failureOf(Error, Scope, CallFailure::Receive), true);
+    const std::size_t Filled = Into.size() - Body.size;
+    if (Filled > 0)
+      co_return Filled;
+  }
+  Stream_.expires_never();
+  co_return std::size_t{0};
+}
+
+void ClientConnection::close() {
+  IsOpen_ = false;
+  Stream_.close();
+}
+
+bool ClientConnection::isReusable() {
+  if (!IsOpen_)
+    return false;
+  if (Parser_ && (!Parser_->is_done() || !Parser_->keep_alive()))
+    return false;
+  if (Buffer_.size() > 0)
+    return false;
+  // Anything readable on an idle connection is its end or an unasked answer.
+  boost::system::error_code Error;
+  char Byte = 0;
+  Stream_.socket().non_blocking(true, Error);
+  Stream_.socket().receive(asio::buffer(&Byte, 1), tcp::socket::message_peek,
+                           Error);
+  return Error == asio::error::would_block;
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/src/http/ConnectionPool.cpp
@@ -0,0 +1,47 @@
+#include "gooseberrybeam/http/ConnectionPool.h"
+
+#include "gooseberrybeam/http/Endpoint.h"
+
+namespace gooseberry {
+
+ConnectionPool::ConnectionPool(PoolLimits Limits) : Limits_(Limits) {}
+
+std::unique_ptr<ClientConnection>
+ConnectionPool::takeIdle(const BackendId &Server) {
+  const auto Found = Idle_.find(Server);
+  if (Found == Idle_.end())
+    return nullptr;
+  auto &Connections = Found->second;
+  const TimePoint Oldest = readBootClock() - Limits_.MaxIdle_;
+  while (!Connections.empty()) {
+    Idle Last = std::move(Connections.back());
+    Connections.pop_back();
+    if (Last.Since_ >= Oldest && Last.Connection_->isReusable())
+      return std::move(Last.Connection_);
+  }
+  return nullptr;
+}
+
+Task<ClientConnection::Made> ConnectionPool::acquire(const BackendId &Server,
+                                                     CancelScope &Scope) {
+  if (auto Connection = takeIdle(Server))
+    co_return std::move(Connection);
+  const auto Endpoint = parseEndpoint(Server.Value_);
+  if (!Endpoint)
+    co_return CallError{CallFailure::Connect, false};
+  co_return co_await ClientConnection::connect(*Endpoint,
+                                               Limits_.ConnectTimeout_, Scope);
+}
+
+void ConnectionPool::release(const BackendId &Server,
+                             std::unique_ptr<ClientConnection> Connection) {
+  if (!Connection || !Connection->isReusable())
+    return;
+  auto &Connections = Idle_[Server];
+  if (Connections.size() < Limits_.IdlePerServer_)
+    Connections.push_back({std::move(Connection), readBootClock()});
+}
+
+void ConnectionPool::discard(const BackendId &Server) { Idle_.erase(Server); }
+
+} // namespace gooseberry
