--- a/src/http/ErrorBody.cpp
+++ b/src/http/ErrorBody.cpp
@@ -64,7 +64,7 @@
 }
 
 json::string asJson(std::string_view Text) {
-  return {Text.data(), Text.size()};
+  return json::string(Text.data(), Text.size());
 }
 
 } // namespace
