Run the whole path: callers, dispatcher, engines, plain services

A worker thread carries a request; the control thread owns the dispatcher and posts its actions into the request's mailbox. Weighed: one thread for all (the control work then shares a queue with callers' bytes) or a strand per request; workers with contexts of their own need no locks. Configuration comes from one table row until the follower lands, and the instance lease is always valid until membership lands. Seen by hand against the stand-ins, as separate processes: plain and streamed completions, chat, a booking run once and replayed for its repeat, 13 shapes of malformed or oversized requests refused, a caller that left in mid-stream with no KV held on any engine after it. GCC 12 miscompiled a braced temporary in a co_await expression (free of an invalid pointer); such temporaries are named now.

--- a/include/gooseberrybeam/http/CallerExchange.h
+++ b/include/gooseberrybeam/http/CallerExchange.h
@@ -81,7 +81,7 @@
   /// Answers with an error; does nothing if an answer was begun.
   /// \param Error the error.
   /// \returns whether the caller took it.
-  Task<bool> refuse(CallerError Error);
+  Task<bool> refuse(const CallerError &Error);
   /// Begins an answer whose body is streamed.
   /// \param Status HTTP status.
   /// \param Fields further fields, without framing.
--- /dev/null
+++ b/src/daemon/Daemon.cpp
@@ -0,0 +1,206 @@
+#include "gooseberrybeam/daemon/Daemon.h"
+
+#include "gooseberrybeam/config/ParseConfiguration.h"
+#include "gooseberrybeam/http/Endpoint.h"
+#include "gooseberrybeam/log/Log.h"
+#include "tableclient/TableAwait.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <random>
+
+namespace gooseberry {
+namespace {
+
+constexpr Duration DeskTick = std::chrono::milliseconds(10);
+constexpr Duration DocumentPoll = std::chrono::seconds(1);
+constexpr Duration DrainPoll = std::chrono::milliseconds(20);
+
+std::uint64_t makeIncarnation() {
+  std::random_device Random;
+  const std::uint64_t High = Random();
+  constexpr int HalfBits = 32;
+  return (High << HalfBits) | Random();
+}
+
+DispatchOptions makeDispatchOptions(const Settings &Options) {
+  DispatchOptions Dispatch;
+  Dispatch.Self_ = Options.Name_;
+  Dispatch.DataCentre_ = Options.DataCentre_;
+  return Dispatch;
+}
+
+CallLimits makeTableLimits(const Settings &Options) {
+  CallLimits Limits;
+  Limits.IdleTimeout_ = Options.TableTimeout_;
+  return Limits;
+}
+
+WatchIntervals makeIntervals(const Settings &Options) {
+  return {Options.ListPoll_, Options.LoadPoll_};
+}
+
+} // namespace
+
+Daemon::Made Daemon::make(Settings Options) {
+  std::unique_ptr<Daemon> Self(new Daemon(std::move(Options)));
+  if (auto Error = Self->open())
+    return std::move(*Error);
+  return Self;
+}
+
+Daemon::Daemon(Settings Options)
+    : Settings_(std::move(Options)), Holder_{Settings_.Name_,
+                                             makeIncarnation()},
+      Pool_(PoolLimits()), Engines_(Pool_, asText(Holder_), EngineTimeouts()),
+      Table_(Control_, Pool_, {Settings_.Table_}, makeTableLimits(Settings_)),
+      Desk_(makeDispatchOptions(Settings_)),
+      Watcher_(Control_, State_, Desk_, Engines_, Table_,
+               makeIntervals(Settings_)),
+      Acceptor_(Control_), Signals_(Control_, SIGTERM, SIGINT) {
+  for (std::uint32_t I = 0; I != Settings_.Threads_; ++I)
+    Workers_.push_back(std::make_unique<Worker>(State_, Settings_, Control_,
+                                                Desk_, asText(Holder_), I));
+}
+
+Daemon::~Daemon() { stop(); }
+
+std::optional<SettingsError> Daemon::open() {
+  const auto Endpoint = parseEndpoint(Settings_.Listen_);
+  boost::system::error_code Error;
+  Acceptor_.open(Endpoint->protocol(), Error);
+  if (!Error)
+    Acceptor_.set_option(tcp::acceptor::reuse_address(true), Error);
+  if (!Error)
+    Acceptor_.bind(*Endpoint, Error);
+  if (!Error)
+    Acceptor_.listen(tcp::acceptor::max_listen_connections, Error);
+  if (!Error)
+    return std::nullopt;
+  return SettingsError{"--listen", Settings_.Listen_,
+                       "an address of this machine that is free"};
+}
+
+void Daemon::run() {
+  startParts();
+  for (const auto &Each : Workers_)
+    Each->start();
+  logLine(
+      LogPart::Daemon, LogLevel::Info, "Daemon serves.",
+      {{"instance", Settings_.Name_.Value_}, {"listen", Settings_.Listen_}});
+  Control_.run();
+  for (const auto &Each : Workers_)
+    Each->stop();
+}
+
+void Daemon::startParts() {
+  asio::co_spawn(Control_, watchSignals(), asio::detached);
+  asio::co_spawn(Control_, tickDesk(), asio::detached);
+  asio::co_spawn(Control_, acceptCallers(), asio::detached);
+  asio::co_spawn(Control_, loadDocument(), asio::detached);
+  State_.setLease(TimePoint::max());
+  const InstanceId Members[] = {Settings_.Name_};
+  Desk_.onMembers(Members);
+  Watcher_.start();
+}
+
+Task<void> Daemon::acceptCallers() {
+  asio::steady_timer Pause(Control_);
+  for (std::size_t Turn = 0;; ++Turn) {
+    Worker &Next = *Workers_[Turn % Workers_.size()];
+    auto [Error, Socket] =
+        co_await Acceptor_.async_accept(Next.context(), AsTuple);
+    if (!Acceptor_.is_open())
+      co_return;
+    if (!Error) {
+      Next.serve(std::move(Socket));
+      continue;
+    }
+    // Most likely out of file descriptors, which closing connections free.
+    Pause.expires_after(DrainPoll);
+    co_await Pause.async_wait(AsTuple);
+  }
+}
+
+Task<void> Daemon::loadDocument() {
+  asio::steady_timer Timer(Control_);
+  for (;;) {
+    TableQuery Query;
+    Query.Keys_.push_back("config/document");
+    const auto Read = co_await awaitRead(Table_, std::move(Query));
+    const auto *Rows = std::get_if<TableRows>(&Read);
+    if (Rows && !Rows->Rows_.empty())
+      publishDocument(Rows->Rows_.front());
+    Timer.expires_after(DocumentPoll);
+    co_await Timer.async_wait(AsTuple);
+  }
+}
+
+void Daemon::publishDocument(const TableRow &Row) {
+  if (Row.Version_ <= State_.Configuration_.read()->revision())
+    return;
+  const auto Parsed = parseConfiguration(Row.Value_);
+  if (!isOk(Parsed))
+    return;
+  const Configuration &Document = valueOf(Parsed).Configuration_;
+  State_.Configuration_.publish(
+      std::make_shared<const Configuration>(Document.with({}, Row.Version_)));
+}
+
+Task<void> Daemon::tickDesk() {
+  asio::steady_timer Timer(Control_);
+  for (;;) {
+    Desk_.tick();
+    Timer.expires_after(DeskTick);
+    co_await Timer.async_wait(AsTuple);
+  }
+}
+
+Task<void> Daemon::watchSignals() {
+  auto [Error, Signal] = co_await Signals_.async_wait(AsTuple);
+  if (Error)
+    co_return;
+  drain();
+  co_await Signals_.async_wait(AsTuple);
+  logLine(LogPart::Daemon, LogLevel::Warn,
+          "Second signal: the daemon ends at once.", {});
+  stop();
+}
+
+void Daemon::drain() {
+  if (std::exchange(IsDraining_, true))
+    return;
+  logLine(LogPart::Daemon, LogLevel::Info, "Daemon drains.", {});
+  asio::co_spawn(Control_, drainAndStop(), asio::detached);
+}
+
+Task<void> Daemon::drainAndStop() {
+  const TimePoint Deadline = readBootClock() + Settings_.DrainDeadline_;
+  State_.Drain_.store(DrainPhase::Notice);
+  asio::steady_timer Timer(Control_);
+  Timer.expires_after(
+      std::min(Settings_.DrainNotice_, Settings_.DrainDeadline_));
+  co_await Timer.async_wait(AsTuple);
+  State_.Drain_.store(DrainPhase::Refusing);
+  for (const auto &Each : Workers_)
+    Each->closeIdle();
+  while (State_.InFlight_.load(std::memory_order_acquire) > 0 &&
+         readBootClock() < Deadline) {
+    Timer.expires_after(DrainPoll);
+    co_await Timer.async_wait(AsTuple);
+  }
+  const bool IsClean = State_.InFlight_.load() == 0;
+  logLine(LogPart::Daemon, LogLevel::Info, "Daemon stops.",
+          {{"in_flight", std::to_string(State_.InFlight_.load())},
+           {"clean", IsClean ? "true" : "false"}});
+  boost::system::error_code Ignored;
+  Acceptor_.close(Ignored);
+  stop();
+}
+
+void Daemon::stop() { Control_.stop(); }
+
+} // namespace gooseberry
--- /dev/null
+++ b/src/daemon/Worker.cpp
@@ -0,0 +1,63 @@
+#include "gooseberrybeam/daemon/Worker.h"
+
+#include <boost/asio/post.hpp>
+
+namespace gooseberry {
+namespace {
+
+EngineTimeouts makeTimeouts(const Settings &Options) {
+  EngineTimeouts Timeouts;
+  Timeouts.Prefill_ = Options.PrefillTimeout_;
+  Timeouts.DecodeStart_ = Options.TokenTimeout_;
+  Timeouts.DecodeToken_ = Options.TokenTimeout_;
+  return Timeouts;
+}
+
+CallLimits makeTableLimits(const Settings &Options) {
+  CallLimits Limits;
+  Limits.IdleTimeout_ = Options.TableTimeout_;
+  return Limits;
+}
+
+std::string makeIdPrefix(const std::string &Holder, std::uint32_t Index) {
+  return Holder + "-" + std::to_string(Index) + "-";
+}
+
+} // namespace
+
+Worker::Worker(DaemonState &State, const Settings &Options,
+               asio::io_context &Control, GenerationDesk &Desk,
+               const std::string &Holder, std::uint32_t Index)
+    : Work_(Context_.get_executor()), Pool_(PoolLimits()),
+      Engines_(Pool_, Holder, makeTimeouts(Options)),
+      Table_(Context_, Pool_, {Options.Table_}, makeTableLimits(Options)),
+      Retries_(RetryPolicyLimits()), Shared_{Context_, Control,  State, Options,
+                                             Desk,     Engines_, Pool_, Table_,
+                                             Retries_, Holder},
+      Router_(Shared_),
+      Server_(Context_, Router_, Options.Caller_, makeIdPrefix(Holder, Index)) {
+}
+
+Worker::~Worker() { stop(); }
+
+void Worker::start() {
+  Thread_ = std::thread([this] { Context_.run(); });
+}
+
+void Worker::stop() {
+  Context_.stop();
+  if (Thread_.joinable())
+    Thread_.join();
+}
+
+void Worker::serve(tcp::socket Socket) {
+  asio::post(Context_, [this, Moved = std::move(Socket)]() mutable {
+    Server_.serve(std::move(Moved));
+  });
+}
+
+void Worker::closeIdle() {
+  asio::post(Context_, [this] { Server_.closeIdle(); });
+}
+
+} // namespace gooseberry
--- a/src/http/CallerExchange.cpp
+++ b/src/http/CallerExchange.cpp
@@ -203,7 +203,7 @@
   co_return noteSent(Error);
 }
 
-Task<bool> CallerExchange::refuse(CallerError Error) {
+Task<bool> CallerExchange::refuse(const CallerError &Error) {
   if (isAnswerBegun())
     co_return false;
   HttpFields Fields;
--- a/src/http/CallerSession.cpp
+++ b/src/http/CallerSession.cpp
@@ -147,7 +147,7 @@
                                      CallerError Error) {
   Exchange.closeAfter();
   Server_.Handler_.noteRefused(Exchange.id(), Error);
-  co_await Exchange.refuse(std::move(Error));
+  co_await Exchange.refuse(Error);
 }
 
 // A close with unread input would reset the connection and could destroy the
--- a/src/log/Log.cpp
+++ b/src/log/Log.cpp
@@ -42,8 +42,8 @@
 } // namespace
 
 void startLog(std::string_view Level) {
-  const auto Layout = std::make_shared<log4cxx::PatternLayout>(
-      "%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %p %m%n");
+  const auto Layout =
+      std::make_shared<log4cxx::PatternLayout>("%d{ISO8601} %p %m%n");
   const auto Appender =
       std::make_shared<log4cxx::ConsoleAppender>(Layout, "System.err");
   log4cxx::BasicConfigurator::configure(Appender);
--- a/src/tableclient/HttpTableClient.cpp
+++ b/src/tableclient/HttpTableClient.cpp
@@ -15,13 +15,6 @@
 constexpr int Conflict = 409;
 constexpr int Unavailable = 503;
 
-Task<Reply> callTable(ConnectionPool &Pool, BackendId Server,
-                      HttpRequest Request, CallLimits Limits) {
-  CancelScope Scope;
-  co_return co_await callHttp(Pool, std::move(Server), std::move(Request),
-                              Limits, Scope);
-}
-
 TransactOutcome readTransact(const Reply &Answer) {
   if (!isOk(Answer)) {
     if (errorOf(Answer).MayHaveStarted_)
@@ -59,8 +52,8 @@
                          HttpRequest Request, CallLimits Limits,
                          T (*Convert)(const Reply &),
                          std::function<void(T)> Handler) {
-  const Reply Answer =
-      co_await callTable(Pool, std::move(Server), std::move(Request), Limits);
+  CancelScope Scope;
+  const Reply Answer = co_await callHttp(Pool, Server, Request, Limits, Scope);
   Handler(Convert(Answer));
 }
 
