--- a/include/gooseberrybeam/leases/KvHolding.h
+++ b/include/gooseberrybeam/leases/KvHolding.h
@@ -4,21 +4,16 @@
 #define GOOSEBERRYBEAM_LEASES_KVHOLDING_H
 
 #include "gooseberrybeam/base/Ids.h"
+#include "gooseberrybeam/membership/Member.h"
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace gooseberry {
 
-/// Who answers for a holding: one process's life under an instance name.
-struct Holder {
-  InstanceId Instance_;
-  std::uint64_t Incarnation_ = 0;
-
-  friend auto operator<=>(const Holder &, const Holder &) = default;
-};
+/// Who answers for a holding: the member whose request it serves.
+using Holder = MemberId;
 
 /// \param Value a holder.
 /// \returns it as engines see it, `<instance>#<incarnation>`.
--- a/src/leases/KvHolding.cpp
+++ b/src/leases/KvHolding.cpp
@@ -5,7 +5,7 @@
 namespace gooseberry {
 
 std::string asText(const Holder &Value) {
-  return Value.Instance_.Value_ + "#" + std::to_string(Value.Incarnation_);
+  return Value.Name_.Value_ + "#" + std::to_string(Value.Incarnation_);
 }
 
 bool parseHolder(std::string_view Text, Holder &Into) {
--- a/tests/HoldingSweeperTest.cpp
+++ b/tests/HoldingSweeperTest.cpp
@@ -254,7 +254,7 @@
   }
 
   void carryOut(int Instance, const AskHolder &Ask) {
-    const int To = std::stoi(Ask.Holder_.Instance_.Value_);
+    const int To = std::stoi(Ask.Holder_.Name_.Value_);
     if (!Alive_[To] || isLost(Ask))
       return;
     const auto Gone = Sweepers_[To].goneOf(Ask.Requests_);
@@ -303,7 +303,7 @@
 }
 
 HolderStatus InstanceView::onStatusOf(const Holder &Value) const {
-  const int Of = std::stoi(Value.Instance_.Value_);
+  const int Of = std::stoi(Value.Name_.Value_);
   if (Of == Self_)
     return HolderStatus::Self;
   if (History_.FreeUncertain_)
