--- a/tests/StandinTableTest.cpp
+++ b/tests/StandinTableTest.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-TableVersion commit(TableStore &Store, TableTransaction Transaction) {
+TableVersion commit(TableStore &Store, const TableTransaction &Transaction) {
   const auto Outcome = Store.transact(Transaction);
   REQUIRE(std::holds_alternative<TableCommitted>(Outcome));
   return std::get<TableCommitted>(Outcome).Version_;
