--- a/include/gooseberrybeam/daemon/Daemon.h
+++ b/include/gooseberrybeam/daemon/Daemon.h
@@ -5,8 +5,10 @@
 
 #include "gooseberrybeam/base/Result.h"
 #include "gooseberrybeam/daemon/BackendWatcher.h"
+#include "gooseberrybeam/daemon/ClusterDesk.h"
 #include "gooseberrybeam/daemon/DaemonState.h"
 #include "gooseberrybeam/daemon/GenerationDesk.h"
+#include "gooseberrybeam/daemon/SweepRunner.h"
 #include "gooseberrybeam/daemon/Worker.h"
 #include "gooseberrybeam/engine/HttpEngineClient.h"
 #include "gooseberrybeam/leases/KvHolding.h"
@@ -48,11 +50,15 @@
   std::optional<SettingsError> open();
   Task<void> acceptCallers();
   Task<void> watchSignals();
-  Task<void> tickDesk();
+  Task<void> tickParts();
   Task<void> loadDocument();
   void publishDocument(const TableRow &Row);
   Task<void> drainAndStop();
+  Task<void> leaveMembership(TimePoint Deadline);
   void startParts();
+  void followMembership();
+  void onEpoch(const EpochDocument &Document);
+  void onRejoin(const MemberId &Self);
   void stop();
 
   Settings Settings_;
@@ -63,11 +69,14 @@
   HttpEngineClient Engines_;
   HttpTableClient Table_;
   GenerationDesk Desk_;
+  ClusterDesk Cluster_;
   BackendWatcher Watcher_;
+  SweepRunner Sweep_;
   tcp::acceptor Acceptor_;
   asio::signal_set Signals_;
   std::vector<std::unique_ptr<Worker>> Workers_;
   bool IsDraining_ = false;
+  bool HasPeers_ = false;
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/daemon/RequestRouter.h
+++ b/include/gooseberrybeam/daemon/RequestRouter.h
@@ -52,6 +52,8 @@
                                              std::string_view Body);
   Task<void> refuse(CallerExchange &Exchange, const CallerError &Error,
                     const OrganisationId &Organisation);
+  Task<void> refuse(CallerExchange &Exchange, const Refusal &Why,
+                    const OrganisationId &Organisation);
   void noteError(const RequestId &Id, const CallerError &Error,
                  const OrganisationId &Organisation);
 
--- a/include/gooseberrybeam/daemon/Worker.h
+++ b/include/gooseberrybeam/daemon/Worker.h
@@ -24,10 +24,12 @@
   /// \param Options settings.
   /// \param Control the control thread's context.
   /// \param Desk used on the control thread.
+  /// \param Cluster used on the control thread.
   /// \param Holder `<instance>#<incarnation>`.
   /// \param Index the worker's number, part of its request ids.
   Worker(DaemonState &State, const Settings &Options, asio::io_context &Control,
-         GenerationDesk &Desk, const std::string &Holder, std::uint32_t Index);
+         GenerationDesk &Desk, ClusterDesk &Cluster, const std::string &Holder,
+         std::uint32_t Index);
   ~Worker();
   Worker(const Worker &) = delete;
   Worker &operator=(const Worker &) = delete;
@@ -46,6 +48,10 @@
   /// this.
   void closeIdle();
 
+  /// Names another holder in calls from now on. Any thread may call this.
+  /// \param Holder `<instance>#<incarnation>`.
+  void setHolder(std::string Holder);
+
   /// \returns the context, for sockets to be accepted on.
   asio::io_context &context() { return Context_; }
 
--- a/include/gooseberrybeam/daemon/WorkerContext.h
+++ b/include/gooseberrybeam/daemon/WorkerContext.h
@@ -3,6 +3,7 @@
 #ifndef GOOSEBERRYBEAM_DAEMON_WORKERCONTEXT_H
 #define GOOSEBERRYBEAM_DAEMON_WORKERCONTEXT_H
 
+#include "gooseberrybeam/daemon/ClusterDesk.h"
 #include "gooseberrybeam/daemon/DaemonState.h"
 #include "gooseberrybeam/daemon/GenerationDesk.h"
 #include "gooseberrybeam/engine/EngineClient.h"
@@ -24,6 +25,7 @@
   DaemonState &State_;
   const Settings &Settings_;
   GenerationDesk &Desk_; ///< Used on the control thread only.
+  ClusterDesk &Cluster_; ///< Used on the control thread only.
   EngineClient &Engines_;
   ConnectionPool &Pool_;
   TableClient &Table_;
@@ -31,12 +33,21 @@
   std::string Holder_; ///< `<instance>#<incarnation>`.
 
   /// Runs an action on the control thread.
-  /// \param Action takes the desk.
+  /// \param Action takes the desk of generations.
   template <typename Function> void tellDesk(Function Action) {
     asio::post(Control_, [&Desk = Desk_, Moved = std::move(Action)]() mutable {
       Moved(Desk);
     });
   }
+
+  /// Runs an action on the control thread.
+  /// \param Action takes the desk of the cluster.
+  template <typename Function> void tellCluster(Function Action) {
+    asio::post(Control_,
+               [&Desk = Cluster_, Moved = std::move(Action)]() mutable {
+                 Moved(Desk);
+               });
+  }
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/engine/EngineClient.h
+++ b/include/gooseberrybeam/engine/EngineClient.h
@@ -41,10 +41,11 @@
   /// Ends a request on an engine and frees everything held for it there.
   /// \param Engine the engine.
   /// \param Request the request.
+  /// \param Holder whose it is, `<instance>#<incarnation>`.
   /// \returns the number of KV pieces freed.
-  Outcome<EngineFreed> cancel(const BackendId &Engine,
-                              const RequestId &Request) {
-    return onCancel(Engine, Request);
+  Outcome<EngineFreed> cancel(const BackendId &Engine, const RequestId &Request,
+                              std::string Holder) {
+    return onCancel(Engine, Request, std::move(Holder));
   }
 
   /// Frees one KV cache.
@@ -89,8 +90,8 @@
   onPrefill(BackendId Engine, const PrefillCall &Call, CancelScope &Scope) = 0;
   virtual Outcome<std::unique_ptr<DecodeStream>>
   onDecode(BackendId Engine, const DecodeCall &Call, CancelScope &Scope) = 0;
-  virtual Outcome<EngineFreed> onCancel(BackendId Engine,
-                                        RequestId Request) = 0;
+  virtual Outcome<EngineFreed> onCancel(BackendId Engine, RequestId Request,
+                                        std::string Holder) = 0;
   virtual Outcome<EngineFreed> onRelease(BackendId Engine, std::string Kv,
                                          std::string Holder) = 0;
   virtual Outcome<std::vector<EngineHolding>> onHoldings(BackendId Engine) = 0;
--- a/include/gooseberrybeam/engine/HttpEngineClient.h
+++ b/include/gooseberrybeam/engine/HttpEngineClient.h
@@ -25,13 +25,17 @@
   HttpEngineClient(ConnectionPool &Pool, std::string Holder,
                    EngineTimeouts Timeouts);
 
+  /// \param Holder named in every call from now on.
+  void setHolder(std::string Holder) { Holder_ = std::move(Holder); }
+
 private:
   Outcome<PrefillDone> onPrefill(BackendId Engine, const PrefillCall &Call,
                                  CancelScope &Scope) override;
   Outcome<std::unique_ptr<DecodeStream>> onDecode(BackendId Engine,
                                                   const DecodeCall &Call,
                                                   CancelScope &Scope) override;
-  Outcome<EngineFreed> onCancel(BackendId Engine, RequestId Request) override;
+  Outcome<EngineFreed> onCancel(BackendId Engine, RequestId Request,
+                                std::string Holder) override;
   Outcome<EngineFreed> onRelease(BackendId Engine, std::string Kv,
                                  std::string Holder) override;
   Outcome<std::vector<EngineHolding>> onHoldings(BackendId Engine) override;
--- a/include/gooseberrybeam/metrics/Metrics.h
+++ b/include/gooseberrybeam/metrics/Metrics.h
@@ -27,7 +27,6 @@
   PrefillTokens,
   PrefillTokensWasted,
   CancelsSent,
-  ReleasesSent,
   SilentConnections,
   HoldingsSwept,
   StreamsMoved,
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr Duration DeskTick = std::chrono::milliseconds(10);
+constexpr std::uint64_t TicksPerClusterTick = 2;
+constexpr std::uint64_t TicksPerSweepTick = 20;
+constexpr Duration LeaveTimeout = std::chrono::seconds(2);
 constexpr Duration DocumentPoll = std::chrono::seconds(1);
 constexpr Duration DrainPoll = std::chrono::milliseconds(20);
 
@@ -33,6 +36,15 @@
   return Dispatch;
 }
 
+MembershipSettings makeMembership(const Settings &Options, const Holder &Self) {
+  MembershipSettings Membership;
+  Membership.Self_ = Self;
+  Membership.PeerAddress_ = Options.PeerListen_;
+  Membership.DataCentre_ = Options.DataCentre_;
+  Membership.Seed_ = Self.Incarnation_;
+  return Membership;
+}
+
 CallLimits makeTableLimits(const Settings &Options) {
   CallLimits Limits;
   Limits.IdleTimeout_ = Options.TableTimeout_;
@@ -58,12 +70,14 @@
       Pool_(PoolLimits()), Engines_(Pool_, asText(Holder_), EngineTimeouts()),
       Table_(Control_, Pool_, {Settings_.Table_}, makeTableLimits(Settings_)),
       Desk_(makeDispatchOptions(Settings_)),
+      Cluster_(State_, Table_, makeMembership(Settings_, Holder_)),
       Watcher_(Control_, State_, Desk_, Engines_, Table_,
                makeIntervals(Settings_)),
+      Sweep_(Control_, State_, Desk_, Cluster_, Watcher_, Engines_),
       Acceptor_(Control_), Signals_(Control_, SIGTERM, SIGINT) {
   for (std::uint32_t I = 0; I != Settings_.Threads_; ++I)
-    Workers_.push_back(std::make_unique<Worker>(State_, Settings_, Control_,
-                                                Desk_, asText(Holder_), I));
+    Workers_.push_back(std::make_unique<Worker>(
+        State_, Settings_, Control_, Desk_, Cluster_, asText(Holder_), I));
 }
 
 Daemon::~Daemon() { stop(); }
@@ -98,12 +112,10 @@
 
 void Daemon::startParts() {
   asio::co_spawn(Control_, watchSignals(), asio::detached);
-  asio::co_spawn(Control_, tickDesk(), asio::detached);
+  asio::co_spawn(Control_, tickParts(), asio::detached);
   asio::co_spawn(Control_, acceptCallers(), asio::detached);
   asio::co_spawn(Control_, loadDocument(), asio::detached);
-  State_.setLease(TimePoint::max());
-  const InstanceId Members[] = {Settings_.Name_};
-  Desk_.onMembers(Members);
+  followMembership();
   Watcher_.start();
 }
 
@@ -150,15 +162,44 @@
       std::make_shared<const Configuration>(Document.with({}, Row.Version_)));
 }
 
-Task<void> Daemon::tickDesk() {
+Task<void> Daemon::tickParts() {
   asio::steady_timer Timer(Control_);
-  for (;;) {
+  for (std::uint64_t Tick = 0;; ++Tick) {
     Desk_.tick();
+    if (Tick % TicksPerClusterTick == 0)
+      Cluster_.tick();
+    if (Tick % TicksPerSweepTick == 0)
+      Sweep_.tick();
     Timer.expires_after(DeskTick);
     co_await Timer.async_wait(AsTuple);
   }
 }
 
+void Daemon::followMembership() {
+  ClusterDesk::Listeners Listeners;
+  Listeners.OnEpoch_ = [this](const EpochDocument &Document) {
+    onEpoch(Document);
+  };
+  Listeners.OnRejoin_ = [this](const MemberId &Self) { onRejoin(Self); };
+  Cluster_.setListeners(std::move(Listeners));
+}
+
+void Daemon::onEpoch(const EpochDocument &Document) {
+  std::vector<InstanceId> Members = {Settings_.Name_};
+  // Placement messages need a transport to the other members.
+  for (const auto &Each : Document.Members_)
+    if (HasPeers_ && Each.Id_.Name_ != Settings_.Name_)
+      Members.push_back(Each.Id_.Name_);
+  Desk_.onMembers(Members);
+}
+
+void Daemon::onRejoin(const MemberId &Self) {
+  Holder_ = Self;
+  Engines_.setHolder(asText(Holder_));
+  for (const auto &Each : Workers_)
+    Each->setHolder(asText(Holder_));
+}
+
 Task<void> Daemon::watchSignals() {
   auto [Error, Signal] = co_await Signals_.async_wait(AsTuple);
   if (Error)
@@ -192,6 +233,7 @@
     Timer.expires_after(DrainPoll);
     co_await Timer.async_wait(AsTuple);
   }
+  co_await leaveMembership(std::min(Deadline, readBootClock() + LeaveTimeout));
   const bool IsClean = State_.InFlight_.load() == 0;
   logLine(LogPart::Daemon, LogLevel::Info, "Daemon stops.",
           {{"in_flight", std::to_string(State_.InFlight_.load())},
@@ -201,6 +243,16 @@
   stop();
 }
 
+// The other members need not wait for the lease of one that has said goodbye.
+Task<void> Daemon::leaveMembership(TimePoint Deadline) {
+  Cluster_.leave();
+  asio::steady_timer Timer(Control_);
+  while (!Cluster_.hasLeft() && readBootClock() < Deadline) {
+    Timer.expires_after(DrainPoll);
+    co_await Timer.async_wait(AsTuple);
+  }
+}
+
 void Daemon::stop() { Control_.stop(); }
 
 } // namespace gooseberry
--- a/src/daemon/EngineAttempt.cpp
+++ b/src/daemon/EngineAttempt.cpp
@@ -41,7 +41,7 @@
                            : ProgressKind::DecodeFailed;
 }
 
-std::vector<std::uint64_t> hashPrefixes(std::string_view Prompt) {
+std::vector<std::uint64_t> hashPromptPrefixes(std::string_view Prompt) {
   std::vector<std::uint64_t> Hashes;
   Hashes.reserve(Prompt.size() / PrefixBytes);
   XXH64_state_t *State = XXH64_createState();
--- a/src/daemon/EngineAttempt.h
+++ b/src/daemon/EngineAttempt.h
@@ -29,7 +29,7 @@
 
 /// \param Prompt a prompt.
 /// \returns the hashes of its prefixes, shortest first.
-std::vector<std::uint64_t> hashPrefixes(std::string_view Prompt);
+std::vector<std::uint64_t> hashPromptPrefixes(std::string_view Prompt);
 
 /// \param Text UTF-8 text.
 /// \returns the tokens that it is charged as.
--- a/src/daemon/GenerationRun.cpp
+++ b/src/daemon/GenerationRun.cpp
@@ -20,12 +20,12 @@
 constexpr int WaitingPriority = 0;
 
 Task<void> cancelOnEngine(WorkerContext &Worker, BackendId Engine,
-                          RequestId Request,
+                          RequestId Request, std::string Holder,
                           std::shared_ptr<ActiveMark> /*Active*/) {
   asio::steady_timer Pause(Worker.Context_);
   for (int Attempt = 0; Attempt != CancelAttempts; ++Attempt) {
     Worker.State_.Metrics_.add(Count::CancelsSent);
-    const auto Freed = co_await Worker.Engines_.cancel(Engine, Request);
+    const auto Freed = co_await Worker.Engines_.cancel(Engine, Request, Holder);
     if (isOk(Freed))
       co_return;
     Pause.expires_after(CancelPause);
@@ -60,7 +60,7 @@
   Item.Model_ = Job_.Request_.Model_;
   Item.PromptTokens_ = Job_.PromptTokens_;
   Item.MaxOutputTokens_ = Job_.MaxTokens_;
-  Item.PrefixHashes_ = hashPrefixes(Job_.Request_.Prompt_);
+  Item.PrefixHashes_ = hashPromptPrefixes(Job_.Request_.Prompt_);
   Item.Arrival_ = Exchange_.arrival();
   Item.Deadline_ = Exchange_.deadline();
   return Item;
@@ -341,9 +341,10 @@
 }
 
 void GenerationRun::cancelOn(const BackendId &Engine) {
-  asio::co_spawn(Worker_.Context_,
-                 cancelOnEngine(Worker_, Engine, Exchange_.id(), Active_),
-                 asio::detached);
+  asio::co_spawn(
+      Worker_.Context_,
+      cancelOnEngine(Worker_, Engine, Exchange_.id(), Worker_.Holder_, Active_),
+      asio::detached);
 }
 
 void GenerationRun::cleanUp() {
--- a/src/daemon/RequestRouter.cpp
+++ b/src/daemon/RequestRouter.cpp
@@ -1,6 +1,7 @@
 #include "gooseberrybeam/daemon/RequestRouter.h"
 
 #include "daemon/EngineAttempt.h"
+#include "gooseberrybeam/daemon/TokenReservation.h"
 #include "gooseberrybeam/log/Log.h"
 
 #include <boost/json/array.hpp>
@@ -19,6 +20,7 @@
 // A named object: GCC 12 miscompiles braced temporaries in co_await.
 const OrganisationId Nobody;
 
+constexpr Duration MaxLimitHold = std::chrono::seconds(1);
 constexpr Duration DrainRetryAfter = std::chrono::seconds(1);
 
 HttpFields makeFields(std::string_view ContentType) {
@@ -38,6 +40,13 @@
           Fault.Param_};
 }
 
+/// Until when a request may wait for borrowed parts of its limit.
+TimePoint holdUntil(const CallerExchange &Exchange, const WorkClass &Class) {
+  if (Class.MayWait_)
+    return Exchange.deadline();
+  return std::min(Exchange.deadline(), Exchange.arrival() + MaxLimitHold);
+}
+
 } // namespace
 
 RequestRouter::RequestRouter(WorkerContext &Worker)
@@ -89,6 +98,12 @@
   co_await Exchange.refuse(Error);
 }
 
+Task<void> RequestRouter::refuse(CallerExchange &Exchange, const Refusal &Why,
+                                 const OrganisationId &Organisation) {
+  const CallerError Error = {Why, "", ""};
+  co_await refuse(Exchange, Error, Organisation);
+}
+
 Task<void> RequestRouter::handleHealth(CallerExchange &Exchange) {
   co_await Exchange.answer(Ok, makeFields("text/plain"), "alive\n");
 }
@@ -188,8 +203,17 @@
       makeJob(Exchange, takeValue(std::move(Admitted)), Kind, valueOf(Body));
   if (!isOk(Job))
     co_return co_await refuse(Exchange, errorOf(Job), Organisation);
+  const std::int64_t Tokens =
+      std::int64_t{valueOf(Job).PromptTokens_} + valueOf(Job).MaxTokens_;
+  const TimePoint HoldUntil = holdUntil(Exchange, valueOf(Job).Class_);
+  auto Reserved =
+      co_await TokenReservation::make(Worker_, Organisation, Tokens, HoldUntil);
+  if (!isOk(Reserved))
+    co_return co_await refuse(Exchange, errorOf(Reserved), Organisation);
+  TokenReservation Reservation = takeValue(std::move(Reserved));
   GenerationRun Run(Worker_, Exchange, takeValue(std::move(Job)));
   const GenerationEnd End = co_await Run.run();
+  Reservation.setUsed(std::int64_t{End.PromptTokens_} + End.OutputTokens_);
   if (End.Error_)
     noteError(Exchange.id(), *End.Error_, Organisation);
 }
@@ -212,9 +236,18 @@
   if (!isOk(Body))
     co_return co_await refuse(Exchange, errorOf(Body), Organisation);
   Exchange.watchCaller();
+  const TimePoint HoldUntil = holdUntil(Exchange, valueOf(Class));
+  auto Reserved = co_await TokenReservation::make(
+      Worker_, Organisation, Found->TokensPerCall_, HoldUntil);
+  if (!isOk(Reserved))
+    co_return co_await refuse(Exchange, errorOf(Reserved), Organisation);
+  TokenReservation Reservation = takeValue(std::move(Reserved));
   ServiceJob Job = {*Found, takeValue(std::move(Admitted)),
                     takeValue(std::move(Class)), takeValue(std::move(Body))};
   const auto Error = co_await Proxy_.run(Exchange, std::move(Job));
+  const bool IsNotRun =
+      Error && Error->Refusal_.Execution_ == Execution::NotRun;
+  Reservation.setUsed(IsNotRun ? 0 : Found->TokensPerCall_);
   if (Error)
     noteError(Exchange.id(), *Error, Organisation);
 }
--- a/src/daemon/Worker.cpp
+++ b/src/daemon/Worker.cpp
@@ -27,12 +27,14 @@
 
 Worker::Worker(DaemonState &State, const Settings &Options,
                asio::io_context &Control, GenerationDesk &Desk,
-               const std::string &Holder, std::uint32_t Index)
+               ClusterDesk &Cluster, const std::string &Holder,
+               std::uint32_t Index)
     : Work_(Context_.get_executor()), Pool_(PoolLimits()),
       Engines_(Pool_, Holder, makeTimeouts(Options)),
       Table_(Context_, Pool_, {Options.Table_}, makeTableLimits(Options)),
-      Retries_(RetryPolicyLimits()), Shared_{Context_, Control,  State, Options,
-                                             Desk,     Engines_, Pool_, Table_,
+      Retries_(RetryPolicyLimits()), Shared_{Context_, Control, State,
+                                             Options,  Desk,    Cluster,
+                                             Engines_, Pool_,   Table_,
                                              Retries_, Holder},
       Router_(Shared_),
       Server_(Context_, Router_, Options.Caller_, makeIdPrefix(Holder, Index)) {
@@ -56,6 +58,13 @@
   });
 }
 
+void Worker::setHolder(std::string Holder) {
+  asio::post(Context_, [this, Moved = std::move(Holder)] {
+    Shared_.Holder_ = Moved;
+    Engines_.setHolder(Moved);
+  });
+}
+
 void Worker::closeIdle() {
   asio::post(Context_, [this] { Server_.closeIdle(); });
 }
--- a/src/engine/HttpEngineClient.cpp
+++ b/src/engine/HttpEngineClient.cpp
@@ -100,10 +100,11 @@
 }
 
 EngineClient::Outcome<EngineFreed>
-HttpEngineClient::onCancel(BackendId Engine, RequestId Request) {
+HttpEngineClient::onCancel(BackendId Engine, RequestId Request,
+                           std::string Holder) {
   return callUncancelled<EngineFreed>(
       Pool_, std::move(Engine),
-      makePost("/v1/cancel", writeCancel(Request, Holder_)), Timeouts_.Control_,
+      makePost("/v1/cancel", writeCancel(Request, Holder)), Timeouts_.Control_,
       &parseFreed);
 }
 
--- a/src/metrics/Metrics.cpp
+++ b/src/metrics/Metrics.cpp
@@ -23,7 +23,6 @@
     {"gooseberry_prefill_tokens_wasted_total",
      "Prompt tokens prefilled whose KV cache was never decoded."},
     {"gooseberry_cancels_sent_total", "Cancel calls to engines."},
-    {"gooseberry_releases_sent_total", "Release calls to engines."},
     {"gooseberry_silent_connections_total",
      "Connections closed because an expected byte did not come."},
     {"gooseberry_holdings_swept_total", "Abandoned KV holdings released."},
