Ask after placed requests whose progress was lost

While connections between instances are silent, reports of progress to the home are lost and its bookings stay until the deadline: two silent seconds cost a quarter of the goodput of the following minute.

Weighed: each instance lists its running requests at intervals (bytes grow with all requests), or the home asks only after those that are overdue. The second is taken: a PlacementCheck 500 ms after the expected end of a phase, answered with the last progress or Cancelled.

--- a/include/gooseberrybeam/routing/Dispatcher.h
+++ b/include/gooseberrybeam/routing/Dispatcher.h
@@ -129,7 +129,8 @@
     std::uint32_t Attempts_ = 0;
     bool IsAwaitingHome_ = false;
     bool IsTransferring_ = false; ///< At the origin: prefill ended.
-    TimePoint AskedAt_;
+    std::optional<GenerationProgress> LastStep_; ///< At a remote origin.
+    TimePoint AskedAt_;  ///< Last question to its home or its origin.
     TimePoint Since_;    ///< Start of the phase.
     TimePoint KvDiesAt_; ///< Set when the prefill ended.
   };
@@ -191,6 +192,8 @@
           DispatchActions &Out);
   void on(const InstanceId &From, const PlacementRefused &Message,
           TimePoint Now, DispatchActions &Out);
+  void on(const InstanceId &From, const PlacementCheck &Message, TimePoint Now,
+          DispatchActions &Out);
   void on(const InstanceId &From, const GenerationProgress &Message,
           TimePoint Now, DispatchActions &Out);
   void adopt(Generation &Of, const AskPlacement &Message, TimePoint Now);
@@ -202,6 +205,7 @@
   void watch(const RequestId &Request, TimePoint Now, DispatchActions &Out);
   void watchHome(Generation &Of, TimePoint Now, DispatchActions &Out);
   bool isStalled(const Generation &Of, TimePoint Now) const;
+  bool isCheckDue(const Generation &Of, TimePoint Now) const;
   bool isAbandoned(const Generation &Of, TimePoint Now) const;
 
   DispatchOptions Options_;
--- a/include/gooseberrybeam/routing/PlacementMessage.h
+++ b/include/gooseberrybeam/routing/PlacementMessage.h
@@ -41,9 +41,16 @@
   RefusalReason Reason_ = RefusalReason::NoBackendServer;
 };
 
+/// The home asks what became of a request that should have gone on by now.
+/// Answered with the last progress, or `Cancelled` if it has ended.
+struct PlacementCheck {
+  RequestId Request_;
+};
+
 /// What an instance tells the home or gets from it.
-using PlacementMessage = std::variant<AskPlacement, PlacementQueued, Placed,
-                                      PlacementRefused, GenerationProgress>;
+using PlacementMessage =
+    std::variant<AskPlacement, PlacementQueued, Placed, PlacementRefused,
+                 PlacementCheck, GenerationProgress>;
 
 } // namespace gooseberry
 
--- a/src/routing/DispatcherPeers.cpp
+++ b/src/routing/DispatcherPeers.cpp
@@ -35,6 +35,7 @@
 void Dispatcher::forward(Generation &Of, const GenerationProgress &Step,
                          TimePoint Now, DispatchActions &Out) {
   Out.push_back(SendPlacement{Of.Home_, Step});
+  Of.LastStep_ = Step;
   Of.IsTransferring_ = Step.Kind_ == ProgressKind::PrefillDone;
   Of.Since_ = Now;
   if (needsHome(Step.Kind_)) {
@@ -137,6 +138,7 @@
   Of.IsAwaitingHome_ = false;
   Of.Since_ = Now;
   Of.RemoteDecode_ = Message.Decode_;
+  Of.LastStep_.reset();
   if (Message.Prefill_.isEmpty()) {
     Of.IsTransferring_ = true;
     Out.push_back(MoveTransfer{Message.Request_, Message.Decode_});
@@ -158,6 +160,19 @@
          WasStarted ? Execution::Unknown : Execution::NotRun, Out);
 }
 
+void Dispatcher::on(const InstanceId &From, const PlacementCheck &Message,
+                    TimePoint, DispatchActions &Out) {
+  auto At = Generations_.find(Message.Request_);
+  const bool IsHeld =
+      At != Generations_.end() && isOwn(At->second) && At->second.Home_ == From;
+  if (!IsHeld)
+    Out.push_back(SendPlacement{
+        From,
+        GenerationProgress{Message.Request_, ProgressKind::Cancelled, 0, {}}});
+  else if (At->second.LastStep_)
+    Out.push_back(SendPlacement{From, *At->second.LastStep_});
+}
+
 void Dispatcher::on(const InstanceId &From, const GenerationProgress &Message,
                     TimePoint Now, DispatchActions &Out) {
   auto At = Generations_.find(Message.Request_);
--- a/src/routing/DispatcherProgress.cpp
+++ b/src/routing/DispatcherProgress.cpp
@@ -59,7 +59,9 @@
 
 void Dispatcher::onImported(Generation &Of, const GenerationProgress &Step,
                             TimePoint Now, DispatchActions &) {
-  if (Of.Phase_ != Phase::Transferring)
+  if (Of.Phase_ == Phase::Prefilling) // The report of its end was lost.
+    Fleet_.at(Of.Prefill_).removePrefill(Of.PrefillTokens_, Now);
+  else if (Of.Phase_ != Phase::Transferring)
     return;
   EngineView &View = Fleet_.at(Of.Decode_);
   const std::uint32_t Pieces = kvPiecesOf(Of.Work_);
@@ -97,7 +99,7 @@
 
 void Dispatcher::onKvGone(Generation &Of, const GenerationProgress &,
                           TimePoint Now, DispatchActions &Out) {
-  if (Of.Phase_ == Phase::Transferring || Of.Phase_ == Phase::Moving)
+  if (Of.Ticket_ != 0 || Of.Phase_ == Phase::Moving)
     requeue(Of, Now, Out);
 }
 
--- a/src/routing/DispatcherTime.cpp
+++ b/src/routing/DispatcherTime.cpp
@@ -16,6 +16,8 @@
 constexpr Duration StallBase = std::chrono::milliseconds(200);
 /// Time that a transfer may take for each piece.
 constexpr Duration StallPerPiece = std::chrono::milliseconds(30);
+/// The home asks after a peer's request when it is so much overdue.
+constexpr Duration CheckAfter = std::chrono::milliseconds(500);
 /// A peer's request not heard of for so long after its deadline is dropped.
 constexpr Duration AbandonAfter = std::chrono::seconds(10);
 
@@ -49,6 +51,19 @@
          Now - Of.Since_ > Limit;
 }
 
+bool Dispatcher::isCheckDue(const Generation &Of, TimePoint Now) const {
+  if (isOwn(Of) || Of.Ticket_ == 0 || Now - Of.AskedAt_ < CheckAfter)
+    return false;
+  const EngineView &Decode = Fleet_.at(Of.Decode_);
+  Duration Expected = Options_.KvLifetime_;
+  if (Of.Phase_ == Phase::Prefilling)
+    Expected = 2 * Typical_.prefillTime(Of.PrefillTokens_);
+  if (Of.Phase_ == Phase::Decoding)
+    Expected = Of.Work_.MaxOutputTokens_ *
+               Decode.speed().stepTime(Decode.info().DecodeSlots_);
+  return Now - Of.Since_ > Expected + CheckAfter;
+}
+
 bool Dispatcher::isAbandoned(const Generation &Of, TimePoint Now) const {
   return !isOwn(Of) && Now > Of.Work_.Deadline_ + AbandonAfter;
 }
@@ -59,7 +74,7 @@
   const bool IsAskDue =
       isOwn(Of) && IsWaitingForHome && Now - Of.AskedAt_ > AskInterval;
   return Of.Phase_ == Phase::Moving || IsAskDue || isStalled(Of, Now) ||
-         isAbandoned(Of, Now);
+         isCheckDue(Of, Now) || isAbandoned(Of, Now);
 }
 
 void Dispatcher::watch(const RequestId &Request, TimePoint Now,
@@ -70,6 +85,11 @@
   Generation &Of = At->second;
   if (isAbandoned(Of, Now))
     return erase(Request, Now);
+  if (isCheckDue(Of, Now)) {
+    Of.AskedAt_ = Now;
+    Out.push_back(SendPlacement{Of.Origin_, PlacementCheck{Request}});
+    return;
+  }
   if (Of.Phase_ == Phase::Moving && Now >= Of.KvDiesAt_)
     return requeue(Of, Now, Out);
   if (Of.Phase_ == Phase::Moving)
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -312,4 +312,19 @@
       CHECK(Fresh.Instances_.at(Name).queued() == 0);
     }
   }
+
+  SECTION("a home that missed the end of a request asks and frees its slot") {
+    Cluster Fresh;
+    for (const InstanceId &Name : Fresh.Names_)
+      Fresh.submit(Name, workOf(Name.Value_), at(0));
+    Fresh.Silent_ = {Fresh.Names_.begin(), Fresh.Names_.end()};
+    for (const InstanceId &Name : Fresh.Names_)
+      Fresh.report(Name, {{Name.Value_}, ProgressKind::Cancelled, 0, {}},
+                   at(10));
+    CHECK(Fresh.known() > 0);
+    Fresh.Silent_.clear();
+    for (int Now = 100; Now < 3000; Now += 10)
+      Fresh.tick(at(Now));
+    CHECK(Fresh.known() == 0);
+  }
 }
