Keep 40 ms before a first token is due

Above capacity work starts at its latest time, and the time of messages and the decode engine's step in progress were not counted: most late first tokens were 1 to 10 ms late.

--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint32_t MaxAttempts = 5;
 /// Slack added to the expected length of a decode.
 constexpr double DecodeMargin = 1.25;
+/// Kept free before a first token is due, for messages and the engines' steps.
+constexpr Duration StartMargin = std::chrono::milliseconds(40);
 /// Slack of a generation that starts again, so that it goes first.
 constexpr Duration RetrySlack = std::chrono::milliseconds(200);
 
@@ -81,7 +83,7 @@
   Of.IsAwaitingHome_ = false;
   Of.Since_ = Now;
   const TimePoint GiveUp = Item.Deadline_ - Needed;
-  TimePoint LatestStart = firstTokenDue(Item) - Needed;
+  TimePoint LatestStart = firstTokenDue(Item) - Needed - StartMargin;
   if (Of.Attempts_ > 0)
     LatestStart = std::max(LatestStart, Now + RetrySlack);
   QueueItem Entry{Item.Request_,
