Count the answer's length before starting work near its deadline

Work was started as long as its prefill fitted before the deadline; its answer was then cut off. The expected length, learned as a share of the maximum, is now part of what must fit; such work is refused, not run, instead.

--- a/include/gooseberrybeam/routing/Dispatcher.h
+++ b/include/gooseberrybeam/routing/Dispatcher.h
@@ -140,6 +140,7 @@
   // Waiting and choosing.
   bool isOwn(const Generation &Of) const;
   bool isHome(const Generation &Of) const;
+  std::uint32_t expectedTokens(const Work &Item) const;
   void enqueue(Generation &Of, TimePoint Now);
   void pump(TimePoint Now, DispatchActions &Out);
   void pumpModel(const ModelId &Model, FairQueue &Queue, TimePoint Now,
@@ -212,6 +213,7 @@
   std::unique_ptr<PairStrategy> Strategy_;
   EngineFleet Fleet_;
   SpeedModel Typical_; ///< Over all engines, for estimates before a choice.
+  double OutputShare_ = 0.5; ///< Of their maximum that answers reach; learned.
   PrefixIndex Prefixes_;
   std::unordered_map<RequestId, Generation> Generations_;
   std::unordered_map<ModelId, FairQueue> Queues_;
--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint32_t MaxAttempts = 5;
 /// Slack added to the expected length of a decode.
 constexpr double DecodeMargin = 1.25;
+/// Generations in a decode step, where the engine is not known yet.
+constexpr std::uint32_t TypicalBatch = 16;
 /// Kept free before a first token is due, for messages and the engines' steps.
 constexpr Duration StartMargin = std::chrono::milliseconds(40);
 /// Slack of a generation that starts again, so that it goes first.
@@ -74,6 +76,10 @@
   pump(Now, Out);
 }
 
+std::uint32_t Dispatcher::expectedTokens(const Work &Item) const {
+  return static_cast<std::uint32_t>(OutputShare_ * Item.MaxOutputTokens_);
+}
+
 void Dispatcher::enqueue(Generation &Of, TimePoint Now) {
   const Work &Item = Of.Work_;
   const Duration Needed = Typical_.prefillTime(Item.PromptTokens_) +
@@ -82,7 +88,9 @@
   Of.Phase_ = Phase::Queued;
   Of.IsAwaitingHome_ = false;
   Of.Since_ = Now;
-  const TimePoint GiveUp = Item.Deadline_ - Needed;
+  const Duration Answer =
+      expectedTokens(Item) * Typical_.stepTime(TypicalBatch);
+  const TimePoint GiveUp = Item.Deadline_ - Needed - Answer;
   TimePoint LatestStart = firstTokenDue(Item) - Needed - StartMargin;
   if (Of.Attempts_ > 0)
     LatestStart = std::max(LatestStart, Now + RetrySlack);
--- a/src/routing/DispatcherProgress.cpp
+++ b/src/routing/DispatcherProgress.cpp
@@ -7,6 +7,13 @@
 
 namespace gooseberry {
 
+namespace {
+
+/// Weight of one answer's length.
+constexpr double OutputGain = 0.02;
+
+} // namespace
+
 Dispatcher::Handler Dispatcher::handlerOf(ProgressKind Kind) {
   static constexpr std::array<Handler, 10> Handlers = {
       &Dispatcher::onPrefillDone,   &Dispatcher::onPrefillRefused,
@@ -103,10 +110,13 @@
     requeue(Of, Now, Out);
 }
 
-void Dispatcher::onDecodeDone(Generation &Of, const GenerationProgress &,
+void Dispatcher::onDecodeDone(Generation &Of, const GenerationProgress &Step,
                               TimePoint Now, DispatchActions &) {
   if (Of.Phase_ == Phase::Decoding)
     Fleet_.at(Of.Decode_).noteSuccess();
+  const double Most = std::max(1U, Of.Work_.MaxOutputTokens_);
+  const double Share = std::min(1.0, Step.Tokens_ / Most);
+  OutputShare_ += OutputGain * (Share - OutputShare_);
   erase(Of.Work_.Request_, Now);
 }
 
