Start late work again before it must be refused, unless many are late

Work past its target yielded to all work in time until it was refused, also at 0.8 of the capacity, where nothing within rate should be refused.

Taken: late work goes first when its last start is less than a second away and at most 8 requests of the model are late.

--- a/include/gooseberrybeam/fairness/FairQueue.h
+++ b/include/gooseberrybeam/fairness/FairQueue.h
@@ -94,8 +94,8 @@
   void erase(const Position &At);
   double leastServed() const;
   void expireFrom(Account &Of, TimePoint Now, std::vector<RequestId> &Into);
-  static bool isBefore(Tier A, const QueueItem &ItemA, Tier B,
-                       const QueueItem &ItemB, TimePoint Now);
+  bool isBefore(Tier A, const QueueItem &ItemA, Tier B, const QueueItem &ItemB,
+                TimePoint Now) const;
 
   Fairness Sharing_;
   std::unordered_map<OrganisationId, Account> Active_;
@@ -103,6 +103,7 @@
   std::unordered_map<RequestId, Position> Index_;
   double Floor_ = 0; ///< Least served when last observed.
   std::uint64_t Sequence_ = 0;
+  std::size_t Late_ = 0; ///< Requests that can no longer meet their target.
 };
 
 } // namespace gooseberry
--- a/src/fairness/FairQueue.cpp
+++ b/src/fairness/FairQueue.cpp
@@ -15,6 +15,11 @@
 constexpr double EqualLead = 20000;
 /// Work that may wait stops yielding when it must start this soon.
 constexpr Duration YieldUntil = std::chrono::milliseconds(500);
+/// Late work goes first again when it must start this soon or be refused...
+constexpr Duration RescueWindow = std::chrono::seconds(1);
+/// ... unless more than so many are late: then the model is over capacity, and
+/// late work first would make all work late.
+constexpr std::size_t FewLate = 8;
 /// Idle organisations remembered before those behind the floor are dropped.
 constexpr std::size_t MaxIdle = 4096;
 
@@ -38,6 +43,7 @@
       Which == Tier::Late ? Item.GiveUp_ : Item.LatestStart_;
   const Key At{Order, ++Sequence_};
   lineOf(Into, Which).emplace(At, Item);
+  Late_ += Which == Tier::Late ? 1 : 0;
   Index_.insert_or_assign(Item.Request_,
                           Position{Item.Organisation_, Which, At});
   ++Into.Waiting_;
@@ -66,8 +72,11 @@
 }
 
 bool FairQueue::isBefore(Tier A, const QueueItem &ItemA, Tier B,
-                         const QueueItem &ItemB, TimePoint Now) {
+                         const QueueItem &ItemB, TimePoint Now) const {
   auto RankOf = [&](Tier Which, const QueueItem &Item) {
+    if (Which == Tier::Late && Late_ <= FewLate &&
+        Item.GiveUp_ - Now < RescueWindow)
+      return Tier::Urgent;
     const bool IsShort = Item.LatestStart_ - Now < YieldUntil;
     return Which == Tier::Waiting && IsShort ? Tier::Urgent : Which;
   };
@@ -118,6 +127,7 @@
   auto Of = Active_.find(At.Organisation_);
   assert(Of != Active_.end());
   lineOf(Of->second, At.Tier_).erase(At.Key_);
+  Late_ -= At.Tier_ == Tier::Late ? 1 : 0;
   if (--Of->second.Waiting_ > 0)
     return;
   if (Idle_.size() >= MaxIdle)
