Free KV holdings of holders that no epoch lists any more

Cause: SweepRunner called a holder uncertain for good if it was known gone before this process started; after all instances are replaced at once, what the old ones held stayed held. Seen: builds and lints; the rule itself is tested in UnlistedHoldersTest.

--- a/include/gooseberrybeam/daemon/SweepRunner.h
+++ b/include/gooseberrybeam/daemon/SweepRunner.h
@@ -8,6 +8,7 @@
 #include "gooseberrybeam/daemon/GenerationDesk.h"
 #include "gooseberrybeam/engine/EngineClient.h"
 #include "gooseberrybeam/leases/HoldingSweeper.h"
+#include "gooseberrybeam/leases/UnlistedHolders.h"
 
 #include <functional>
 
@@ -67,6 +68,7 @@
   const BackendWatcher &Watcher_;
   EngineClient &Engines_;
   HoldingSweeper Sweeper_;
+  mutable UnlistedHolders Unlisted_;
   Asker Ask_;
 };
 
--- a/src/daemon/SweepRunner.cpp
+++ b/src/daemon/SweepRunner.cpp
@@ -6,9 +6,19 @@
 #include <boost/asio/detached.hpp>
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace gooseberry {
 namespace {
 
+constexpr Duration UnlistedGrace = std::chrono::seconds(10);
+
+bool isDeparted(const EpochDocument &Document, const MemberId &Id) {
+  return std::any_of(
+      Document.Departed_.begin(), Document.Departed_.end(),
+      [&](const DepartedMember &Each) { return Each.Id_ == Id; });
+}
+
 std::uint64_t scoreOf(const MemberId &Member, const BackendId &Engine) {
   const std::string &Name = Member.Name_.Value_;
   const std::uint64_t Seed = XXH64(Name.data(), Name.size(), 0);
@@ -22,11 +32,13 @@
                          const BackendWatcher &Watcher, EngineClient &Engines)
     : Context_(Context), State_(State), Desk_(Desk), Cluster_(Cluster),
       Watcher_(Watcher), Engines_(Engines),
-      Sweeper_(HoldingSweeperLimits(), *this) {}
+      Sweeper_(HoldingSweeperLimits(), *this), Unlisted_(UnlistedGrace) {}
 
 void SweepRunner::tick() {
   const std::vector<BackendId> Engines = Watcher_.engines();
-  carryOut(Sweeper_.tick(Engines, readBootClock()));
+  const TimePoint Now = readBootClock();
+  Unlisted_.tick(Now, State_.isLeaseValid(Now));
+  carryOut(Sweeper_.tick(Engines, Now));
 }
 
 void SweepRunner::onHolderAnswer(const Holder &From,
@@ -45,8 +57,13 @@
   if (State_.isHolderGone(asText(Value)))
     return HolderStatus::KnownGone;
   const EpochDocument &Document = Cluster_.membership().document();
-  return Document.hasMember(Id) ? HolderStatus::Member
-                                : HolderStatus::Uncertain;
+  const bool IsMember = Document.hasMember(Id);
+  if (IsMember || isDeparted(Document, Id)) {
+    Unlisted_.onListed(Id);
+    return IsMember ? HolderStatus::Member : HolderStatus::Uncertain;
+  }
+  return Unlisted_.isGone(Id) ? HolderStatus::KnownGone
+                              : HolderStatus::Uncertain;
 }
 
 bool SweepRunner::onIsSweeper(const BackendId &Engine) const {
