Connect instances: membership, limits, holdings and leaving servers

Cause: the daemons had no way to each other, so limits held only where one instance served alone.

PeerDesk hands peers' messages to their parts and tells all members what the platform's list shows as leaving. The port for peers opens only with a key. Incarnations now come from the wall clock: a later process must supersede an earlier one of its name, which random numbers did not assure.

Seen by hand: three daemons form epoch 3; one killed with SIGKILL is removed after 3.5 s of silence and known gone 3.2 s later; SIGTERM leaves the epoch.

--- a/include/gooseberrybeam/daemon/Daemon.h
+++ b/include/gooseberrybeam/daemon/Daemon.h
@@ -8,6 +8,7 @@
 #include "gooseberrybeam/daemon/ClusterDesk.h"
 #include "gooseberrybeam/daemon/DaemonState.h"
 #include "gooseberrybeam/daemon/GenerationDesk.h"
+#include "gooseberrybeam/daemon/PeerDesk.h"
 #include "gooseberrybeam/daemon/SweepRunner.h"
 #include "gooseberrybeam/daemon/Worker.h"
 #include "gooseberrybeam/engine/HttpEngineClient.h"
@@ -48,6 +49,7 @@
   explicit Daemon(Settings Options);
 
   std::optional<SettingsError> open();
+  std::optional<SettingsError> openPeers();
   Task<void> acceptCallers();
   Task<void> watchSignals();
   Task<void> tickParts();
@@ -72,6 +74,7 @@
   ClusterDesk Cluster_;
   BackendWatcher Watcher_;
   SweepRunner Sweep_;
+  PeerDesk Peers_;
   tcp::acceptor Acceptor_;
   asio::signal_set Signals_;
   std::vector<std::unique_ptr<Worker>> Workers_;
--- a/src/daemon/ClusterDesk.cpp
+++ b/src/daemon/ClusterDesk.cpp
@@ -1,11 +1,11 @@
 #include "gooseberrybeam/daemon/ClusterDesk.h"
 
+#include "gooseberrybeam/daemon/Incarnation.h"
 #include "gooseberrybeam/leases/KvHolding.h"
 #include "gooseberrybeam/log/Log.h"
 
 #include <cmath>
 #include <limits>
-#include <random>
 #include <utility>
 
 namespace gooseberry {
@@ -19,13 +19,6 @@
       std::llround(Tokens * static_cast<double>(MilliPerToken)));
 }
 
-std::uint64_t makeIncarnation() {
-  std::random_device Random;
-  constexpr int HalfBits = 32;
-  const std::uint64_t High = Random();
-  return (High << HalfBits) | Random();
-}
-
 std::string holderText(const MemberId &Id) { return asText(Id); }
 
 } // namespace
@@ -196,7 +189,7 @@
   State_.setLease(TimePoint());
   if (IsLeaving_)
     return;
-  Settings_.Self_.Incarnation_ = makeIncarnation();
+  Settings_.Self_.Incarnation_ = makeIncarnation(Settings_.Self_.Incarnation_);
   ++Identity_;
   auto Held = std::exchange(Held_, {});
   const ReserveAnswer Lapsed = LimitRefused{RefusalReason::LeaseExpired, {}};
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "gooseberrybeam/daemon/Daemon.h"
 
 #include "gooseberrybeam/config/ParseConfiguration.h"
+#include "gooseberrybeam/daemon/Incarnation.h"
 #include "gooseberrybeam/http/Endpoint.h"
 #include "gooseberrybeam/log/Log.h"
 #include "tableclient/TableAwait.h"
@@ -10,7 +11,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <random>
 
 namespace gooseberry {
 namespace {
@@ -22,13 +22,6 @@
 constexpr Duration DocumentPoll = std::chrono::seconds(1);
 constexpr Duration DrainPoll = std::chrono::milliseconds(20);
 
-std::uint64_t makeIncarnation() {
-  std::random_device Random;
-  const std::uint64_t High = Random();
-  constexpr int HalfBits = 32;
-  return (High << HalfBits) | Random();
-}
-
 DispatchOptions makeDispatchOptions(const Settings &Options) {
   DispatchOptions Dispatch;
   Dispatch.Self_ = Options.Name_;
@@ -66,7 +59,7 @@
 
 Daemon::Daemon(Settings Options)
     : Settings_(std::move(Options)), Holder_{Settings_.Name_,
-                                             makeIncarnation()},
+                                             makeIncarnation(0)},
       Pool_(PoolLimits()), Engines_(Pool_, asText(Holder_), EngineTimeouts()),
       Table_(Control_, Pool_, {Settings_.Table_}, makeTableLimits(Settings_)),
       Desk_(makeDispatchOptions(Settings_)),
@@ -74,7 +67,8 @@
       Watcher_(Control_, State_, Desk_, Engines_, Table_,
                makeIntervals(Settings_)),
       Sweep_(Control_, State_, Desk_, Cluster_, Watcher_, Engines_),
-      Acceptor_(Control_), Signals_(Control_, SIGTERM, SIGINT) {
+      Peers_(Cluster_, Sweep_, Watcher_), Acceptor_(Control_),
+      Signals_(Control_, SIGTERM, SIGINT) {
   for (std::uint32_t I = 0; I != Settings_.Threads_; ++I)
     Workers_.push_back(std::make_unique<Worker>(
         State_, Settings_, Control_, Desk_, Cluster_, asText(Holder_), I));
@@ -93,11 +87,22 @@
   if (!Error)
     Acceptor_.listen(tcp::acceptor::max_listen_connections, Error);
   if (!Error)
-    return std::nullopt;
+    return openPeers();
   return SettingsError{"--listen", Settings_.Listen_,
                        "an address of this machine that is free"};
 }
 
+std::optional<SettingsError> Daemon::openPeers() {
+  if (Settings_.PeerKey_.empty())
+    return std::nullopt;
+  const auto Error = Peers_.open(
+      Control_, {Holder_, Settings_.PeerListen_, Settings_.PeerKey_});
+  if (!Error)
+    return std::nullopt;
+  return SettingsError{"--peer-listen", Settings_.PeerListen_,
+                       "an address of this machine that is free"};
+}
+
 void Daemon::run() {
   startParts();
   for (const auto &Each : Workers_)
@@ -182,9 +187,12 @@
   };
   Listeners.OnRejoin_ = [this](const MemberId &Self) { onRejoin(Self); };
   Cluster_.setListeners(std::move(Listeners));
+  Watcher_.setListener(
+      [this](const InstanceList &List) { Peers_.onList(List); });
 }
 
 void Daemon::onEpoch(const EpochDocument &Document) {
+  Peers_.onEpoch(Document);
   std::vector<InstanceId> Members = {Settings_.Name_};
   // Placement messages need a transport to the other members.
   for (const auto &Each : Document.Members_)
@@ -195,6 +203,7 @@
 
 void Daemon::onRejoin(const MemberId &Self) {
   Holder_ = Self;
+  Peers_.onRejoin(Self);
   Engines_.setHolder(asText(Holder_));
   for (const auto &Each : Workers_)
     Each->setHolder(asText(Holder_));
