--- a/include/gooseberrybeam/orders/EngineOrder.h
+++ b/include/gooseberrybeam/orders/EngineOrder.h
@@ -3,6 +3,7 @@
 #ifndef GOOSEBERRYBEAM_ORDERS_ENGINEORDER_H
 #define GOOSEBERRYBEAM_ORDERS_ENGINEORDER_H
 
+#include "gooseberrybeam/base/EngineRole.h"
 #include "gooseberrybeam/base/Ids.h"
 #include "gooseberrybeam/base/Result.h"
 
@@ -15,9 +16,6 @@
 /// Grows with every lease of an engine's orders.
 using FencingNumber = std::uint64_t;
 
-/// Which part of a generation an engine does.
-enum class EngineRole : std::uint8_t { Prefill, Decode };
-
 /// The state that an engine is to have. Empty names are left as they are.
 struct EngineGoal {
   EngineRole Role_ = EngineRole::Prefill;
--- a/include/gooseberrybeam/routing/EngineInfo.h
+++ b/include/gooseberrybeam/routing/EngineInfo.h
@@ -3,6 +3,7 @@
 #ifndef GOOSEBERRYBEAM_ROUTING_ENGINEINFO_H
 #define GOOSEBERRYBEAM_ROUTING_ENGINEINFO_H
 
+#include "gooseberrybeam/base/EngineRole.h"
 #include "gooseberrybeam/base/Ids.h"
 #include "gooseberrybeam/base/Time.h"
 
@@ -11,9 +12,6 @@
 
 namespace gooseberry {
 
-/// What an engine does for a generation.
-enum class EngineRole : std::uint8_t { Prefill, Decode };
-
 /// An engine that may be chosen.
 struct EngineInfo {
   BackendId Engine_;
