Resume a decode by the engines' protocol

Cause: after a decode engine died or fell silent in mid-stream the resumed decode was taken for malformed: max_tokens is what one decode may generate, and completion_tokens what it sent, not the whole answer. Smaller priorities run sooner, and a 503 means that nothing was started.

--- a/include/gooseberrybeam/daemon/GenerationRun.h
+++ b/include/gooseberrybeam/daemon/GenerationRun.h
@@ -61,6 +61,7 @@
   Task<Step> relay(DecodeStream &Stream, BackendId Engine, CancelScope &Scope,
                    PlacementMailbox::Interruptible &Interrupt);
   Task<Step> finish(const DecodeDone &Done, const BackendId &Engine);
+  Task<Step> complete(std::string_view FinishReason);
   void onImported();
   bool onToken(const DecodeToken &Token);
   Step onPrefillError(const BackendId &Engine, const EngineError &Error);
--- a/include/gooseberrybeam/engine/EngineTypes.h
+++ b/include/gooseberrybeam/engine/EngineTypes.h
@@ -30,6 +30,7 @@
   DuplicateRequest,
   Cancelled,
   StaleFence,
+  Refused,      ///< The engine takes no calls at present.
   Unreachable,  ///< No connection could be made.
   Broken,       ///< The connection broke.
   Silent,       ///< No byte came within the idle timeout.
@@ -62,7 +63,7 @@
   ModelId Model_;
   std::string_view Prompt_;
   std::uint32_t GeneratedTokens_ = 0;
-  int Priority_ = 0;
+  int Priority_ = 0;                 ///< Smaller ones run sooner.
   std::optional<Duration> Deadline_; ///< Time left.
 };
 
@@ -81,9 +82,9 @@
   ModelId Model_;
   BackendId Source_; ///< The prefill engine.
   std::string Kv_;
-  std::uint32_t MaxTokens_ = 0;  ///< Of the whole answer.
+  std::uint32_t MaxTokens_ = 0;  ///< From the first index on.
   std::uint32_t FirstIndex_ = 0; ///< Index of the first token to generate.
-  int Priority_ = 0;
+  int Priority_ = 0;             ///< Smaller ones run sooner.
 };
 
 /// The KV cache has been imported.
@@ -95,10 +96,10 @@
   std::string Text_;
 };
 
-/// The answer is complete.
+/// The decode has ended regularly.
 struct DecodeDone {
   std::string FinishReason_;
-  std::uint32_t CompletionTokens_ = 0;
+  std::uint32_t CompletionTokens_ = 0; ///< Sent by this decode.
 };
 
 /// The engine gave up.
--- a/src/daemon/EngineAttempt.cpp
+++ b/src/daemon/EngineAttempt.cpp
@@ -11,13 +11,14 @@
 constexpr std::size_t BytesPerToken = 4;
 
 constexpr std::array<AttemptFailure, EngineFailureCount> Failures = {
-    AttemptFailure::RefusedBusy,    AttemptFailure::RefusedBusy,
-    AttemptFailure::RefusedBusy,    AttemptFailure::RefusedBusy,
-    AttemptFailure::KvGone,         AttemptFailure::TransferStalled,
-    AttemptFailure::RefusedBusy,    AttemptFailure::StreamBroken,
-    AttemptFailure::RefusedBusy,    AttemptFailure::ConnectFailed,
-    AttemptFailure::ConnectionLost, AttemptFailure::SilentConnection,
-    AttemptFailure::ServerError,    AttemptFailure::StreamBroken};
+    AttemptFailure::RefusedBusy,      AttemptFailure::RefusedBusy,
+    AttemptFailure::RefusedBusy,      AttemptFailure::RefusedBusy,
+    AttemptFailure::KvGone,           AttemptFailure::TransferStalled,
+    AttemptFailure::RefusedBusy,      AttemptFailure::StreamBroken,
+    AttemptFailure::RefusedBusy,      AttemptFailure::RefusedBusy,
+    AttemptFailure::ConnectFailed,    AttemptFailure::ConnectionLost,
+    AttemptFailure::SilentConnection, AttemptFailure::ServerError,
+    AttemptFailure::StreamBroken};
 
 } // namespace
 
--- a/src/daemon/GenerationRun.cpp
+++ b/src/daemon/GenerationRun.cpp
@@ -14,10 +14,12 @@
 
 constexpr Duration DefaultFirstToken = std::chrono::seconds(10);
 constexpr Duration DefaultBetweenTokens = std::chrono::milliseconds(200);
+constexpr std::string_view FinishedByLength = "length";
 constexpr int CancelAttempts = 3;
 constexpr Duration CancelPause = std::chrono::milliseconds(100);
-constexpr int UrgentPriority = 1;
-constexpr int WaitingPriority = 0;
+// Engines run smaller priorities sooner.
+constexpr int UrgentPriority = 0;
+constexpr int WaitingPriority = 1;
 
 Task<void> cancelOnEngine(WorkerContext &Worker, BackendId Engine,
                           RequestId Request, std::string Holder,
@@ -120,6 +122,9 @@
 
 Task<GenerationRun::Step> GenerationRun::start(StartGeneration Action) {
   dropKv();
+  // Only the end of the stream was lost.
+  if (Assembler_.tokenCount() >= Job_.MaxTokens_)
+    co_return co_await complete(FinishedByLength);
   ++Attempts_;
   if (Attempts_ == 1) {
     Worker_.State_.Metrics_.observe(Latency::QueueWait,
@@ -166,7 +171,7 @@
   Call.Model_ = Job_.Request_.Model_;
   Call.Source_ = PrefillEngine_;
   Call.Kv_ = Kv_->Kv_;
-  Call.MaxTokens_ = Job_.MaxTokens_;
+  Call.MaxTokens_ = Job_.MaxTokens_ - Attempt_.FirstIndex_;
   Call.FirstIndex_ = Attempt_.FirstIndex_;
   Call.Priority_ = Job_.Class_.MayWait_ ? WaitingPriority : UrgentPriority;
   CancelScope Scope;
@@ -241,16 +246,21 @@
 
 Task<GenerationRun::Step> GenerationRun::finish(const DecodeDone &Done,
                                                 const BackendId &Engine) {
-  const auto Verdict =
-      Assembler_.onEnd(Attempt_.Attempt_, Done.CompletionTokens_);
+  const auto Verdict = Assembler_.onEnd(
+      Attempt_.Attempt_, Attempt_.FirstIndex_ + Done.CompletionTokens_);
   if (Verdict != AssemblyVerdict::Accepted)
     co_return onDecodeError(Engine, {EngineFailure::Malformed, true});
   Touched_.erase(Engine);
+  co_return co_await complete(Done.FinishReason_);
+}
+
+Task<GenerationRun::Step>
+GenerationRun::complete(std::string_view FinishReason) {
   report(ProgressKind::DecodeDone, Assembler_.tokenCount() - ReportedTokens_,
          readBootClock() - DecodeSince_);
   const CompletionUsage Usage = {Job_.PromptTokens_, Assembler_.tokenCount()};
   const bool IsTaken =
-      co_await Answer_.finish(Assembler_.asText(), Done.FinishReason_, Usage);
+      co_await Answer_.finish(Assembler_.asText(), FinishReason, Usage);
   if (!IsTaken)
     co_return refuseCancelled();
   Worker_.State_.Metrics_.add(Count::AnswersGenerated);
--- a/src/engine/EngineErrors.cpp
+++ b/src/engine/EngineErrors.cpp
@@ -9,6 +9,7 @@
 
 constexpr int Conflict = 409;
 constexpr int PreconditionFailed = 412;
+constexpr int Unavailable = 503;
 
 constexpr std::array<EngineFailure, 6> Failures = {
     EngineFailure::Unreachable, EngineFailure::Broken,
@@ -24,8 +25,9 @@
 
 EngineError parseEngineRefusal(int Status, std::string_view Body) {
   const auto Failure = parseEngineError(Body);
-  const bool IsNothingStarted =
-      Status == Conflict || Status == PreconditionFailed;
+  const bool IsNothingStarted = Status == Conflict ||
+                                Status == PreconditionFailed ||
+                                Status == Unavailable;
   if (!Failure)
     return {EngineFailure::Malformed, !IsNothingStarted};
   return {*Failure, !IsNothingStarted};
