--- a/tools/common/Net.h
+++ b/tools/common/Net.h
@@ -3,13 +3,13 @@
 #ifndef TOOLS_COMMON_NET_H
 #define TOOLS_COMMON_NET_H
 
+#include "gooseberrybeam/http/Endpoint.h"
+
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include <chrono>
-#include <optional>
-#include <string_view>
 
 namespace gooseberry {
 
@@ -21,10 +21,6 @@
 /// Completion token: awaits, and returns the error code with the result.
 inline constexpr auto Awaiting = asio::as_tuple(asio::use_awaitable);
 
-/// \param Address `ip:port`.
-/// \returns the endpoint, or nothing if the text is malformed.
-std::optional<Tcp::endpoint> parseEndpoint(std::string_view Address);
-
 /// Waits for a time.
 /// \param Delay how long.
 asio::awaitable<void> sleepFor(std::chrono::microseconds Delay);
