Place generations through their model's home

Cause: with peers connected, placement messages can travel; until now each instance placed from its own lagging view. Seen by hand with three instances and two decode engines: 90 concurrent completions over all instances answered whole and alike within 1.2 s; an engine silent, stalled and killed in mid-stream, each answer whole; no KV held after it; all three drain and leave at once.

--- a/include/gooseberrybeam/daemon/Daemon.h
+++ b/include/gooseberrybeam/daemon/Daemon.h
@@ -59,6 +59,7 @@
   Task<void> leaveMembership(TimePoint Deadline);
   void startParts();
   void followMembership();
+  void connectPlacement();
   void onEpoch(const EpochDocument &Document);
   void onRejoin(const MemberId &Self);
   void stop();
@@ -79,7 +80,6 @@
   asio::signal_set Signals_;
   std::vector<std::unique_ptr<Worker>> Workers_;
   bool IsDraining_ = false;
-  bool HasPeers_ = false;
 };
 
 } // namespace gooseberry
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -4,6 +4,7 @@
 #include "gooseberrybeam/daemon/Incarnation.h"
 #include "gooseberrybeam/http/Endpoint.h"
 #include "gooseberrybeam/log/Log.h"
+#include "gooseberrybeam/peers/PlacementCodec.h"
 #include "tableclient/TableAwait.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -189,6 +190,20 @@
   Cluster_.setListeners(std::move(Listeners));
   Watcher_.setListener(
       [this](const InstanceList &List) { Peers_.onList(List); });
+  connectPlacement();
+}
+
+void Daemon::connectPlacement() {
+  Desk_.setSender(
+      [this](const InstanceId &To, const PlacementMessage &Message) {
+        const PlacementBytes Bytes = {encodePlacement(Message)};
+        Peers_.sendTo(To, Bytes);
+      });
+  Peers_.setPlacementHandler(
+      [this](const InstanceId &From, std::string_view Bytes) {
+        if (const auto Message = parsePlacement(Bytes))
+          Desk_.onMessage(From, *Message);
+      });
 }
 
 void Daemon::onEpoch(const EpochDocument &Document) {
@@ -196,7 +211,7 @@
   std::vector<InstanceId> Members = {Settings_.Name_};
   // Placement messages need a transport to the other members.
   for (const auto &Each : Document.Members_)
-    if (HasPeers_ && Each.Id_.Name_ != Settings_.Name_)
+    if (Peers_.isOpen() && Each.Id_.Name_ != Settings_.Name_)
       Members.push_back(Each.Id_.Name_);
   Desk_.onMembers(Members);
 }
