--- a/src/config/EncodeEntity.cpp
+++ b/src/config/EncodeEntity.cpp
@@ -7,10 +7,18 @@
 namespace json = boost::json;
 namespace {
 
+/// \returns the number, whole if it is, so that it reads well.
+json::value encodeNumber(double Number) {
+  const auto Whole = static_cast<std::int64_t>(Number);
+  if (static_cast<double>(Whole) == Number)
+    return Whole;
+  return Number;
+}
+
 void putMilliseconds(json::object &Object, std::string_view Name,
                      const std::optional<Duration> &Value) {
   if (Value)
-    Object[Name] = static_cast<double>(Value->count()) / 1000;
+    Object[Name] = encodeNumber(static_cast<double>(Value->count()) / 1000);
 }
 
 json::array encodeTexts(const std::vector<std::string> &Texts) {
@@ -28,14 +36,14 @@
   Object["may_wait"] = Class.MayWait_;
   if (Class.MaxWait_ > Duration())
     putMilliseconds(Object, "max_wait_ms", Class.MaxWait_);
-  Object["retry_budget"] = Class.RetryBudget_;
+  Object["retry_budget"] = encodeNumber(Class.RetryBudget_);
   return Object;
 }
 
 json::value encode(const Organisation &Value) {
   json::object Object;
-  Object["rate_tokens_per_s"] = Value.RateTokensPerSecond_;
-  Object["burst_tokens"] = Value.BurstTokens_;
+  Object["rate_tokens_per_s"] = encodeNumber(Value.RateTokensPerSecond_);
+  Object["burst_tokens"] = encodeNumber(Value.BurstTokens_);
   json::array Classes;
   for (const ClassId &Class : Value.AllowedClasses_)
     Classes.emplace_back(Class.Value_);
--- /dev/null
+++ b/src/operator/OperatorServer.cpp
@@ -0,0 +1,137 @@
+#include "gooseberrybeam/operator/OperatorServer.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace gooseberry {
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace {
+
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint64_t MaxBodyBytes = 64ULL << 20U;
+constexpr std::uint32_t MaxHeaderBytes = 16U << 10U;
+constexpr std::size_t MaxConnections = 64;
+constexpr auto IdleTimeout = std::chrono::seconds(30);
+constexpr auto AcceptPause = std::chrono::milliseconds(50);
+
+using Parser = http::request_parser<http::string_body>;
+
+OperatorRequest makeRequest(const Parser &Read) {
+  const auto &Message = Read.get();
+  OperatorRequest Request;
+  Request.Method_ = std::string(Message.method_string());
+  Request.Target_ = std::string(Message.target());
+  Request.Key_ = std::string(Message[OperatorKeyHeader]);
+  Request.Body_ = Message.body();
+  return Request;
+}
+
+http::response<http::string_body> makeReply(const Parser &Read,
+                                            OperatorResponse Response) {
+  http::response<http::string_body> Reply;
+  Reply.version(Read.get().version());
+  Reply.result(static_cast<unsigned>(Response.Status_));
+  Reply.set(http::field::content_type, "application/json");
+  Reply.keep_alive(Read.get().keep_alive());
+  Reply.body() = std::move(Response.Body_);
+  Reply.prepare_payload();
+  return Reply;
+}
+
+/// What a waiting connection and the call's handler share.
+struct PendingCall {
+  explicit PendingCall(asio::io_context &Context) : Done_(Context) {
+    Done_.expires_at(asio::steady_timer::time_point::max());
+  }
+  asio::steady_timer Done_;
+  std::optional<OperatorResponse> Response_;
+};
+
+} // namespace
+
+OperatorServer::OperatorServer(asio::io_context &Context, OperatorApi &Api)
+    : Context_(Context), Api_(Api), Acceptor_(Context) {}
+
+std::optional<boost::system::error_code>
+OperatorServer::listen(const asio::ip::tcp::endpoint &Endpoint) {
+  boost::system::error_code Error;
+  Acceptor_.open(Endpoint.protocol(), Error);
+  if (!Error)
+    Acceptor_.set_option(asio::socket_base::reuse_address(true), Error);
+  if (!Error)
+    Acceptor_.bind(Endpoint, Error);
+  if (!Error)
+    Acceptor_.listen(asio::socket_base::max_listen_connections, Error);
+  if (Error)
+    return Error;
+  asio::co_spawn(Context_, accept(), asio::detached);
+  return std::nullopt;
+}
+
+std::uint16_t OperatorServer::port() const {
+  return Acceptor_.local_endpoint().port();
+}
+
+void OperatorServer::close() {
+  boost::system::error_code Ignored;
+  Acceptor_.close(Ignored);
+}
+
+asio::awaitable<void> OperatorServer::accept() {
+  asio::steady_timer Pause(Context_);
+  while (Acceptor_.is_open()) {
+    auto [Error, Connection] = co_await Acceptor_.async_accept(AsTuple);
+    if (!Error && Connections_ < MaxConnections) {
+      asio::co_spawn(Context_, serve(std::move(Connection)), asio::detached);
+      continue;
+    }
+    Pause.expires_after(AcceptPause);
+    co_await Pause.async_wait(AsTuple);
+  }
+}
+
+asio::awaitable<void> OperatorServer::serve(Socket Connection) {
+  ++Connections_;
+  beast::tcp_stream Stream(std::move(Connection));
+  beast::flat_buffer Buffer;
+  for (bool IsKept = true; IsKept;) {
+    Parser Read;
+    Read.body_limit(MaxBodyBytes);
+    Read.header_limit(MaxHeaderBytes);
+    Stream.expires_after(IdleTimeout);
+    auto [ReadError, Bytes] =
+        co_await http::async_read(Stream, Buffer, Read, AsTuple);
+    if (ReadError)
+      break;
+    Stream.expires_never();
+    OperatorRequest Request = makeRequest(Read);
+    OperatorResponse Response = co_await call(std::move(Request));
+    const auto Reply = makeReply(Read, std::move(Response));
+    Stream.expires_after(IdleTimeout);
+    auto [WriteError, Written] =
+        co_await http::async_write(Stream, Reply, AsTuple);
+    IsKept = !WriteError && Reply.keep_alive();
+  }
+  --Connections_;
+}
+
+asio::awaitable<OperatorResponse>
+OperatorServer::call(OperatorRequest Request) {
+  auto Pending = std::make_shared<PendingCall>(Context_);
+  Api_.handle(Request, [Pending](OperatorResponse Response) {
+    Pending->Response_ = std::move(Response);
+    Pending->Done_.cancel();
+  });
+  while (!Pending->Response_)
+    co_await Pending->Done_.async_wait(AsTuple);
+  co_return std::move(*Pending->Response_);
+}
+
+} // namespace gooseberry
