Follow the configuration's revisions in the daemon; open the operators' port

Heartbeats of the membership name revisions to the follower, so that an instance that missed a push asks for it.

--- a/include/gooseberrybeam/daemon/BackendWatcher.h
+++ b/include/gooseberrybeam/daemon/BackendWatcher.h
@@ -48,6 +48,17 @@
   /// \param Server the backend server.
   void onLeaving(const BackendId &Server);
 
+  /// \returns the newest list of the platform; empty before the first.
+  const InstanceList &newest() const { return Newest_; }
+
+  /// \param Name an engine.
+  /// \returns what it last said of itself, or null while it is not live.
+  const EngineInfo *findEngine(const BackendId &Name) const;
+
+  /// \param Name an engine.
+  /// \returns its requests in decode when it last reported.
+  std::uint32_t activeOf(const BackendId &Name) const;
+
   /// \returns the engines in the newest list.
   std::vector<BackendId> engines() const;
 
@@ -56,6 +67,7 @@
     ListedInstance Listed_;
     std::optional<EngineInfo> Info_; ///< As told to the dispatcher.
     std::uint64_t LastCacheEvent_ = 0;
+    std::uint32_t Active_ = 0; ///< As last reported.
     std::uint32_t Polls_ = 0;
     std::uint32_t Failures_ = 0;
   };
@@ -76,6 +88,7 @@
   HttpTableClient &Table_;
   WatchIntervals Intervals_;
   ListListener Listener_;
+  InstanceList Newest_;
   std::map<BackendId, Engine> Engines_;
 };
 
--- a/include/gooseberrybeam/daemon/Daemon.h
+++ b/include/gooseberrybeam/daemon/Daemon.h
@@ -8,6 +8,7 @@
 #include "gooseberrybeam/daemon/ClusterDesk.h"
 #include "gooseberrybeam/daemon/DaemonState.h"
 #include "gooseberrybeam/daemon/GenerationDesk.h"
+#include "gooseberrybeam/daemon/OperatorDesk.h"
 #include "gooseberrybeam/daemon/PeerDesk.h"
 #include "gooseberrybeam/daemon/SweepRunner.h"
 #include "gooseberrybeam/daemon/Worker.h"
@@ -53,13 +54,12 @@
   Task<void> acceptCallers();
   Task<void> watchSignals();
   Task<void> tickParts();
-  Task<void> loadDocument();
-  void publishDocument(const TableRow &Row);
   Task<void> drainAndStop();
   Task<void> leaveMembership(TimePoint Deadline);
   void startParts();
   void followMembership();
   void connectPlacement();
+  void connectConfiguration();
   void onEpoch(const EpochDocument &Document);
   void onRejoin(const MemberId &Self);
   void stop();
@@ -76,6 +76,7 @@
   BackendWatcher Watcher_;
   SweepRunner Sweep_;
   PeerDesk Peers_;
+  OperatorDesk Operators_;
   tcp::acceptor Acceptor_;
   asio::signal_set Signals_;
   std::vector<std::unique_ptr<Worker>> Workers_;
--- a/include/gooseberrybeam/daemon/PeerDesk.h
+++ b/include/gooseberrybeam/daemon/PeerDesk.h
@@ -51,6 +51,12 @@
     OnPlacement_ = std::move(Handler);
   }
 
+  /// \param Handler takes the configuration revision that a heartbeat names.
+  void setRevisionHandler(
+      std::function<void(const InstanceId &, Revision)> Handler) {
+    OnRevision_ = std::move(Handler);
+  }
+
   /// Sends to the incarnation of an instance that the epoch lists, if any.
   /// \param To the instance.
   /// \param Message the message; it may be lost.
@@ -63,6 +69,7 @@
   void connectParts();
   void tellAll(const PeerMessage &Message);
   void onMessage(const MemberId &From, const PeerMessage &Message);
+  void noteRevision(const MemberId &From, const MembershipMessage &Message);
 
   ClusterDesk &Cluster_;
   SweepRunner &Sweep_;
@@ -70,6 +77,7 @@
   std::unique_ptr<TcpPeerTransport> Transport_;
   std::set<std::string> Leaving_;
   BytesHandler OnConfig_;
+  std::function<void(const InstanceId &, Revision)> OnRevision_;
   BytesHandler OnPlacement_;
 };
 
--- a/src/daemon/BackendWatcher.cpp
+++ b/src/daemon/BackendWatcher.cpp
@@ -68,6 +68,7 @@
 }
 
 void BackendWatcher::onList(const InstanceList &List) {
+  Newest_ = List;
   onEngines(List);
   onServices(List);
   if (Listener_)
@@ -156,6 +157,7 @@
 void BackendWatcher::onLoad(const BackendId &Name, const EngineLoad &Load) {
   Engine &Of = Engines_.at(Name);
   Of.Failures_ = 0;
+  Of.Active_ = Load.DecodeActive_;
   if (Of.Listed_.State_ == ListedState::Leaving)
     return;
   const EngineInfo Info = makeInfo(Name, Of.Listed_.DataCentre_, Load);
@@ -179,6 +181,18 @@
           {{"backend_server", Name.Value_}});
 }
 
+const EngineInfo *BackendWatcher::findEngine(const BackendId &Name) const {
+  const auto Found = Engines_.find(Name);
+  if (Found == Engines_.end() || !Found->second.Info_)
+    return nullptr;
+  return &*Found->second.Info_;
+}
+
+std::uint32_t BackendWatcher::activeOf(const BackendId &Name) const {
+  const auto Found = Engines_.find(Name);
+  return Found == Engines_.end() ? 0 : Found->second.Active_;
+}
+
 std::vector<BackendId> BackendWatcher::engines() const {
   std::vector<BackendId> Names;
   for (const auto &[Name, Of] : Engines_)
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,11 +1,9 @@
 #include "gooseberrybeam/daemon/Daemon.h"
 
-#include "gooseberrybeam/config/ParseConfiguration.h"
 #include "gooseberrybeam/daemon/Incarnation.h"
 #include "gooseberrybeam/http/Endpoint.h"
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/peers/PlacementCodec.h"
-#include "tableclient/TableAwait.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,7 +18,6 @@
 constexpr std::uint64_t TicksPerClusterTick = 2;
 constexpr std::uint64_t TicksPerSweepTick = 20;
 constexpr Duration LeaveTimeout = std::chrono::seconds(2);
-constexpr Duration DocumentPoll = std::chrono::seconds(1);
 constexpr Duration DrainPoll = std::chrono::milliseconds(20);
 
 DispatchOptions makeDispatchOptions(const Settings &Options) {
@@ -68,8 +65,10 @@
       Watcher_(Control_, State_, Desk_, Engines_, Table_,
                makeIntervals(Settings_)),
       Sweep_(Control_, State_, Desk_, Cluster_, Watcher_, Engines_),
-      Peers_(Cluster_, Sweep_, Watcher_), Acceptor_(Control_),
-      Signals_(Control_, SIGTERM, SIGINT) {
+      Peers_(Cluster_, Sweep_, Watcher_),
+      Operators_(Control_, Settings_, State_, Table_, Cluster_, Watcher_,
+                 [this] { drain(); }),
+      Acceptor_(Control_), Signals_(Control_, SIGTERM, SIGINT) {
   for (std::uint32_t I = 0; I != Settings_.Threads_; ++I)
     Workers_.push_back(std::make_unique<Worker>(
         State_, Settings_, Control_, Desk_, Cluster_, asText(Holder_), I));
@@ -95,11 +94,11 @@
 
 std::optional<SettingsError> Daemon::openPeers() {
   if (Settings_.PeerKey_.empty())
-    return std::nullopt;
+    return Operators_.open();
   const auto Error = Peers_.open(
       Control_, {Holder_, Settings_.PeerListen_, Settings_.PeerKey_});
   if (!Error)
-    return std::nullopt;
+    return Operators_.open();
   return SettingsError{"--peer-listen", Settings_.PeerListen_,
                        "an address of this machine that is free"};
 }
@@ -120,7 +119,8 @@
   asio::co_spawn(Control_, watchSignals(), asio::detached);
   asio::co_spawn(Control_, tickParts(), asio::detached);
   asio::co_spawn(Control_, acceptCallers(), asio::detached);
-  asio::co_spawn(Control_, loadDocument(), asio::detached);
+  connectConfiguration();
+  Operators_.start();
   followMembership();
   Watcher_.start();
 }
@@ -143,31 +143,6 @@
   }
 }
 
-Task<void> Daemon::loadDocument() {
-  asio::steady_timer Timer(Control_);
-  for (;;) {
-    TableQuery Query;
-    Query.Keys_.push_back("config/document");
-    const auto Read = co_await awaitRead(Table_, std::move(Query));
-    const auto *Rows = std::get_if<TableRows>(&Read);
-    if (Rows && !Rows->Rows_.empty())
-      publishDocument(Rows->Rows_.front());
-    Timer.expires_after(DocumentPoll);
-    co_await Timer.async_wait(AsTuple);
-  }
-}
-
-void Daemon::publishDocument(const TableRow &Row) {
-  if (Row.Version_ <= State_.Configuration_.read()->revision())
-    return;
-  const auto Parsed = parseConfiguration(Row.Value_);
-  if (!isOk(Parsed))
-    return;
-  const Configuration &Document = valueOf(Parsed).Configuration_;
-  State_.Configuration_.publish(
-      std::make_shared<const Configuration>(Document.with({}, Row.Version_)));
-}
-
 Task<void> Daemon::tickParts() {
   asio::steady_timer Timer(Control_);
   for (std::uint64_t Tick = 0;; ++Tick) {
@@ -206,8 +181,23 @@
       });
 }
 
+void Daemon::connectConfiguration() {
+  ConfigRunner &Config = Operators_.config();
+  Config.setSender([this](const InstanceId &To, std::string Bytes) {
+    Peers_.sendTo(To, ConfigBytes{std::move(Bytes)});
+  });
+  Peers_.setConfigHandler(
+      [&Config](const InstanceId &From, std::string_view Bytes) {
+        Config.receive(From, Bytes);
+      });
+  Peers_.setRevisionHandler([&Config](const InstanceId &From, Revision Number) {
+    Config.notePeerRevision(From, Number);
+  });
+}
+
 void Daemon::onEpoch(const EpochDocument &Document) {
   Peers_.onEpoch(Document);
+  Operators_.onEpoch(Document);
   std::vector<InstanceId> Members = {Settings_.Name_};
   // Placement messages need a transport to the other members.
   for (const auto &Each : Document.Members_)
--- a/src/daemon/PeerDesk.cpp
+++ b/src/daemon/PeerDesk.cpp
@@ -72,10 +72,23 @@
       Transport_->send(Each.Id_, Message);
 }
 
+void PeerDesk::noteRevision(const MemberId &From,
+                            const MembershipMessage &Message) {
+  if (!OnRevision_)
+    return;
+  if (const auto *Beat = std::get_if<Heartbeat>(&Message))
+    OnRevision_(From.Name_, Beat->Revision_);
+  else if (const auto *Ack = std::get_if<HeartbeatAck>(&Message))
+    OnRevision_(From.Name_, Ack->Revision_);
+}
+
 void PeerDesk::onMessage(const MemberId &From, const PeerMessage &Message) {
   std::visit(
       Overloaded{
-          [&](const MembershipMessage &Each) { Cluster_.receive(From, Each); },
+          [&](const MembershipMessage &Each) {
+            noteRevision(From, Each);
+            Cluster_.receive(From, Each);
+          },
           [&](const LimitMessage &Each) { Cluster_.receive(From, Each); },
           [&](const HoldingQuestion &Each) {
             Transport_->send(From,
