--- a/include/gooseberrybeam/daemon/ClusterDesk.h
+++ b/include/gooseberrybeam/daemon/ClusterDesk.h
@@ -84,6 +84,9 @@
   /// \param Used the tokens used; the rest is returned.
   void settle(const ReservationRef &Ref, std::int64_t Used);
 
+  /// Hands shards and parts of limits to others, while requests are served
+  /// on; called when a graceful shutdown begins.
+  void retire();
   /// Returns all borrowed parts of limits, then leaves the membership.
   void leave();
   /// \returns whether the membership has recorded that this instance left.
--- a/include/gooseberrybeam/limits/LimitLedger.h
+++ b/include/gooseberrybeam/limits/LimitLedger.h
@@ -83,6 +83,13 @@
   /// \param Now the clock reading.
   void tick(TimePoint Now);
 
+  /// From now on keeps no part for longer than a request needs it, because
+  /// this instance is about to leave.
+  void startReturning() { IsReturning_ = true; }
+
+  /// \returns whether nothing is held of shards that others own.
+  bool hasReturnedAll() const;
+
   /// Returns every borrowed part to its home, for a graceful shutdown.
   /// \param Now the clock reading.
   void returnAll(TimePoint Now);
@@ -160,6 +167,7 @@
 
   MemberId Self_;
   LimitFault Fault_;
+  bool IsReturning_ = false;
   TimePoint LeaseUntil_;
   std::uint64_t Revision_ = 0;
   Epoch Epoch_ = 0;
--- a/include/gooseberrybeam/membership/EpochDocument.h
+++ b/include/gooseberrybeam/membership/EpochDocument.h
@@ -22,7 +22,8 @@
   MemberId Id_;
   std::string PeerAddress_; ///< `ip:port` bound by this process alone.
   DataCentreId DataCentre_;
-  Epoch Joined_ = 0; ///< The first epoch that lists this incarnation.
+  Epoch Joined_ = 0;        ///< The first epoch that lists this incarnation.
+  bool IsRetiring_ = false; ///< Owns no shards; about to leave.
 
   friend bool operator==(const EpochMember &, const EpochMember &) = default;
 };
--- a/include/gooseberrybeam/membership/EpochEditor.h
+++ b/include/gooseberrybeam/membership/EpochEditor.h
@@ -13,11 +13,14 @@
 /// What one instance wants changed.
 struct EpochChange {
   std::optional<EpochMember> Join_; ///< `Joined_` is set by the change.
+  std::optional<MemberId> Retire_;  ///< Its shards go to others.
   std::set<MemberId> Remove_;       ///< Their leases may still be valid.
   std::set<MemberId> Gone_;         ///< Known gone or saying goodbye.
 
   /// \returns whether nothing is wanted.
-  bool isEmpty() const { return !Join_ && Remove_.empty() && Gone_.empty(); }
+  bool isEmpty() const {
+    return !Join_ && !Retire_ && Remove_.empty() && Gone_.empty();
+  }
 };
 
 /// A newer incarnation of the same name is in the epoch.
--- a/include/gooseberrybeam/membership/MembershipCore.h
+++ b/include/gooseberrybeam/membership/MembershipCore.h
@@ -71,6 +71,10 @@
   /// \param Revision the configuration revision now in force here.
   void setRevision(std::uint64_t Revision) { Revision_ = Revision; }
 
+  /// Hands this instance's shards to others before it leaves; it still serves.
+  /// \param Now the clock reading.
+  void retire(TimePoint Now);
+
   /// Leaves for good: the lease ends at once. Holdings must have been returned
   /// or dropped before.
   /// \param Now the clock reading.
@@ -89,6 +93,8 @@
   const EpochDocument &document() const { return Document_; }
   /// \returns whether the epoch in force lists this incarnation.
   bool isMember() const { return Document_.hasMember(Settings_.Self_); }
+  /// \returns whether the epoch in force lists this instance as retiring.
+  bool isRetired() const;
   /// \returns whether this incarnation has left and the epoch says so.
   bool hasLeft() const { return IsLeaving_ && !isMember(); }
   /// \returns the newest configuration revision that another member named.
@@ -148,6 +154,7 @@
   TableVersion HeadVersion_ = AbsentVersion;
   Epoch HeadEpoch_ = 0;
   bool IsHeadFresh_ = false; ///< The next write may build on `HeadVersion_`.
+  bool IsRetiring_ = false;
   bool IsLeaving_ = false;
   bool IsRemoved_ = false;
   std::uint64_t Revision_ = 0;
--- a/src/daemon/ClusterDesk.cpp
+++ b/src/daemon/ClusterDesk.cpp
@@ -77,6 +77,11 @@
   carryOut();
 }
 
+void ClusterDesk::retire() {
+  Membership_->retire(readBootClock());
+  Limits_->startReturning();
+}
+
 void ClusterDesk::leave() {
   if (std::exchange(IsLeaving_, true))
     return;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -229,6 +229,7 @@
   if (std::exchange(IsDraining_, true))
     return;
   logLine(LogPart::Daemon, LogLevel::Info, "Daemon drains.", {});
+  Cluster_.retire();
   asio::co_spawn(Control_, drainAndStop(), asio::detached);
 }
 
--- a/src/limits/LimitLedgerBorrower.cpp
+++ b/src/limits/LimitLedgerBorrower.cpp
@@ -53,7 +53,7 @@
     return;
   const Share Held = Of.Bucket_.share();
   const bool IsLentForOneRequest = Held.RateUnits_ == 0;
-  const bool IsIdle = Now - Of.Demand_.lastUsed() >= IdleReturn;
+  const bool IsIdle = IsReturning_ || Now - Of.Demand_.lastUsed() >= IdleReturn;
   if (!IsLentForOneRequest && !IsIdle) {
     if (Now - Of.DemandSentAt_ >= RateReportInterval)
       sendDemand(Of, Now);
@@ -100,6 +100,15 @@
     refuseFirst(*Of, {RefusalReason::RateExceeded, Shortage.AvailableAfter_});
 }
 
+bool LimitLedger::hasReturnedAll() const {
+  for (const auto &[Key, Of] : Accounts_) {
+    const bool IsHeld = !Of.Bucket_.share().isEmpty();
+    if (IsHeld && !isHome(Shards_[shardIndex(Key)]))
+      return false;
+  }
+  return !hasUnackedTransfers();
+}
+
 void LimitLedger::returnAll(TimePoint Now) {
   for (auto &[Key, Of] : Accounts_) {
     if (Shards_.empty() || isHome(shardOf(Key)))
--- a/src/membership/EpochDocument.cpp
+++ b/src/membership/EpochDocument.cpp
@@ -21,6 +21,7 @@
   Object["peer"] = Member.PeerAddress_;
   Object["data_centre"] = Member.DataCentre_.Value_;
   Object["joined"] = Member.Joined_;
+  Object["retiring"] = Member.IsRetiring_ ? 1 : 0;
   return Object;
 }
 
@@ -86,10 +87,11 @@
     std::string Peer = Member.text("peer");
     DataCentreId DataCentre{Member.text("data_centre")};
     const Epoch Joined = Member.number("joined");
+    const bool IsRetiring = Member.number("retiring") != 0;
     if (Member.isBad())
       return false;
-    Document.Members_.push_back(
-        {std::move(Id), std::move(Peer), std::move(DataCentre), Joined});
+    Document.Members_.push_back({std::move(Id), std::move(Peer),
+                                 std::move(DataCentre), Joined, IsRetiring});
   }
   return true;
 }
--- a/src/membership/EpochEditor.cpp
+++ b/src/membership/EpochEditor.cpp
@@ -49,8 +49,12 @@
 
 std::map<MemberId, std::size_t> countShards(const EpochDocument &Document) {
   std::map<MemberId, std::size_t> Counts;
+  const bool HasOthers =
+      std::any_of(Document.Members_.begin(), Document.Members_.end(),
+                  [](const EpochMember &Each) { return !Each.IsRetiring_; });
   for (const EpochMember &Each : Document.Members_)
-    Counts[Each.Id_] = 0;
+    if (!Each.IsRetiring_ || !HasOthers)
+      Counts[Each.Id_] = 0;
   for (const ShardOwner &Shard : Document.Shards_)
     if (Counts.contains(Shard.Owner_))
       ++Counts[Shard.Owner_];
@@ -77,8 +81,7 @@
   for (ShardOwner &Shard : Document.Shards_)
     if (!Counts.contains(Shard.Owner_))
       Move(Shard);
-  const std::size_t Members = Document.Members_.size();
-  const std::size_t Floor = Document.Shards_.size() / Members;
+  const std::size_t Floor = Document.Shards_.size() / Counts.size();
   for (ShardOwner &Shard : Document.Shards_) {
     const bool IsDone = Counts[leastLoaded(Counts)] >= Floor;
     if (IsDone)
@@ -106,6 +109,9 @@
     eraseMember(Next, Id);
     Next.Departed_.push_back({Id, Next.Epoch_});
   }
+  for (EpochMember &Each : Next.Members_)
+    if (Change.Retire_ == Each.Id_)
+      Each.IsRetiring_ = true;
   if (Change.Join_ && !Next.hasMember(Change.Join_->Id_)) {
     const EpochMember *Same = findName(Next, Change.Join_->Id_.Name_);
     if (Same != nullptr &&
--- a/src/membership/MembershipCore.cpp
+++ b/src/membership/MembershipCore.cpp
@@ -88,6 +88,8 @@
                                Settings_.DataCentre_, 0};
   else
     Change.Remove_ = Silence_.removable(Now);
+  if (IsRetiring_ && isMember() && !isRetired())
+    Change.Retire_ = Settings_.Self_;
   Change.Gone_ = GoneInEpoch_;
   return Change;
 }
@@ -270,6 +272,16 @@
       NextProposal_, NextHeartbeat_ + jitter(Duration::zero(), PollLeast));
 }
 
+void MembershipCore::retire(TimePoint Now) {
+  IsRetiring_ = true;
+  NextProposal_ = Now;
+}
+
+bool MembershipCore::isRetired() const {
+  const EpochMember *Own = Document_.find(Settings_.Self_);
+  return Own != nullptr && Own->IsRetiring_;
+}
+
 void MembershipCore::leave(TimePoint Now) {
   IsLeaving_ = true;
   Lease_.revoke();
--- a/tests/support/ClusterWorld.cpp
+++ b/tests/support/ClusterWorld.cpp
@@ -79,6 +79,11 @@
   });
 }
 
+void ClusterWorld::retire(std::size_t At) {
+  Nodes_[At].Core_->retire(Clock_.now());
+  Nodes_[At].Ledger_->startReturning();
+}
+
 void ClusterWorld::leave(std::size_t At) {
   Node &Own = Nodes_[At];
   Own.Ledger_->returnAll(Clock_.now());
--- a/tests/support/ClusterWorld.h
+++ b/tests/support/ClusterWorld.h
@@ -45,6 +45,8 @@
   void start(std::size_t At);
   /// Stops an instance for a while; what arrives waits for it.
   void pause(std::size_t At, Duration For);
+  /// Hands its shards and parts to others, serving on.
+  void retire(std::size_t At);
   /// Leaves gracefully: returns everything, then says goodbye.
   void leave(std::size_t At);
   /// Cuts an instance off from every other, or joins it again.
