Provoke faults on real daemons and check the promises after each

tests/e2e/faults.sh starts four instances under load, sets one fault or two and lets gbload judge: whole answers, no double or lost write, a true not_run, no KV memory held, no caller's key at a backend server, no failed connection but to an instance that was ended. gbload now chooses instances by /readyz and repeats unanswered writes elsewhere under the same key. Weighed: fakes in the daemon's process, a simulator; see docs/design/end-to-end.md.

gbload also measures one instance; bin/bench-instance starts what that needs.

--- a/tools/gbload/LoadRun.h
+++ b/tools/gbload/LoadRun.h
@@ -3,6 +3,7 @@
 #ifndef TOOLS_GBLOAD_LOADRUN_H
 #define TOOLS_GBLOAD_LOADRUN_H
 
+#include "gbload/InstanceWatch.h"
 #include "gbload/Profile.h"
 #include "gbload/Report.h"
 #include "gbload/WorkRunner.h"
@@ -18,8 +19,10 @@
   double HeavyFactor_ = 1;     ///< Factor on the first organisation's share.
   double LimitSeconds_ = 20;   ///< A request is given up after this.
   double ReleaseSeconds_ = 5;  ///< Time for KV memory to be released.
-  bool AllowsLost_ = false;    ///< Failed connections are forgiven.
+  std::string LostFrom_;       ///< Instances whose failures are forgiven.
+  double EndedStandins_ = 0;   ///< Stand-ins that the run ends.
   bool AllowsRefusals_ = true; ///< Refusals are forgiven.
+  double MeasuredPid_ = 0;     ///< Measures the first instance, if set.
   bool PrintsJson_ = false;    ///< Report as JSON.
 };
 
@@ -47,6 +50,7 @@
   LoadSettings Settings_;
   std::vector<WorkClass> Classes_;
   Profile Profile_;
+  InstanceWatch Watch_;
   WorkRunner Runner_;
   Report Report_;
   std::uint64_t Open_ = 0;
--- a/tools/gbload/Report.cpp
+++ b/tools/gbload/Report.cpp
@@ -28,12 +28,15 @@
 
 Report::Report(const Cluster &Whole, const std::vector<WorkClass> &Classes)
     : Cluster_(Whole), Classes_(Classes), ByClass_(Classes.size()),
-      ByOrganisation_(Whole.Keys_.size()) {}
+      ByOrganisation_(Whole.Keys_.size()),
+      LostByInstance_(Whole.Callers_.size()) {}
 
 void Report::add(const Work &Sent, const Answer &Result) {
   const auto &Class = Classes_[Sent.Class_];
   ByClass_[Sent.Class_].add(Result, Class);
   ByOrganisation_[Sent.Organisation_].add(Result, Class);
+  if (Result.End_ == AnswerEnd::Lost)
+    ++LostByInstance_[Sent.Instance_];
   if (Class.Kind_ != WorkKind::Write)
     return;
   if (Result.End_ == AnswerEnd::Right)
@@ -63,11 +66,9 @@
 
 std::vector<std::string> Report::faults(const Tolerance &Allowed) const {
   std::vector<std::string> Faults;
-  std::uint64_t Lost = 0;
   std::uint64_t Wrong = 0;
   std::uint64_t Refused = 0;
   for (const auto &Entry : ByClass_) {
-    Lost += Entry.Lost_;
     Wrong += Entry.Wrong_;
     Refused += Entry.refusals();
   }
@@ -88,15 +89,24 @@
   addFault(Faults, DifferingRepeats_, "repeats answered differently");
   addFault(Faults, Record_.HeldPieces_, "KV pieces still held");
   addFault(Faults, Record_.KeysSeen_, "requests showed a key to a backend");
-  if (!Allowed.AllowsLost_) {
-    addFault(Faults, Lost, "connections failed");
+  addFault(Faults, lostBeyond(Allowed.LostFrom_), "connections failed");
+  if (Record_.Unreachable_ > Allowed.EndedStandins_)
     addFault(Faults, Record_.Unreachable_, "stand-ins not reachable");
-  }
   if (!Allowed.AllowsRefusals_)
     addFault(Faults, Refused, "requests refused");
   return Faults;
 }
 
+std::uint64_t Report::lostBeyond(const std::vector<std::string> &Ended) const {
+  std::uint64_t Lost = 0;
+  for (std::size_t I = 0; I < LostByInstance_.size(); ++I) {
+    const auto &Address = Cluster_.Callers_[I];
+    if (std::ranges::find(Ended, Address) == Ended.end())
+      Lost += LostByInstance_[I];
+  }
+  return Lost;
+}
+
 std::size_t Report::worstOrganisation() const {
   const auto Worst = std::ranges::min_element(
       ByOrganisation_, {}, [](const Tally &Entry) { return Entry.goodPart(); });
--- a/tools/gbload/Report.h
+++ b/tools/gbload/Report.h
@@ -13,8 +13,9 @@
 
 /// Which failures the verdict forgives, since the run provokes them.
 struct Tolerance {
-  bool AllowsLost_ = false;    ///< Connections that failed.
-  bool AllowsRefusals_ = true; ///< Typed refusals.
+  std::vector<std::string> LostFrom_; ///< Instances that were ended.
+  std::uint64_t EndedStandins_ = 0;   ///< Stand-ins that were ended.
+  bool AllowsRefusals_ = true;        ///< Typed refusals.
 };
 
 /// Collects answers and judges the run.
@@ -53,6 +54,7 @@
 private:
   std::size_t worstOrganisation() const;
   double meanGoodPart() const;
+  std::uint64_t lostBeyond(const std::vector<std::string> &Ended) const;
   double wastedPart() const;
 
   const Cluster &Cluster_;
@@ -63,6 +65,7 @@
   std::set<std::string> NotRunWrites_;
   std::uint64_t Repeats_ = 0;
   std::uint64_t DifferingRepeats_ = 0;
+  std::vector<std::uint64_t> LostByInstance_;
   StandinRecord Record_;
 };
 
--- a/tools/gbload/WorkRunner.cpp
+++ b/tools/gbload/WorkRunner.cpp
@@ -67,7 +67,10 @@
   else
     co_await readAnswer(*Client, Sent, Kind, Status, Result);
   Result.Total_ = microsBetween(Start, Clock::now());
-  if (Status != 0)
+  // A server ends the connection after an error within a stream.
+  const bool HasBroken = Sent.IsStreamed_ && Status < FirstError &&
+                         Result.End_ != AnswerEnd::Right;
+  if (Status != 0 && !HasBroken)
     Pool_.give(Address, std::move(Client));
   co_return Result;
 }
--- a/tools/gbload/main.cpp
+++ b/tools/gbload/main.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Seeded open-loop load tool that checks every answer.
 #include "common/Flags.h"
+#include "gbload/InstanceBench.h"
 #include "gbload/LoadRun.h"
 
 #include <boost/json.hpp>
@@ -22,13 +23,23 @@
   return Text.str();
 }
 
+std::vector<std::string> splitList(const std::string &Text) {
+  std::vector<std::string> Parts;
+  std::istringstream In(Text);
+  for (std::string Part; std::getline(In, Part, ',');)
+    Parts.push_back(Part);
+  return Parts;
+}
+
 int runLoad(const Cluster &Whole, const LoadSettings &Settings) {
   asio::io_context Context;
   LoadRun Run(Context, Whole, Settings);
   asio::co_spawn(Context, Run.run(), asio::detached);
   Context.run();
   const auto Faults =
-      Run.report().faults({Settings.AllowsLost_, Settings.AllowsRefusals_});
+      Run.report().faults({splitList(Settings.LostFrom_),
+                           static_cast<std::uint64_t>(Settings.EndedStandins_),
+                           Settings.AllowsRefusals_});
   if (Settings.PrintsJson_)
     std::cout << boost::json::serialize(Run.report().asJson()) << std::endl;
   else
@@ -40,6 +51,16 @@
   return Faults.empty() ? 0 : 1;
 }
 
+int runBench(const Cluster &Whole, const LoadSettings &Settings) {
+  asio::io_context Context;
+  InstanceBench Bench(Context, Whole,
+                      static_cast<std::int64_t>(Settings.MeasuredPid_));
+  asio::co_spawn(Context, Bench.run(),
+                 [&Context](const std::exception_ptr &) { Context.stop(); });
+  Context.run();
+  return 0;
+}
+
 int runMain(std::span<char *> Arguments) {
   LoadSettings Settings;
   const std::array Flags = {
@@ -54,10 +75,14 @@
            setNumber(Settings.LimitSeconds_)},
       Flag{"release-seconds", "time for KV memory to be released",
            setNumber(Settings.ReleaseSeconds_)},
-      Flag{"allow-lost", "true to forgive failed connections",
-           setSwitch(Settings.AllowsLost_)},
+      Flag{"lost-from", "ip:port[,ip:port]... of instances that are ended",
+           setText(Settings.LostFrom_)},
+      Flag{"ended-standins", "number of stand-ins that the run ends",
+           setNumber(Settings.EndedStandins_)},
       Flag{"allow-refusals", "false to fail on any refusal",
            setSwitch(Settings.AllowsRefusals_)},
+      Flag{"measure-pid", "measure the first instance, whose process this is",
+           setNumber(Settings.MeasuredPid_)},
       Flag{"json", "print the report as JSON", setSwitch(Settings.PrintsJson_),
            false},
   };
@@ -69,6 +94,8 @@
               << "' names no callers, keys and models\n";
     return BadUsage;
   }
+  if (Settings.MeasuredPid_ > 0)
+    return runBench(*Whole, Settings);
   return runLoad(*Whole, Settings);
 }
 
