Be ready only once backend servers are known

An instance answered /readyz before it had read the platform's list and polled the engines, so a balancer sent it requests that it refused with no_backend_server: in bin/demo, eight instances, 10 of 276 in the first seconds. Ready now also needs one list that is not empty and one poll of each engine in it. Ruled out: waiting in the demo, which would leave the fault to balancers.

--- a/include/gooseberrybeam/daemon/BackendWatcher.h
+++ b/include/gooseberrybeam/daemon/BackendWatcher.h
@@ -79,6 +79,7 @@
   void onEngines(const InstanceList &List);
   void onServices(const InstanceList &List);
   void onLoad(const BackendId &Name, const EngineLoad &Load);
+  void noteKnown();
   void onSilent(const BackendId &Name);
 
   asio::io_context &Context_;
--- a/include/gooseberrybeam/daemon/DaemonState.h
+++ b/include/gooseberrybeam/daemon/DaemonState.h
@@ -43,6 +43,8 @@
   /// End of the instance lease on the boot-time clock.
   std::atomic<TimePoint::rep> LeaseUntil_ = 0;
   std::atomic<DrainPhase> Drain_ = DrainPhase::Serving;
+  /// Whether the list of backend servers was read and each engine was polled.
+  std::atomic<bool> AreBackendsKnown_ = false;
   /// Requests in progress, calls that free engine memory included.
   std::atomic<std::int64_t> InFlight_ = 0;
 
--- a/src/daemon/BackendWatcher.cpp
+++ b/src/daemon/BackendWatcher.cpp
@@ -71,10 +71,20 @@
   Newest_ = List;
   onEngines(List);
   onServices(List);
+  noteKnown();
   if (Listener_)
     Listener_(List);
 }
 
+void BackendWatcher::noteKnown() {
+  if (State_.AreBackendsKnown_.load() || Newest_.Entries_.empty())
+    return;
+  for (const auto &Each : Engines_)
+    if (Each.second.Polls_ == 0)
+      return;
+  State_.AreBackendsKnown_.store(true);
+}
+
 void BackendWatcher::onServices(const InstanceList &List) {
   ServiceDirectory Next;
   for (const auto &Entry : List.Entries_)
@@ -130,6 +140,7 @@
       onLoad(Name, valueOf(Load));
     else
       onSilent(Name);
+    noteKnown();
     if (isOk(Load) && IsCacheDue)
       co_await readCacheEvents(Name);
     Timer.expires_after(Intervals_.Load_);
--- a/src/daemon/OperatorDesk.cpp
+++ b/src/daemon/OperatorDesk.cpp
@@ -103,7 +103,8 @@
       std::max<std::int64_t>(State_.InFlight_.load(), 0));
   Status.IsDraining_ = State_.Drain_.load() != DrainPhase::Serving;
   Status.IsReady_ = !Status.IsDraining_ && State_.isLeaseValid(Now) &&
-                    Status.Revision_ != NoRevision;
+                    Status.Revision_ != NoRevision &&
+                    State_.AreBackendsKnown_.load();
   return Status;
 }
 
--- a/src/daemon/RequestRouter.cpp
+++ b/src/daemon/RequestRouter.cpp
@@ -117,6 +117,8 @@
     Text = "configuration unknown\n";
   else if (!State.isLeaseValid(readBootClock()))
     Text = "instance lease expired\n";
+  else if (!State.AreBackendsKnown_.load())
+    Text = "backend servers unknown\n";
   const int Status = Text == "ready\n" ? Ok : Unavailable;
   co_await Exchange.answer(Status, makeFields("text/plain"), std::string(Text));
 }
--- a/tools/gbload/InstanceBench.cpp
+++ b/tools/gbload/InstanceBench.cpp
@@ -50,6 +50,7 @@
 }
 
 asio::awaitable<void> InstanceBench::run() {
+  co_await sleepFor(SettleTime);
   co_await measureLatency();
   co_await measureRequests();
   co_await measureStreams();
