Keep the configuration's messages within the transport's bound

A log entry above 4 MiB (an apply of all organisations at once) would have made the receiver close the peers' stream, five times a second while it was pushed. Entries that do not fit are left out; if none fits, the revision is told and the receiver reads the table. Splitting an entry was ruled out: a revision takes effect as a whole.

--- a/include/gooseberrybeam/config/ConfigMessage.h
+++ b/include/gooseberrybeam/config/ConfigMessage.h
@@ -57,6 +57,17 @@
 /// \returns its bytes, JSON.
 std::string encodeConfigMessage(const ConfigMessage &Message);
 
+/// Encodes a message for a transport that bounds messages. Entries that do not
+/// fit are left out from the end; if none fits, the sender's revision is told
+/// instead, and the receiver reads the table.
+/// \param Message a message.
+/// \param MaxBytes the bound.
+/// \param Held the revision that the sender holds.
+/// \returns its bytes, or nothing if a part of a snapshot does not fit.
+std::optional<std::string> encodeConfigMessageWithin(ConfigMessage Message,
+                                                     std::size_t MaxBytes,
+                                                     Revision Held);
+
 /// \param Bytes what `encodeConfigMessage` gave.
 /// \returns the message, or nothing if it is malformed.
 std::optional<ConfigMessage> parseConfigMessage(std::string_view Bytes);
--- a/src/config/ConfigMessage.cpp
+++ b/src/config/ConfigMessage.cpp
@@ -133,6 +133,22 @@
       [](const auto &Held) { return json::serialize(encode(Held)); }, Message);
 }
 
+std::optional<std::string> encodeConfigMessageWithin(ConfigMessage Message,
+                                                     std::size_t MaxBytes,
+                                                     Revision Held) {
+  std::string Bytes = encodeConfigMessage(Message);
+  auto *Push = std::get_if<ConfigEntries>(&Message);
+  while (Push && Bytes.size() > MaxBytes && Push->Entries_.size() > 1) {
+    Push->Entries_.resize(Push->Entries_.size() / 2);
+    Bytes = encodeConfigMessage(Message);
+  }
+  if (Push && Bytes.size() > MaxBytes)
+    Bytes = encodeConfigMessage(ConfigHeld{Held});
+  if (Bytes.size() > MaxBytes)
+    return std::nullopt;
+  return Bytes;
+}
+
 std::optional<ConfigMessage> parseConfigMessage(std::string_view Bytes) {
   json::error_code Error;
   const json::value Value = json::parse(Bytes, Error);
--- a/src/operator/ConfigRunner.cpp
+++ b/src/operator/ConfigRunner.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(50);
+/// Half of what the transport between instances carries.
+constexpr std::size_t MaxMessageBytes = std::size_t{2} << 20U;
 
 } // namespace
 
@@ -71,8 +73,12 @@
 }
 
 void ConfigRunner::perform(SendConfigMessage &Send) {
-  if (Send_)
-    Send_(Send.To_, encodeConfigMessage(Send.Message_));
+  if (!Send_)
+    return;
+  auto Bytes = encodeConfigMessageWithin(std::move(Send.Message_),
+                                         MaxMessageBytes, Node_.revision());
+  if (Bytes)
+    Send_(Send.To_, std::move(*Bytes));
 }
 
 void ConfigRunner::perform(PublishConfiguration &Publish) {
--- a/tests/ConfigurationTest.cpp
+++ b/tests/ConfigurationTest.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrybeam/config/Configuration.h"
 
+#include "gooseberrybeam/config/ConfigMessage.h"
 #include "gooseberrybeam/config/SnapshotCell.h"
 #include "support/SeededCheck.h"
 
@@ -54,6 +55,25 @@
   }
 }
 
+TEST_CASE("Messages keep to the transport's bound", "[config]") {
+  ConfigEntries Push;
+  for (Revision Number = 1; Number <= 8; ++Number)
+    Push.Entries_.push_back(
+        {Number, "t", "a", {setting(organisation("org", 1))}});
+  const std::size_t Whole = encodeConfigMessage(Push).size();
+  const auto ParsedWithin = [&Push](std::size_t Bound) {
+    const auto Bytes = encodeConfigMessageWithin(Push, Bound, 9);
+    REQUIRE(Bytes);
+    REQUIRE(Bytes->size() <= Bound);
+    return *parseConfigMessage(*Bytes);
+  };
+  CHECK(std::get<ConfigEntries>(ParsedWithin(Whole)).Entries_.size() == 8);
+  CHECK(std::get<ConfigEntries>(ParsedWithin(Whole - 1)).Entries_.size() == 4);
+  SECTION("a single entry that is too long becomes the sender's revision") {
+    CHECK(std::get<ConfigHeld>(ParsedWithin(60)).Number_ == 9);
+  }
+}
+
 TEST_CASE("Keys lead to organisations until withdrawn", "[config]") {
   const KeyGrant Grant{hashKey("secret"), {"club"}};
   const ConfigDelta Delta = {setting(organisation("club", 5)), setting(Grant)};
