Poll engines' load at the pace of those who place their work

Cause: each instance polled every engine's load 20 times a second, although a model's home alone places its work. Ruled out: telling loads through the home to the others; nobody needs them.

--- a/include/gooseberrybeam/daemon/BackendWatcher.h
+++ b/include/gooseberrybeam/daemon/BackendWatcher.h
@@ -19,6 +19,8 @@
 struct WatchIntervals {
   Duration List_ = std::chrono::milliseconds(500);
   Duration Load_ = std::chrono::milliseconds(50);
+  /// For engines whose work another instance places.
+  Duration RemoteLoad_ = std::chrono::seconds(1);
 };
 
 /// Tells the dispatcher and the directory of services which backend servers
@@ -75,6 +77,7 @@
   Task<void> watchList();
   Task<void> watchEngine(BackendId Name);
   Task<void> readCacheEvents(BackendId Name);
+  Duration loadInterval(const BackendId &Name) const;
   void onList(const InstanceList &List);
   void onEngines(const InstanceList &List);
   void onServices(const InstanceList &List);
--- a/include/gooseberrybeam/routing/Dispatcher.h
+++ b/include/gooseberrybeam/routing/Dispatcher.h
@@ -97,6 +97,12 @@
   /// \param Model a model.
   /// \returns the instance that places the model's work.
   InstanceId homeOf(const ModelId &Model) const;
+  /// \param Model a model.
+  /// \returns whether this instance chooses engines for its work.
+  bool isPlacing(const ModelId &Model) const {
+    return homeOf(Model) == Options_.Self_;
+  }
+
   /// \returns requests that wait in this instance's queues.
   std::size_t queued() const;
   /// \returns requests known, waiting or running.
--- a/src/daemon/BackendWatcher.cpp
+++ b/src/daemon/BackendWatcher.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace gooseberry {
@@ -143,11 +144,25 @@
     noteKnown();
     if (isOk(Load) && IsCacheDue)
       co_await readCacheEvents(Name);
-    Timer.expires_after(Intervals_.Load_);
+    Timer.expires_after(loadInterval(Name));
     co_await Timer.async_wait(AsTuple);
   }
 }
 
+// An instance that does not place an engine's work needs its load only to take
+// over from the instance that does.
+Duration BackendWatcher::loadInterval(const BackendId &Name) const {
+  const auto Found = Engines_.find(Name);
+  if (Found == Engines_.end() || !Found->second.Info_)
+    return Intervals_.Load_;
+  const std::vector<ModelId> &Models = Found->second.Info_->Models_;
+  const bool IsPlacing =
+      std::any_of(Models.begin(), Models.end(), [this](const ModelId &Model) {
+        return Desk_.dispatcher().isPlacing(Model);
+      });
+  return IsPlacing ? Intervals_.Load_ : Intervals_.RemoteLoad_;
+}
+
 Task<void> BackendWatcher::readCacheEvents(BackendId Name) {
   const auto After = Engines_.at(Name).LastCacheEvent_;
   const auto Read = co_await Client_.cacheEvents(Name, After);
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -43,7 +43,10 @@
 }
 
 WatchIntervals makeIntervals(const Settings &Options) {
-  return {Options.ListPoll_, Options.LoadPoll_};
+  WatchIntervals Intervals;
+  Intervals.List_ = Options.ListPoll_;
+  Intervals.Load_ = Options.LoadPoll_;
+  return Intervals;
 }
 
 } // namespace
