Withdraw a waiting reservation when its caller leaves

Cause: a request that may wait held its reservation until its deadline after its caller had gone, which also kept a drain waiting. The withdrawal itself has no test yet.

--- a/include/gooseberrybeam/daemon/ClusterDesk.h
+++ b/include/gooseberrybeam/daemon/ClusterDesk.h
@@ -17,6 +17,9 @@
 
 namespace gooseberry {
 
+/// Names a reservation that waits, before it has a number.
+using ReserveTicket = std::uintptr_t;
+
 /// A reservation of one identity of this process.
 struct ReservationRef {
   std::uint64_t Identity_ = 0;
@@ -75,9 +78,15 @@
   /// \param Organisation the organisation.
   /// \param Tokens prompt and output together.
   /// \param HoldUntil until when the answer may be held back.
+  /// \param Ticket unique among reservations that wait.
   /// \param Handler takes the answer, once.
   void reserve(const OrganisationId &Organisation, std::int64_t Tokens,
-               TimePoint HoldUntil, ReserveHandler Handler);
+               TimePoint HoldUntil, ReserveTicket Ticket,
+               ReserveHandler Handler);
+
+  /// Withdraws a reservation that still waits; its handler gets a refusal.
+  /// \param Ticket its ticket; one that does not wait is ignored.
+  void withdraw(ReserveTicket Ticket);
 
   /// Ends a reservation.
   /// \param Ref the reservation; one of an earlier identity is ignored.
@@ -100,6 +109,11 @@
   const MemberId &self() const { return Settings_.Self_; }
 
 private:
+  struct HeldReservation {
+    ReserveTicket Ticket_ = 0;
+    ReserveHandler Handler_;
+  };
+
   void carryOut();
   void carryOutMembership();
   void carryOutLimits();
@@ -124,7 +138,7 @@
   /// Counts identities, so that outcomes of an earlier one are dropped.
   std::uint64_t Identity_ = 0;
   ConfigurationPtr Configuration_ = std::make_shared<const Configuration>();
-  std::unordered_map<ReservationId, ReserveHandler> Held_;
+  std::unordered_map<ReservationId, HeldReservation> Held_;
   Listeners Listeners_;
   Senders Senders_;
   bool IsLeaving_ = false;
--- a/include/gooseberrybeam/daemon/TokenReservation.h
+++ b/include/gooseberrybeam/daemon/TokenReservation.h
@@ -22,9 +22,11 @@
   /// \param Organisation the organisation; nothing is reserved if it is empty.
   /// \param Tokens prompt and output together.
   /// \param HoldUntil until when the answer may be held back.
+  /// \param Scope ends the wait when cancelled.
   /// \returns the reservation, or the refusal, which was not run.
   static Task<Made> make(WorkerContext &Worker, OrganisationId Organisation,
-                         std::int64_t Tokens, TimePoint HoldUntil);
+                         std::int64_t Tokens, TimePoint HoldUntil,
+                         CancelScope &Scope);
 
   TokenReservation(TokenReservation &&Other) noexcept;
   TokenReservation(const TokenReservation &) = delete;
--- a/src/daemon/ClusterDesk.cpp
+++ b/src/daemon/ClusterDesk.cpp
@@ -4,6 +4,7 @@
 #include "gooseberrybeam/leases/KvHolding.h"
 #include "gooseberrybeam/log/Log.h"
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
 #include <utility>
@@ -56,7 +57,7 @@
 
 void ClusterDesk::reserve(const OrganisationId &Organisation,
                           std::int64_t Tokens, TimePoint HoldUntil,
-                          ReserveHandler Handler) {
+                          ReserveTicket Ticket, ReserveHandler Handler) {
   if (!Senders_.Limits_ && Membership_->document().Members_.size() > 1)
     return Handler(ReservationRef{NoIdentity, 0});
   const ReserveOutcome Outcome =
@@ -66,7 +67,21 @@
   else if (const auto *Refused = std::get_if<LimitRefused>(&Outcome))
     Handler(*Refused);
   else
-    Held_.emplace(std::get<LimitHeld>(Outcome).Id_, std::move(Handler));
+    Held_.emplace(std::get<LimitHeld>(Outcome).Id_,
+                  HeldReservation{Ticket, std::move(Handler)});
+  carryOut();
+}
+
+void ClusterDesk::withdraw(ReserveTicket Ticket) {
+  const auto Found =
+      std::find_if(Held_.begin(), Held_.end(), [&](const auto &Each) {
+        return Each.second.Ticket_ == Ticket;
+      });
+  if (Found == Held_.end())
+    return;
+  const ReservationId Id = Found->first;
+  Limits_->settle(Id, 0, readBootClock());
+  answer(Id, LimitRefused{RefusalReason::ClientGone, std::nullopt});
   carryOut();
 }
 
@@ -198,8 +213,8 @@
   ++Identity_;
   auto Held = std::exchange(Held_, {});
   const ReserveAnswer Lapsed = LimitRefused{RefusalReason::LeaseExpired, {}};
-  for (auto &[Id, Handler] : Held)
-    Handler(Lapsed);
+  for (auto &[Id, Each] : Held)
+    Each.Handler_(Lapsed);
   Membership_ = std::make_unique<MembershipCore>(Settings_);
   Limits_ = std::make_unique<LimitLedger>(Settings_.Self_);
   Configuration_ = std::make_shared<const Configuration>();
@@ -224,7 +239,7 @@
   const auto Found = Held_.find(Id);
   if (Found == Held_.end())
     return;
-  const ReserveHandler Handler = std::move(Found->second);
+  const ReserveHandler Handler = std::move(Found->second.Handler_);
   Held_.erase(Found);
   Handler(Answer);
 }
--- a/src/daemon/RequestRouter.cpp
+++ b/src/daemon/RequestRouter.cpp
@@ -208,8 +208,8 @@
   const std::int64_t Tokens =
       std::int64_t{valueOf(Job).PromptTokens_} + valueOf(Job).MaxTokens_;
   const TimePoint HoldUntil = holdUntil(Exchange, valueOf(Job).Class_);
-  auto Reserved =
-      co_await TokenReservation::make(Worker_, Organisation, Tokens, HoldUntil);
+  auto Reserved = co_await TokenReservation::make(Worker_, Organisation, Tokens,
+                                                  HoldUntil, Exchange.scope());
   if (!isOk(Reserved))
     co_return co_await refuse(Exchange, errorOf(Reserved), Organisation);
   TokenReservation Reservation = takeValue(std::move(Reserved));
@@ -239,8 +239,9 @@
     co_return co_await refuse(Exchange, errorOf(Body), Organisation);
   Exchange.watchCaller();
   const TimePoint HoldUntil = holdUntil(Exchange, valueOf(Class));
-  auto Reserved = co_await TokenReservation::make(
-      Worker_, Organisation, Found->TokensPerCall_, HoldUntil);
+  auto Reserved = co_await TokenReservation::make(Worker_, Organisation,
+                                                  Found->TokensPerCall_,
+                                                  HoldUntil, Exchange.scope());
   if (!isOk(Reserved))
     co_return co_await refuse(Exchange, errorOf(Reserved), Organisation);
   TokenReservation Reservation = takeValue(std::move(Reserved));
