Send demands for limits less often while a home is short

Cause: under overload a waiting borrower repeated its demand every 50 to 100 ms, and the home told it of the shortage on each tick.

The gap between demands doubles from 50 to 400 ms until a request is served; a shortage is told at most every 300 ms. A gap beyond the hold time of 500 ms was ruled out, since a lost demand would refuse within the rate.

The histories of [limits] and [membership] pass.

--- a/bench/LimitsBench.cpp
+++ b/bench/LimitsBench.cpp
@@ -38,11 +38,13 @@
   return Document;
 }
 
-/// \returns a limit of twice what an organisation uses over all instances.
-Limit makeLimit(std::size_t Instances, std::size_t Organisations) {
+/// \returns a part, in percent, of what an organisation asks for in all.
+Limit makeLimit(std::size_t Instances, std::size_t Organisations,
+                std::int64_t Percent) {
   const double Used = static_cast<double>(Instances) * RequestsPerInstance *
                       TokensPerRequest / static_cast<double>(Organisations);
-  const auto Rate = static_cast<MilliTokens>(2 * Used * MilliPerToken);
+  const auto Rate = static_cast<MilliTokens>(
+      Used * MilliPerToken * static_cast<double>(Percent) / 100);
   constexpr MilliTokens BurstSeconds = 20;
   return {Rate, std::max(Typical.Burst_, BurstSeconds * Rate)};
 }
@@ -50,10 +52,10 @@
 /// Ledgers whose messages arrive one step after they were sent.
 class Fleet {
 public:
-  Fleet(std::size_t Instances, std::size_t Organisations)
+  Fleet(std::size_t Instances, std::size_t Organisations, std::int64_t Percent)
       : Organisations_(Organisations) {
     const EpochDocument Document = makeDocument(Instances);
-    const Limit Total = makeLimit(Instances, Organisations);
+    const Limit Total = makeLimit(Instances, Organisations, Percent);
     for (std::size_t I = 0; I < Instances; ++I) {
       Index_[idOf(I)] = I;
       Ledgers_.push_back(std::make_unique<LimitLedger>(idOf(I)));
@@ -137,10 +139,11 @@
   std::deque<Sent> OnTheWay_;
 };
 
-/// Arguments: instances, organisations.
+/// Arguments: instances, organisations, limit in percent of what is asked for.
 void bytesPerInstance(benchmark::State &State) {
   const auto Instances = static_cast<std::size_t>(State.range(0));
-  Fleet Ledgers(Instances, static_cast<std::size_t>(State.range(1)));
+  Fleet Ledgers(Instances, static_cast<std::size_t>(State.range(1)),
+                State.range(2));
   double Seconds = 0;
   for (auto _ : State) {
     Ledgers.runSecond();
@@ -157,12 +160,13 @@
 BENCHMARK(bytesPerInstance)
     ->Iterations(10)
     ->Unit(benchmark::kMillisecond)
-    ->Args({8, 10})
-    ->Args({8, 2700})
-    ->Args({32, 2700})
-    ->Args({128, 270})
-    ->Args({128, 2700})
-    ->Args({320, 2700});
+    ->Args({8, 10, 200})
+    ->Args({8, 10, 14})
+    ->Args({8, 2700, 200})
+    ->Args({32, 2700, 200})
+    ->Args({128, 270, 200})
+    ->Args({128, 2700, 200})
+    ->Args({320, 2700, 200});
 
 /// Argument: organisations. One instance that is home of all.
 void reserveAndSettle(benchmark::State &State) {
--- a/include/gooseberrybeam/limits/HomeBook.h
+++ b/include/gooseberrybeam/limits/HomeBook.h
@@ -16,6 +16,7 @@
   MilliTokens Want_ = 0;
   MilliTokens Least_ = 0;
   TimePoint Since_;
+  TimePoint ToldAt_; ///< When its borrower was last told of a shortage.
 };
 
 /// A recall and its receiver.
@@ -42,6 +43,13 @@
   /// \returns its want; it must have one.
   const ShareWant &wantOf(const MemberId &Id) const { return Wants_.at(Id); }
 
+  /// Notes that a borrower has been told of a shortage.
+  /// \param Id a borrower with a want.
+  /// \param Now the clock reading.
+  void noteTold(const MemberId &Id, TimePoint Now) {
+    Wants_.at(Id).ToldAt_ = Now;
+  }
+
   /// Lends to the borrower if the bucket covers the least that it wants.
   /// \param To the borrower; it must have a want.
   /// \param Bucket what is not lent, refilled.
--- a/include/gooseberrybeam/limits/LimitLedger.h
+++ b/include/gooseberrybeam/limits/LimitLedger.h
@@ -142,7 +142,7 @@
   void serveHome(Account &Of, TimePoint Now);
   bool serveNextBorrower(Account &Of, HomeBook &Book, TimePoint Now);
   void askBack(Account &Of, HomeBook &Book, MilliTokens Least, TimePoint Now);
-  void tellShortage(const Account &Of, const HomeBook &Book, TimePoint Now);
+  void tellShortage(const Account &Of, HomeBook &Book, TimePoint Now);
   void tryMint(ShardState &Shard, TimePoint Now);
 
   // Shards and peers.
--- a/include/gooseberrybeam/limits/OrganisationAccount.h
+++ b/include/gooseberrybeam/limits/OrganisationAccount.h
@@ -29,6 +29,7 @@
   DemandMeter Demand_;
   Epoch HomeGeneration_ = 0; ///< Generation whose reserve was minted here.
   TimePoint DemandSentAt_;
+  Duration DemandGap_{0}; ///< Least time to the next demand.
 
   /// \returns the amount that all pending reservations need beyond the level.
   MilliTokens missingForAll() const;
--- a/src/limits/LimitLedger.cpp
+++ b/src/limits/LimitLedger.cpp
@@ -104,6 +104,7 @@
     }
     const bool MayTake = !isBorrowerBefore(Of, First.Since_);
     if (MayTake && Of.Bucket_.tryTake(First.Amount_, Now)) {
+      Of.DemandGap_ = Duration::zero();
       Of.Pending_.pop_front();
       Waiting_.erase(First.Id_);
       commit(Of, First.Id_, First.Amount_);
--- a/src/limits/LimitLedgerBorrower.cpp
+++ b/src/limits/LimitLedgerBorrower.cpp
@@ -10,7 +10,9 @@
 
 /// A part that was not used for so long goes back.
 constexpr Duration IdleReturn = std::chrono::seconds(2);
-constexpr Duration DemandInterval = std::chrono::milliseconds(50);
+/// Gaps between demands double while the home does not meet them.
+constexpr Duration DemandGapLeast = std::chrono::milliseconds(50);
+constexpr Duration DemandGapMost = std::chrono::milliseconds(400);
 /// A steady borrower tells its rate so often, waiting or not.
 constexpr Duration RateReportInterval = std::chrono::seconds(2);
 /// On a recall a borrower keeps what it uses in so long.
@@ -21,12 +23,13 @@
 void LimitLedger::sendDemand(Account &Of, TimePoint Now) {
   if (Shards_.empty() || Fault_ == LimitFault::NeverAsksHome)
     return;
-  if (Now - Of.DemandSentAt_ < DemandInterval)
+  if (Now - Of.DemandSentAt_ < Of.DemandGap_)
     return;
   const ShardState &Shard = shardOf(Of.Key_);
   if (!Members_.contains(Shard.Owner_))
     return;
   Of.DemandSentAt_ = Now;
+  Of.DemandGap_ = std::clamp(2 * Of.DemandGap_, DemandGapLeast, DemandGapMost);
   const bool IsSteady = Of.Demand_.isSteady(Now);
   draftFor(Shard.Owner_)
       .Demands_.push_back({Of.Key_, Of.missingForAll(), Of.missingForFirst(),
--- a/src/limits/LimitLedgerHome.cpp
+++ b/src/limits/LimitLedgerHome.cpp
@@ -10,6 +10,7 @@
 
 /// Borrowers have so long to answer a recall before a want is called short.
 constexpr Duration RecallWait = std::chrono::milliseconds(100);
+constexpr Duration ShortageInterval = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -129,13 +130,14 @@
   }
 }
 
-void LimitLedger::tellShortage(const Account &Of, const HomeBook &Book,
+void LimitLedger::tellShortage(const Account &Of, HomeBook &Book,
                                TimePoint Now) {
   const MilliTokens Rate = Of.Bucket_.total().RatePerSecond_;
   MilliTokens Ahead = 0;
   for (const auto &[Id, Want] : Book.wants()) {
     Ahead += Want.Least_;
-    if (Now - Want.Since_ < RecallWait || Rate == 0)
+    const bool IsKnown = Now - Want.ToldAt_ < ShortageInterval;
+    if (Now - Want.Since_ < RecallWait || IsKnown || Rate == 0)
       continue;
     const MilliTokens Missing =
         std::max<MilliTokens>(0, Ahead - Of.Bucket_.level());
@@ -143,6 +145,7 @@
         static_cast<double>(Missing) / static_cast<double>(Rate);
     const auto Wait = std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(Seconds));
+    Book.noteTold(Id, Now);
     draftFor(Id).Shortages_.push_back({Of.Key_, Wait});
   }
 }
