Test the aims of placement; plan roles in the bench; capacity page

CapacityBench also measures messages; docs/CAPACITY.md names six lines that today's design would miss.

--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -5,6 +5,8 @@
 #include "gooseberrybeam/config/Configuration.h"
 #include "gooseberrybeam/limits/LimitLedger.h"
 #include "gooseberrybeam/membership/EpochDocument.h"
+#include "gooseberrybeam/peers/PeerMessage.h"
+#include "gooseberrybeam/peers/PlacementCodec.h"
 #include "gooseberrybeam/routing/Dispatcher.h"
 #include "support/AllocationCounter.h"
 
@@ -222,9 +224,52 @@
   fit("memory_by_revisions", "KiB", Memory);
 }
 
+/// Bytes on the wire, before framing.
+void measureMessages() {
+  std::vector<Point> Ask;
+  for (const int Count : {0, 8, 16, 32}) {
+    AskPlacement Message;
+    Message.Work_.Request_.Value_ = "instance-1000-1-123456";
+    Message.Work_.Organisation_.Value_ = "organisation-12345";
+    Message.Work_.Model_.Value_ = "model-12";
+    Message.Work_.PromptTokens_ = 4000;
+    Message.Work_.MaxOutputTokens_ = 500;
+    Message.Work_.PrefixHashes_.assign(static_cast<std::size_t>(Count), 7);
+    Message.TimeLeft_ = std::chrono::seconds(60);
+    Ask.push_back({double(Count), double(encodePlacement(Message).size())});
+  }
+  const RequestId Request{"instance-1000-1-123456"};
+  const BackendId Engine{"127.0.0.1:25000"};
+  const GenerationProgress Step{Request, ProgressKind::Imported, 4000,
+                                std::chrono::milliseconds(400)};
+  std::printf("placed_bytes,1,%zu,bytes\n",
+              encodePlacement(Placed{Request, Engine, Engine}).size());
+  std::printf("step_bytes,1,%zu,bytes\n", encodePlacement(Step).size());
+  std::printf(
+      "heartbeat_bytes,1,%zu,bytes\n",
+      encodePeerMessage(MembershipMessage(Heartbeat{100000, 2000, 90000}))
+          .size());
+  fit("ask_by_prefixes", "bytes", Ask);
+  std::vector<Point> Shares;
+  for (const int Count : {1, 8, 64}) {
+    LimitMessage Message;
+    for (int I = 0; I < Count; ++I) {
+      ShareTransfer Transfer;
+      Transfer.Organisation_ = 0x123456789abcdef;
+      Transfer.Generation_ = 2000;
+      Message.Transfers_.push_back(Transfer);
+      Message.Demands_.push_back({0x123456789abcdef, 4500000, 4500000, 100000});
+    }
+    Shares.push_back(
+        {double(Count), double(encodePeerMessage(Message).size())});
+  }
+  fit("limit_message_by_organisations", "bytes", Shares);
+}
+
 } // namespace
 
 int main() {
+  measureMessages();
   measureOrganisations();
   measureInstances();
   measureEngines();
--- a/bench/support/FakeEngine.h
+++ b/bench/support/FakeEngine.h
@@ -43,6 +43,7 @@
       : Loop_(Loop), Info_(std::move(Info)), Profile_(Profile) {}
 
   const EngineInfo &info() const { return Info_; }
+  void setRole(EngineRole Role) { Info_.Role_ = Role; }
   void prefill(const Work &Item, Sink To);
   /// Imports from \p Source, then generates \p Tokens.
   void decode(const Work &Item, FakeEngine &Source, std::uint32_t Tokens,
--- a/bench/support/FleetRun.h
+++ b/bench/support/FleetRun.h
@@ -3,6 +3,7 @@
 #ifndef GOOSEBERRYBEAM_BENCH_SUPPORT_FLEETRUN_H
 #define GOOSEBERRYBEAM_BENCH_SUPPORT_FLEETRUN_H
 
+#include "gooseberrybeam/orders/RolePlanner.h"
 #include "gooseberrybeam/routing/Dispatcher.h"
 #include "support/Deployment.h"
 #include "support/RateModel.h"
@@ -19,6 +20,7 @@
   Fairness Fairness_ = Fairness::Weighted;
   std::function<std::unique_ptr<PairStrategy>()> Strategy_;
   bool HasStaticLimits_ = false;
+  bool HasRolePlan_ = false;
   bool IsOracle_ = false; ///< One instance, reports without lag.
 };
 
@@ -62,6 +64,7 @@
   double WorstServed_ = 0;    ///< Against the mean organisation.
   double WorstOther_ = 0;     ///< The same without the one that floods.
   std::uint64_t Messages_ = 0;
+  std::size_t WarmEngines_ = 0; ///< At the end of the arrivals.
 };
 
 /// Drives dispatchers, fake engines and callers.
@@ -110,6 +113,9 @@
   void tick();
   void report();
   void publishCaches();
+  void planRoles();
+  void applyRole(std::uint32_t Model, const RoleProposal &Change);
+  void setLive(const BackendId &Engine, EngineRole Role);
   void scheduleFault();
   void killInstance(std::uint32_t Index);
   FakeEngine &engine(const BackendId &Name) { return *Engines_.at(Name); }
@@ -123,7 +129,10 @@
   TimePoint Begin_;
   ArrivalSource Source_;
   std::map<BackendId, std::unique_ptr<FakeEngine>> Engines_;
-  std::set<BackendId> Dead_;
+  std::set<BackendId> Unlisted_; ///< Dead or idle.
+  std::vector<RolePlanner> Planners_;
+  std::vector<RoleState> Roles_;
+  std::size_t WarmEngines_ = 0;
   std::vector<Instance> Instances_;
   std::vector<RateModel> Rates_;
   std::map<RequestId, Request> Requests_;
