--- a/tests/e2e/faults.sh
+++ b/tests/e2e/faults.sh
@@ -16,6 +16,7 @@
 }
 trap finish EXIT
 
+: >"$work/serve.txt"
 DEMO_PORT=${DEMO_PORT:-22500} DEMO_SKIP_BUILD=1 DEMO_INSTANCES=4 \
   bin/demo --serve >"$work/serve.txt" 2>&1 &
 demo=$!
