Give orders to engines from the daemon and gbctl

Cause: the fenced orders were proved but no process carried them out. OrderRunner carries them out on the control thread; gbctl engine order gives them; the engine's sweeper repairs one that falls back. Unit tests of the operators' call pass.

--- a/include/gooseberrybeam/daemon/BackendWatcher.h
+++ b/include/gooseberrybeam/daemon/BackendWatcher.h
@@ -28,6 +28,8 @@
 class BackendWatcher {
 public:
   using ListListener = std::function<void(const InstanceList &)>;
+  using LoadListener =
+      std::function<void(const BackendId &, const EngineLoad &)>;
 
   /// All references outlive the watcher.
   /// \param Context the control thread's context.
@@ -43,6 +45,11 @@
   /// \param Listener called with each list that was read.
   void setListener(ListListener Listener) { Listener_ = std::move(Listener); }
 
+  /// \param Listener called with each load report that was read.
+  void setLoadListener(LoadListener Listener) {
+    LoadListener_ = std::move(Listener);
+  }
+
   /// Starts to read.
   void start();
 
@@ -92,6 +99,7 @@
   HttpTableClient &Table_;
   WatchIntervals Intervals_;
   ListListener Listener_;
+  LoadListener LoadListener_;
   InstanceList Newest_;
   std::map<BackendId, Engine> Engines_;
 };
--- a/include/gooseberrybeam/daemon/Daemon.h
+++ b/include/gooseberrybeam/daemon/Daemon.h
@@ -9,6 +9,7 @@
 #include "gooseberrybeam/daemon/DaemonState.h"
 #include "gooseberrybeam/daemon/GenerationDesk.h"
 #include "gooseberrybeam/daemon/OperatorDesk.h"
+#include "gooseberrybeam/daemon/OrderRunner.h"
 #include "gooseberrybeam/daemon/PeerDesk.h"
 #include "gooseberrybeam/daemon/SweepRunner.h"
 #include "gooseberrybeam/daemon/Worker.h"
@@ -59,6 +60,7 @@
   void startParts();
   void followMembership();
   void connectPlacement();
+  void connectOrders();
   void connectConfiguration();
   void onEpoch(const EpochDocument &Document);
   void onRejoin(const MemberId &Self);
@@ -75,6 +77,7 @@
   ClusterDesk Cluster_;
   BackendWatcher Watcher_;
   SweepRunner Sweep_;
+  OrderRunner Orders_;
   PeerDesk Peers_;
   OperatorDesk Operators_;
   tcp::acceptor Acceptor_;
--- a/include/gooseberrybeam/daemon/OperatorDesk.h
+++ b/include/gooseberrybeam/daemon/OperatorDesk.h
@@ -40,6 +40,11 @@
   /// \param Document the epoch in force.
   void onEpoch(const EpochDocument &Document);
 
+  /// Carries out an operator's order to an engine.
+  using Orderer = std::function<void(const BackendId &, const EngineGoal &)>;
+  /// \param Order called for each order; set before `start`.
+  void setOrderer(Orderer Order) { Order_ = std::move(Order); }
+
   /// \returns the configuration's part, for messages of peers.
   ConfigRunner &config() { return Runner_; }
 
@@ -48,12 +53,16 @@
   std::vector<InstanceSummary> onListInstances() const override;
   StatusSummary onDescribeStatus() const override;
   void onDrain() override { Drain_(); }
+  void onOrder(const BackendId &Engine, const EngineGoal &Goal) override {
+    Order_(Engine, Goal);
+  }
 
   const Settings &Settings_;
   DaemonState &State_;
   const ClusterDesk &Cluster_;
   const BackendWatcher &Watcher_;
   std::function<void()> Drain_;
+  Orderer Order_;
   ConfigRunner Runner_;
   OperatorApi Api_;
   OperatorServer Server_;
--- a/include/gooseberrybeam/daemon/SweepRunner.h
+++ b/include/gooseberrybeam/daemon/SweepRunner.h
@@ -43,6 +43,8 @@
   /// \param Gone the requests that it no longer has.
   void onHolderAnswer(const Holder &From, std::span<const RequestId> Gone);
 
+  using HoldingView::isSweeper;
+
   /// \param Asked requests of this process.
   /// \returns those that are gone.
   std::vector<RequestId> goneOf(std::span<const RequestId> Asked) const {
--- a/include/gooseberrybeam/operator/OperatorApi.h
+++ b/include/gooseberrybeam/operator/OperatorApi.h
@@ -35,7 +35,7 @@
 /// Answers operators' calls:
 /// `GET /v1/config`, `GET /v1/config/log?after=N`, `POST /v1/config/changes`,
 /// `GET /v1/backends`, `GET /v1/instances`, `GET /v1/status`,
-/// `POST /v1/drain`. Called on the control thread.
+/// `POST /v1/drain`, `POST /v1/orders`. Called on the control thread.
 class OperatorApi {
 public:
   using Handler = std::function<void(OperatorResponse)>;
@@ -59,6 +59,7 @@
   void getInstances(const OperatorRequest &Request, const Handler &Done);
   void getStatus(const OperatorRequest &Request, const Handler &Done);
   void postDrain(const OperatorRequest &Request, const Handler &Done);
+  void postOrders(const OperatorRequest &Request, const Handler &Done);
 
   struct Route;
   static const Route *findRoute(const OperatorRequest &Request);
--- a/include/gooseberrybeam/operator/OperatorSource.h
+++ b/include/gooseberrybeam/operator/OperatorSource.h
@@ -6,6 +6,7 @@
 #include "gooseberrybeam/base/Ids.h"
 #include "gooseberrybeam/base/Time.h"
 #include "gooseberrybeam/config/Revision.h"
+#include "gooseberrybeam/orders/EngineOrder.h"
 
 #include <cstdint>
 #include <optional>
@@ -62,12 +63,19 @@
   StatusSummary describeStatus() const { return onDescribeStatus(); }
   /// Begins a graceful shutdown of this instance.
   void drain() { onDrain(); }
+  /// Orders an engine into a state; progress shows in `listBackends`.
+  /// \param Engine the engine.
+  /// \param Goal the state wanted.
+  void order(const BackendId &Engine, const EngineGoal &Goal) {
+    onOrder(Engine, Goal);
+  }
 
 private:
   virtual std::vector<BackendSummary> onListBackends() const = 0;
   virtual std::vector<InstanceSummary> onListInstances() const = 0;
   virtual StatusSummary onDescribeStatus() const = 0;
   virtual void onDrain() = 0;
+  virtual void onOrder(const BackendId &Engine, const EngineGoal &Goal) = 0;
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/orders/EngineOrder.h
+++ b/include/gooseberrybeam/orders/EngineOrder.h
@@ -8,6 +8,7 @@
 #include "gooseberrybeam/base/Result.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -63,6 +64,10 @@
 /// \returns `prefill` or `decode`.
 std::string_view asCode(EngineRole Role);
 
+/// \param Code `prefill` or `decode`.
+/// \returns the role, or nothing.
+std::optional<EngineRole> parseEngineRole(std::string_view Code);
+
 } // namespace gooseberry
 
 #endif // GOOSEBERRYBEAM_ORDERS_ENGINEORDER_H
--- a/include/gooseberrybeam/orders/EngineOrders.h
+++ b/include/gooseberrybeam/orders/EngineOrders.h
@@ -74,6 +74,10 @@
   /// \returns whether it may be given work: no order contradicts its report.
   bool isUsable(const BackendId &Engine, const EngineGoal &Seen) const;
 
+  /// \param Engine an engine.
+  /// \returns the state that the table names for it, if that is known.
+  std::optional<EngineGoal> goalOf(const BackendId &Engine) const;
+
   /// \returns the number of orders in progress.
   std::size_t runCount() const { return Runs_.size(); }
 
--- a/src/daemon/BackendWatcher.cpp
+++ b/src/daemon/BackendWatcher.cpp
@@ -183,6 +183,8 @@
 void BackendWatcher::onLoad(const BackendId &Name, const EngineLoad &Load) {
   Engine &Of = Engines_.at(Name);
   Of.Failures_ = 0;
+  if (LoadListener_)
+    LoadListener_(Name, Load);
   Of.Active_ = Load.DecodeActive_;
   if (Of.Listed_.State_ == ListedState::Leaving)
     return;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -68,6 +68,9 @@
       Watcher_(Control_, State_, Desk_, Engines_, Table_,
                makeIntervals(Settings_)),
       Sweep_(Control_, State_, Desk_, Cluster_, Watcher_, Engines_),
+      Orders_(
+          Control_, State_, Table_, Engines_, asText(Holder_),
+          [this](const BackendId &Engine) { return Sweep_.isSweeper(Engine); }),
       Peers_(Cluster_, Sweep_, Watcher_),
       Operators_(Control_, Settings_, State_, Table_, Cluster_, Watcher_,
                  [this] { drain(); }),
@@ -125,9 +128,21 @@
   connectConfiguration();
   Operators_.start();
   followMembership();
+  connectOrders();
   Watcher_.start();
 }
 
+void Daemon::connectOrders() {
+  Operators_.setOrderer(
+      [this](const BackendId &Engine, const EngineGoal &Goal) {
+        Orders_.order(Engine, Goal);
+      });
+  Watcher_.setLoadListener(
+      [this](const BackendId &Engine, const EngineLoad &Load) {
+        Orders_.onLoad(Engine, Load);
+      });
+}
+
 Task<void> Daemon::acceptCallers() {
   asio::steady_timer Pause(Control_);
   for (std::size_t Turn = 0;; ++Turn) {
@@ -152,8 +167,10 @@
     Desk_.tick();
     if (Tick % TicksPerClusterTick == 0)
       Cluster_.tick();
-    if (Tick % TicksPerSweepTick == 0)
+    if (Tick % TicksPerSweepTick == 0) {
       Sweep_.tick();
+      Orders_.tick(Watcher_.engines());
+    }
     Timer.expires_after(DeskTick);
     co_await Timer.async_wait(AsTuple);
   }
--- a/src/operator/OperatorApi.cpp
+++ b/src/operator/OperatorApi.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <openssl/crypto.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -141,7 +142,7 @@
 
 const OperatorApi::Route *
 OperatorApi::findRoute(const OperatorRequest &Request) {
-  static constexpr std::array<Route, 7> Routes = {{
+  static constexpr std::array<Route, 8> Routes = {{
       {"GET", "/v1/config", &OperatorApi::getConfig},
       {"GET", "/v1/config/log", &OperatorApi::getLog},
       {"POST", "/v1/config/changes", &OperatorApi::postChanges},
@@ -149,6 +150,7 @@
       {"GET", "/v1/instances", &OperatorApi::getInstances},
       {"GET", "/v1/status", &OperatorApi::getStatus},
       {"POST", "/v1/drain", &OperatorApi::postDrain},
+      {"POST", "/v1/orders", &OperatorApi::postOrders},
   }};
   const std::string_view Path = pathOf(Request.Target_);
   for (const Route &Candidate : Routes)
@@ -220,4 +222,35 @@
   Source_.drain();
 }
 
+void OperatorApi::postOrders(const OperatorRequest &Request,
+                             const Handler &Done) {
+  json::error_code Error;
+  const json::value Value = json::parse(Request.Body_, Error);
+  if (Error || !Value.is_object()) {
+    Done(refusal(400, "not_json", "an object is expected"));
+    return;
+  }
+  const json::object &Object = Value.get_object();
+  const BackendId Engine{textOf(Object, "engine")};
+  const auto Role = parseEngineRole(textOf(Object, "role"));
+  if (!Role) {
+    Done(refusal(400, "unknown_role", "prefill or decode is expected"));
+    return;
+  }
+  const auto Known = Source_.listBackends();
+  const bool IsEngine =
+      std::any_of(Known.begin(), Known.end(), [&](const BackendSummary &Each) {
+        return Each.Name_ == Engine && Each.Kind_ == "engine";
+      });
+  if (!IsEngine) {
+    Done(refusal(404, "unknown_engine", "see gbctl backend list"));
+    return;
+  }
+  EngineGoal Goal;
+  Goal.Role_ = *Role;
+  Goal.Model_ = {textOf(Object, "model")};
+  Source_.order(Engine, Goal);
+  Done({202, json::serialize(json::object{{"ordered", true}})});
+}
+
 } // namespace gooseberry
--- a/src/orders/EngineOrder.cpp
+++ b/src/orders/EngineOrder.cpp
@@ -20,11 +20,10 @@
   std::string Text;
   if (!readString(Object, "role", Text))
     return false;
-  if (Text != asCode(EngineRole::Prefill) && Text != asCode(EngineRole::Decode))
-    return false;
-  Into = Text == asCode(EngineRole::Prefill) ? EngineRole::Prefill
-                                             : EngineRole::Decode;
-  return true;
+  const auto Role = parseEngineRole(Text);
+  if (Role)
+    Into = *Role;
+  return Role.has_value();
 }
 
 } // namespace
@@ -33,6 +32,13 @@
   return Role == EngineRole::Prefill ? "prefill" : "decode";
 }
 
+std::optional<EngineRole> parseEngineRole(std::string_view Code) {
+  for (const EngineRole Role : {EngineRole::Prefill, EngineRole::Decode})
+    if (Code == asCode(Role))
+      return Role;
+  return std::nullopt;
+}
+
 bool isReached(const EngineGoal &Goal, const EngineGoal &Seen) {
   const bool ModelReached = Goal.Model_.isEmpty() || Goal.Model_ == Seen.Model_;
   const bool AdapterReached =
--- a/src/orders/EngineOrders.cpp
+++ b/src/orders/EngineOrders.cpp
@@ -19,8 +19,11 @@
                                            TimePoint Now) {
   if (Order) {
     const auto Parsed = parseEngineOrder(Order->Value_);
-    if (isOk(Parsed) && valueOf(Parsed).Fence_ >= Known_[Engine].Fence_)
-      Known_[Engine] = valueOf(Parsed);
+    const auto Known = Known_.find(Engine);
+    const FencingNumber Newest =
+        Known == Known_.end() ? 0 : Known->second.Fence_;
+    if (isOk(Parsed) && valueOf(Parsed).Fence_ >= Newest)
+      Known_.insert_or_assign(Engine, valueOf(Parsed));
   }
   const auto Run = Runs_.find(Engine);
   if (Run == Runs_.end())
@@ -75,6 +78,13 @@
   return Known == Known_.end() || isReached(Known->second.Goal_, Seen);
 }
 
+std::optional<EngineGoal> EngineOrders::goalOf(const BackendId &Engine) const {
+  const auto Known = Known_.find(Engine);
+  if (Known == Known_.end())
+    return std::nullopt;
+  return Known->second.Goal_;
+}
+
 EngineOrders::Actions EngineOrders::take(const BackendId &Engine,
                                          OrderAction Action) {
   if (std::holds_alternative<AwaitEvent>(Action))
--- a/tests/OperatorApiTest.cpp
+++ b/tests/OperatorApiTest.cpp
@@ -59,6 +59,7 @@
 class FixedSource final : public OperatorSource {
 public:
   bool IsDraining_ = false;
+  std::vector<std::pair<BackendId, EngineGoal>> Orders_;
 
 private:
   std::vector<BackendSummary> onListBackends() const override {
@@ -67,6 +68,9 @@
   std::vector<InstanceSummary> onListInstances() const override { return {}; }
   StatusSummary onDescribeStatus() const override { return {}; }
   void onDrain() override { IsDraining_ = true; }
+  void onOrder(const BackendId &Engine, const EngineGoal &Goal) override {
+    Orders_.emplace_back(Engine, Goal);
+  }
 };
 
 constexpr std::string_view Club =
@@ -180,6 +184,20 @@
     CHECK(Instance.call("POST", "/v1/drain").Status_ == 202);
     CHECK(Instance.Source_.IsDraining_);
   }
+  SECTION("An engine is ordered into a role") {
+    const auto Order = [&](std::string Body) {
+      return Instance.call("POST", "/v1/orders", std::move(Body)).Status_;
+    };
+    CHECK(Order(R"({"engine":"127.0.0.1:9","role":"prefill"})") == 202);
+    REQUIRE(Instance.Source_.Orders_.size() == 1);
+    CHECK(Instance.Source_.Orders_[0].second.Role_ == EngineRole::Prefill);
+    SECTION("if it exists and the role is known") {
+      CHECK(Order(R"({"engine":"127.0.0.1:8","role":"prefill"})") == 404);
+      CHECK(Order(R"({"engine":"127.0.0.1:9","role":"both"})") == 400);
+      CHECK(Order("[]") == 400);
+      CHECK(Instance.Source_.Orders_.size() == 1);
+    }
+  }
 }
 
 TEST_CASE("The operators' port speaks HTTP", "[operator]") {
--- a/tools/gbctl/ChangeCommands.cpp
+++ b/tools/gbctl/ChangeCommands.cpp
@@ -120,6 +120,30 @@
                     Given.IfRevision_.has_value());
 }
 
+/// Makes a call that one instance carries out itself; a repeat is safe.
+ExitCode callOnce(const Options &Given, std::string_view Target,
+                  const std::string &Body, std::string_view Done) {
+  if (Given.Instances_.size() != 1)
+    return reportUsage("this command takes exactly one --instance");
+  const OperatorClient Client(Given.Instances_[0], Given.OperatorKey_);
+  const auto Reply = Client.call("POST", Target, Body);
+  if (!isOk(Reply)) {
+    const bool IsLost = errorOf(Reply) == CallError::ReplyLost;
+    std::cerr << (IsLost ? "outcome unknown: see `gbctl status`; a repeat is "
+                           "safe\n"
+                         : "gbctl: the instance does not answer\n");
+    return IsLost ? ExitCode::Unknown : ExitCode::NotReached;
+  }
+  constexpr int Accepted = 202;
+  if (valueOf(Reply).Status_ != Accepted) {
+    std::cerr << "gbctl: refused: "
+              << boost::json::serialize(valueOf(Reply).Body_) << '\n';
+    return ExitCode::Refused;
+  }
+  std::cout << Client.address() << ' ' << Done << '\n';
+  return ExitCode::Done;
+}
+
 } // namespace
 
 ExitCode runApply(Session &Run) {
@@ -203,24 +227,21 @@
                     {{EntityKind::Key, asHex(*Chosen.Hash_)}, std::nullopt});
 }
 
-ExitCode runDrain(Session &Run) {
+ExitCode runEngineOrder(Session &Run) {
+  constexpr std::size_t EngineWord = 2;
+  constexpr std::size_t RoleWord = 3;
+  constexpr std::size_t ModelWord = 4;
   const Options &Given = Run.options();
-  if (Given.Instances_.size() != 1)
-    return reportUsage("drain takes exactly one --instance");
-  const OperatorClient Client(Given.Instances_[0], Given.OperatorKey_);
-  const auto Reply = Client.call("POST", "/v1/drain", "");
-  if (!isOk(Reply)) {
-    const bool IsLost = errorOf(Reply) == CallError::ReplyLost;
-    std::cerr << (IsLost ? "outcome unknown: see `gbctl status`; a repeat is "
-                           "safe\n"
-                         : "gbctl: the instance does not answer\n");
-    return IsLost ? ExitCode::Unknown : ExitCode::NotReached;
-  }
-  constexpr int Accepted = 202;
-  if (valueOf(Reply).Status_ != Accepted)
-    return ExitCode::Refused;
-  std::cout << Client.address() << " drains\n";
-  return ExitCode::Done;
+  boost::json::object Body{{"engine", Given.Words_[EngineWord]},
+                           {"role", Given.Words_[RoleWord]}};
+  if (Given.Words_.size() > ModelWord)
+    Body["model"] = Given.Words_[ModelWord];
+  return callOnce(Given, "/v1/orders", boost::json::serialize(Body),
+                  "is ordering: see `gbctl backend list`");
+}
+
+ExitCode runDrain(Session &Run) {
+  return callOnce(Run.options(), "/v1/drain", "", "drains");
 }
 
 } // namespace gooseberry
--- a/tools/gbctl/Commands.h
+++ b/tools/gbctl/Commands.h
@@ -22,13 +22,14 @@
 ExitCode runStatus(Session &Run);
 
 /// Commands that change something: `apply`, `set`, `remove`, `key grant`,
-/// `key revoke`, `drain`.
+/// `key revoke`, `drain`, `engine order`.
 ExitCode runApply(Session &Run);
 ExitCode runSet(Session &Run);
 ExitCode runRemove(Session &Run);
 ExitCode runKeyGrant(Session &Run);
 ExitCode runKeyRevoke(Session &Run);
 ExitCode runDrain(Session &Run);
+ExitCode runEngineOrder(Session &Run);
 
 /// Prints what a change does, one line each.
 /// \param From the configuration before it.
--- a/tools/gbctl/Options.cpp
+++ b/tools/gbctl/Options.cpp
@@ -173,6 +173,7 @@
   instance list                members as the instance sees them
   status                       state of each instance of --instance
   drain                        drain the one instance of --instance
+  engine order ENGINE prefill|decode [MODEL]
 
   -i, --instance ip:port[,...] operator ports to try in turn
                                [GOOSEBERRY_INSTANCE, 127.0.0.1:8082]
--- a/tools/gbctl/main.cpp
+++ b/tools/gbctl/main.cpp
@@ -14,7 +14,7 @@
   ExitCode (*Run_)(Session &);
 };
 
-constexpr std::array<CommandInfo, 18> Commands = {{
+constexpr std::array<CommandInfo, 19> Commands = {{
     {"get", "", 1, runGet},
     {"log", "", 1, runLog},
     {"diff", "", 2, runDiff},
@@ -33,6 +33,7 @@
     {"instance", "list", 2, runInstanceList},
     {"status", "", 1, runStatus},
     {"drain", "", 1, runDrain},
+    {"engine", "order", 4, runEngineOrder},
 }};
 
 bool isNamed(const CommandInfo &Command,
