Let instances join after the last member has left

When the last member left gracefully, its shards kept it as owner; the document wrote an index past the members, which no reader took, so the head named an epoch that nobody could read. Ruled out: a slow rejoin (still stuck after 80 s more of virtual time, with a poll each 100 ms). Now a shard without a member has no owner, and the next member takes it.

--- a/src/membership/EpochDocument.cpp
+++ b/src/membership/EpochDocument.cpp
@@ -25,6 +25,8 @@
   return Object;
 }
 
+/// \returns the member's index, or the number of members for a shard that
+/// nobody owns because the last member has left.
 std::size_t indexOf(const EpochDocument &Document, const MemberId &Id) {
   const auto Entry =
       std::find_if(Document.Members_.begin(), Document.Members_.end(),
@@ -116,11 +118,15 @@
   for (std::size_t I = 0; I < Owners.size(); ++I) {
     const std::int64_t *Owner = Owners[I].if_int64();
     const std::int64_t *Generation = Generations[I].if_int64();
+    const auto Members = static_cast<std::int64_t>(Document.Members_.size());
     if (Owner == nullptr || Generation == nullptr || *Owner < 0 ||
-        *Owner >= static_cast<std::int64_t>(Document.Members_.size()))
+        *Owner > Members)
       return false;
-    Document.Shards_.push_back(
-        {Document.Members_[*Owner].Id_, static_cast<Epoch>(*Generation)});
+    ShardOwner Shard;
+    if (*Owner < Members)
+      Shard.Owner_ = Document.Members_[*Owner].Id_;
+    Shard.Generation_ = static_cast<Epoch>(*Generation);
+    Document.Shards_.push_back(std::move(Shard));
   }
   return true;
 }
--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -83,6 +83,36 @@
   }
 }
 
+TEST_CASE("After the last member has left, others can join", "[membership]") {
+  ClusterWorld World(2, 3, {});
+  World.run(seconds(8));
+  REQUIRE(World.servingCount() == 2);
+  for (std::size_t I = 0; I < 2; ++I) {
+    World.leave(I);
+    World.run(seconds(2));
+    World.kill(I);
+  }
+  SECTION("The document without members can be read") {
+    EpochDocument Empty;
+    Empty.Epoch_ = 5;
+    Empty.Shards_.resize(3);
+    Empty.Shards_[1] = {{{"gone"}, 1}, 4};
+    const auto Read = parseEpochDocument(formatEpochDocument(Empty));
+    REQUIRE(Read);
+    CHECK(Read->Shards_.size() == 3);
+    CHECK(Read->Shards_[1].Owner_ == MemberId());
+    CHECK(Read->Shards_[1].Generation_ == 4);
+  }
+  SECTION("New instances serve") {
+    World.start(1);
+    World.run(seconds(8));
+    CHECK(World.servingCount() == 1);
+    World.start(0);
+    World.run(seconds(8));
+    CHECK(World.servingCount() == 2);
+  }
+}
+
 TEST_CASE("Lost replies of the table do no harm to a join", "[membership]") {
   ClusterWorld World(4, 2, {});
   World.table().faults().LostReplies_ = 3;
