Withdraw a key on real daemons while the table goes down

Cause: withdrawal right before an outage was proved in histories only. The scenario grants a spare key, sees all four instances take it, withdraws it, takes the table down as soon as the change is accepted, and wants all to refuse it within 5 s, the table still down.

--- a/tests/e2e/faults.sh
+++ b/tests/e2e/faults.sh
@@ -36,6 +36,9 @@
 mapfile -t pids < <(field pids)
 mapfile -t callers < <(field callers)
 mapfile -t engines < <(field engines)
+mapfile -t operators < <(field operators)
+operator_key=$(grep -o '"operator_key":"[^"]*"' "$work/cluster.json" |
+  cut -d '"' -f 4)
 table=$(grep -o '"table":"[^"]*"' "$work/cluster.json" | cut -d '"' -f 4)
 booking=$(grep -o '"kind":"booking","standin":"[^"]*"' "$work/cluster.json" |
   cut -d '"' -f 8)
@@ -78,6 +81,34 @@
   kill -KILL "${pids[0]}"
   fault "${engines[4]}" '{"silent":true}'
 }
+operator() {
+  GOOSEBERRY_OPERATOR_KEY=$operator_key "$build/gbctl" \
+    --instance "${operators[0]}" "$@" >/dev/null
+}
+# spare_statuses: the status of one call at each instance with the spare key.
+spare_statuses() {
+  for caller in "${callers[@]}"; do
+    curl -sS -m 3 -o /dev/null -w '%{http_code} ' \
+      -H "Authorization: Bearer $spare_key" "http://$caller/v1/models"
+  done
+}
+# The table goes down right after the withdrawal was accepted.
+withdraw_key() {
+  spare_key=spare-key-of-the-test
+  printf %s "$spare_key" | operator key grant lahore-velo --stdin
+  sleep 1
+  granted=$(spare_statuses)
+  printf %s "$spare_key" | operator key revoke --stdin
+  table_down
+  sleep 5
+  withdrawn=$(spare_statuses)
+}
+key_is_withdrawn() {
+  [ "$granted" = "200 200 200 200 " ] && [ "$withdrawn" = "401 401 401 401 " ] &&
+    return 0
+  echo "not right: granted $granted, 5 s after withdrawal $withdrawn"
+  return 1
+}
 drained_away() {
   for _ in $(seq 100); do
     kill -0 "${pids[0]}" 2>/dev/null || return 0
@@ -106,6 +137,10 @@
     ;;
   replies-lost) inject=replies_lost ;;
   drain) inject=drain_instance after=drained_away ;;
+  key-withdrawn)
+    inject=withdraw_key after=key_is_withdrawn
+    forbidden=(rate_exceeded lease_expired configuration_unknown)
+    ;;
   two-faults) inject=two_faults load+=(--lost-from "${callers[0]}") ;;
   *) echo "no such scenario: $scenario" >&2; exit 2 ;;
 esac
