Keep limits also where peers cannot be reached for want of a key

Cause: with several members and no peer key a reservation was granted without any ledger, so an organisation could exceed its rate and burst unseen. Weighed: refusing to start without a key (one instance alone needs none), and keeping the ledger, which then admits only what this instance is home of. Seen: the demo with a peer key is unchanged, all right; the set-up without one was not run.

--- a/src/daemon/ClusterDesk.cpp
+++ b/src/daemon/ClusterDesk.cpp
@@ -6,15 +6,11 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <utility>
 
 namespace gooseberry {
 namespace {
 
-/// Of reservations that no ledger knows.
-constexpr std::uint64_t NoIdentity = std::numeric_limits<std::uint64_t>::max();
-
 MilliTokens asMilliTokens(double Tokens) {
   return static_cast<MilliTokens>(
       std::llround(Tokens * static_cast<double>(MilliPerToken)));
@@ -58,8 +54,6 @@
 void ClusterDesk::reserve(const OrganisationId &Organisation,
                           std::int64_t Tokens, TimePoint HoldUntil,
                           ReserveTicket Ticket, ReserveHandler Handler) {
-  if (!Senders_.Limits_ && Membership_->document().Members_.size() > 1)
-    return Handler(ReservationRef{NoIdentity, 0});
   const ReserveOutcome Outcome =
       Limits_->reserve(Organisation, Tokens, readBootClock(), HoldUntil);
   if (const auto *Reserved = std::get_if<LimitReserved>(&Outcome))
