Check on real daemons that a leaving engine gets nothing new

Cause: the 3 s bound for leaving backend servers had no test. The scenario lets a decode engine leave under load, and compares its decoded requests 3 s later with those at the end.

--- a/tests/e2e/faults.sh
+++ b/tests/e2e/faults.sh
@@ -109,6 +109,27 @@
   echo "not right: granted $granted, 5 s after withdrawal $withdrawn"
   return 1
 }
+# decodes ENGINE: how many requests it has decoded.
+decodes() {
+  curl -fsS -m 3 "http://$1/debug/state" |
+    grep -o '"decodes_by_request":{[^}]*}' | grep -o '":[0-9]' | wc -l
+}
+# A decode engine leaves; 3 s later it must get nothing new.
+leave_engine() {
+  leaving=${engines[4]}
+  curl -fsS -m 3 "http://$table/v1/instances" |
+    sed "s/\(\"address\":\"$leaving\"[^}]*\"state\":\"\)live/\1leaving/" |
+    curl -fsS -m 3 -o /dev/null -d @- "http://$table/debug/instances"
+  sleep 3
+  decoded=$(decodes "$leaving")
+}
+has_left() {
+  local late
+  late=$(decodes "$leaving")
+  [ "$decoded" -gt 0 ] && [ "$late" = "$decoded" ] && return 0
+  echo "not right: $decoded requests 3 s after it began to leave, then $late"
+  return 1
+}
 drained_away() {
   for _ in $(seq 100); do
     kill -0 "${pids[0]}" 2>/dev/null || return 0
@@ -141,6 +162,10 @@
     inject=withdraw_key after=key_is_withdrawn
     forbidden=(rate_exceeded lease_expired configuration_unknown)
     ;;
+  engine-leaves)
+    inject=leave_engine after=has_left
+    load+=(--seconds 9 --allow-refusals false)
+    ;;
   two-faults) inject=two_faults load+=(--lost-from "${callers[0]}") ;;
   *) echo "no such scenario: $scenario" >&2; exit 2 ;;
 esac
