--- a/include/gooseberrybeam/base/Ids.h
+++ b/include/gooseberrybeam/base/Ids.h
@@ -32,6 +32,10 @@
 using ModelId = NamedId<struct ModelTag>;
 /// A backend server, engine or plain service, named `ip:port`.
 using BackendId = NamedId<struct BackendTag>;
+/// A plain service or a pool of engines that serves the same requests.
+using ServiceId = NamedId<struct ServiceTag>;
+/// The registration of one backend server, kept from its start to its end.
+using ServerId = NamedId<struct ServerTag>;
 /// An entry instance by its configured name.
 using InstanceId = NamedId<struct InstanceTag>;
 /// A data centre.
--- a/include/gooseberrybeam/http/CallerExchange.h
+++ b/include/gooseberrybeam/http/CallerExchange.h
@@ -48,6 +48,9 @@
   std::string_view path() const;
   /// \returns the request's id.
   const RequestId &id() const { return Id_; }
+  /// Takes the id that the caller gave the request.
+  /// \param Id the id.
+  void setId(RequestId Id) { Id_ = std::move(Id); }
   /// \returns when the head had been read.
   TimePoint arrival() const { return Arrival_; }
   /// \returns when the request has to be answered.
--- a/include/gooseberrybeam/http/CallerServer.h
+++ b/include/gooseberrybeam/http/CallerServer.h
@@ -30,6 +30,10 @@
   /// \param Socket an accepted socket that runs on the server's context.
   void serve(tcp::socket Socket);
 
+  /// Takes other bounds into use, also for open connections.
+  /// \param Limits bounds of each connection.
+  void setLimits(CallerLimits Limits) { Limits_ = Limits; }
+
   /// Closes the connection of every session after its present answer, and at
   /// once if it has none. Called on the server's thread.
   void closeIdle();
--- a/include/gooseberrybeam/http/ClientConnection.h
+++ b/include/gooseberrybeam/http/ClientConnection.h
@@ -49,6 +49,13 @@
   Task<Result<ResponseHead, CallError>>
   exchange(HttpRequest &Request, Duration IdleTimeout, CancelScope &Scope);
 
+  /// Reads the start of a further answer, after the body of the last was read.
+  /// \param IdleTimeout bound on the wait for it.
+  /// \param Scope aborts the read when cancelled.
+  /// \returns the start of the answer or a failure.
+  Task<Result<ResponseHead, CallError>> readHead(Duration IdleTimeout,
+                                                 CancelScope &Scope);
+
   /// Reads the next bytes of the answer's body.
   /// \param Into where they go; not empty.
   /// \param IdleTimeout bound on the wait for a byte.
@@ -64,6 +71,9 @@
   /// the server keeps the connection, and nothing has arrived since.
   bool isReusable();
 
+  /// \returns how long the server keeps the connection idle, if it has said so.
+  std::optional<Duration> idleLimit() const { return IdleLimit_; }
+
 private:
   using Parser = beast::http::response_parser<beast::http::buffer_body>;
 
@@ -72,6 +82,7 @@
   beast::tcp_stream Stream_;
   beast::flat_buffer Buffer_;
   std::optional<Parser> Parser_;
+  std::optional<Duration> IdleLimit_;
   bool IsOpen_ = true;
 };
 
--- a/include/gooseberrybeam/http/ConnectionPool.h
+++ b/include/gooseberrybeam/http/ConnectionPool.h
@@ -47,6 +47,7 @@
     TimePoint Since_;
   };
 
+  Duration maxIdleOf(const ClientConnection &Connection) const;
   std::unique_ptr<ClientConnection> takeIdle(const BackendId &Server);
 
   PoolLimits Limits_;
--- /dev/null
+++ b/include/gooseberrybeam/relay/HomeDesk.h
@@ -0,0 +1,71 @@
+/// \file
+/// The part of an instance that serves as home for others and itself.
+#ifndef GOOSEBERRYBEAM_RELAY_HOMEDESK_H
+#define GOOSEBERRYBEAM_RELAY_HOMEDESK_H
+
+#include "gooseberrybeam/relay/GenerationPlacer.h"
+#include "gooseberrybeam/relay/HomeMessages.h"
+#include "gooseberrybeam/relay/LimitBook.h"
+
+#include <map>
+
+namespace gooseberry {
+
+/// Grants engines and tokens to the instances that are attached to it. Every
+/// instance has a desk, so that one that reaches no other serves alone, with
+/// its own part of the limits.
+class HomeDesk {
+public:
+  /// \param Directory the registered backend servers; outlives the desk.
+  explicit HomeDesk(const BackendDirectory &Directory);
+
+  /// Takes a configuration into use.
+  /// \param Configuration the configuration.
+  /// \param Now the clock.
+  void configure(std::shared_ptr<const RelayConfiguration> Configuration,
+                 TimePoint Now);
+  /// \param Count how many instances share the limits; at least 1.
+  void setInstanceCount(std::size_t Count) { InstanceCount_ = Count; }
+
+  /// Handles a heartbeat.
+  /// \param From the instance.
+  /// \param Message the heartbeat.
+  /// \param Now the clock.
+  /// \returns the organisations of the heartbeat whose tokens are used up.
+  std::vector<OrganisationId> onHeartbeat(const InstanceId &From,
+                                          const HomeHeartbeat &Message,
+                                          TimePoint Now);
+  /// Handles an ask; the answer comes from `decide`.
+  /// \param From the instance.
+  /// \param Ask what is asked.
+  /// \param Now the clock.
+  void onAsk(const InstanceId &From, const PlacementAsk &Ask, TimePoint Now);
+  /// Handles a report.
+  /// \param Report the step.
+  /// \param Now the clock.
+  void onReport(const GenerationReport &Report, TimePoint Now);
+
+  /// Decides what can be decided; called after each message and each tick.
+  /// \param Now the clock.
+  /// \returns answers to instances.
+  std::vector<PlacedFor> decide(TimePoint Now);
+
+  /// \returns the number of attached instances.
+  std::size_t attached() const { return Attached_.size(); }
+  /// \returns the queue and bookings.
+  const GenerationPlacer &placer() const { return Placer_; }
+
+private:
+  void dropSilent(TimePoint Now);
+  void updatePart(TimePoint Now);
+
+  GenerationPlacer Placer_;
+  LimitBook Limits_;
+  std::map<InstanceId, TimePoint> Attached_; ///< Last heartbeat of each.
+  std::size_t InstanceCount_ = 1;
+  std::vector<PlacedFor> Denied_;
+};
+
+} // namespace gooseberry
+
+#endif // GOOSEBERRYBEAM_RELAY_HOMEDESK_H
--- /dev/null
+++ b/include/gooseberrybeam/relay/HomeMessages.h
@@ -0,0 +1,69 @@
+/// \file
+/// Messages between instances and the home they ask.
+#ifndef GOOSEBERRYBEAM_RELAY_HOMEMESSAGES_H
+#define GOOSEBERRYBEAM_RELAY_HOMEMESSAGES_H
+
+#include "gooseberrybeam/relay/PlacementTypes.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace gooseberry {
+
+/// Tokens that an instance has let through by itself.
+struct TokenUse {
+  OrganisationId Organisation_;
+  double Tokens_ = 0;
+
+  friend bool operator==(const TokenUse &, const TokenUse &) = default;
+};
+
+/// Tells a home that an instance is alive and asks it.
+struct HomeHeartbeat {
+  std::uint64_t Sequence_ = 0;
+  std::uint64_t ConfigurationVersion_ = 0;
+  bool IsAttached_ = false; ///< False: only asks whether the home is alive.
+  bool IsLeaving_ = false;  ///< The sender shuts down and can be home no more.
+  std::vector<TokenUse> Used_;             ///< Since the last heartbeat.
+  std::vector<RunningGeneration> Running_; ///< All, when it attaches.
+
+  friend bool operator==(const HomeHeartbeat &,
+                         const HomeHeartbeat &) = default;
+};
+
+/// Answers a heartbeat.
+struct HomeReply {
+  std::uint64_t Sequence_ = 0;
+  std::uint64_t ConfigurationVersion_ = 0;
+  bool IsLeaving_ = false; ///< Ask another home.
+  std::vector<OrganisationId> Exhausted_; ///< Their buckets are empty.
+
+  friend bool operator==(const HomeReply &, const HomeReply &) = default;
+};
+
+/// Asks for a configuration newer than a version.
+struct ConfigurationRequest {
+  std::uint64_t Version_ = 0;
+
+  friend bool operator==(const ConfigurationRequest &,
+                         const ConfigurationRequest &) = default;
+};
+
+/// A configuration in its own encoding.
+struct ConfigurationCopy {
+  std::string Source_;
+
+  friend bool operator==(const ConfigurationCopy &,
+                         const ConfigurationCopy &) = default;
+};
+
+/// Everything that instances and homes tell each other.
+using HomeMessage =
+    std::variant<HomeHeartbeat, HomeReply, PlacementAsk, PlacementGrant,
+                 PlacementDenial, GenerationReport, ConfigurationRequest,
+                 ConfigurationCopy>;
+
+} // namespace gooseberry
+
+#endif // GOOSEBERRYBEAM_RELAY_HOMEMESSAGES_H
--- /dev/null
+++ b/include/gooseberrybeam/relay/ServiceBalancer.h
@@ -0,0 +1,75 @@
+/// \file
+/// Spreads the requests of one instance over the backend servers of a service.
+#ifndef GOOSEBERRYBEAM_RELAY_SERVICEBALANCER_H
+#define GOOSEBERRYBEAM_RELAY_SERVICEBALANCER_H
+
+#include "gooseberrybeam/base/Time.h"
+#include "gooseberrybeam/relay/BackendEntry.h"
+
+#include <optional>
+#include <set>
+#include <span>
+#include <unordered_map>
+
+namespace gooseberry {
+
+/// How an attempt at a backend server ended.
+enum class AttemptEnd : std::uint8_t {
+  Answered,    ///< A whole answer that is no server error.
+  ServerError, ///< A whole answer that is a server error.
+  Rejected,    ///< The server said that it did not run the request.
+  Broken,      ///< No whole answer.
+  Abandoned,   ///< The caller left; says nothing of the server.
+};
+
+/// Chooses by expected wait. Servers are judged by their answers and by how
+/// long the oldest unanswered request has waited, so that one that is slow,
+/// silent or failing loses its share whatever its health check says. Answers
+/// the load of plain services whose servers degrade unannounced.
+class ServiceBalancer {
+public:
+  /// \param Candidates servers that may be used; not empty.
+  /// \param Near the data centre of this instance.
+  /// \param Now the clock.
+  /// \returns the candidate with the least expected wait.
+  const BackendEntry &choose(std::span<const BackendEntry *const> Candidates,
+                             const DataCentreId &Near, TimePoint Now);
+
+  /// Notes an attempt.
+  /// \param Server where it was sent.
+  /// \param Now the clock.
+  void onStart(const ServerId &Server, TimePoint Now);
+  /// Notes the end of an attempt.
+  /// \param Server where it was sent.
+  /// \param Started when.
+  /// \param End how it ended.
+  /// \param Now the clock.
+  void onEnd(const ServerId &Server, TimePoint Started, AttemptEnd End,
+             TimePoint Now);
+  /// Forgets servers that are gone.
+  /// \param IsKnown tells whether a server is still registered.
+  template <typename Predicate> void forgetUnless(Predicate IsKnown) {
+    std::erase_if(Loads_, [&](const auto &Each) {
+      return Each.second.Started_.empty() && !IsKnown(Each.first);
+    });
+  }
+
+private:
+  struct Load {
+    std::multiset<TimePoint> Started_; ///< Attempts without an end.
+    double AnswerMs_ = 20;             ///< Smoothed time to an answer.
+    double FailedShare_ = 0;           ///< Smoothed share of failed attempts.
+    TimePoint JudgedAt_{Duration::zero()};
+    TimePoint AvoidUntil_{Duration::zero()};
+  };
+
+  double costOf(const BackendEntry &Server, const DataCentreId &Near,
+                TimePoint Now);
+
+  std::unordered_map<ServerId, Load> Loads_;
+  std::uint64_t Turn_ = 0;
+};
+
+} // namespace gooseberry
+
+#endif // GOOSEBERRYBEAM_RELAY_SERVICEBALANCER_H
--- /dev/null
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -0,0 +1,131 @@
+/// \file
+/// Connects an instance to its home, and others to it as their home.
+#ifndef GOOSEBERRYBEAM_RELAYD_HOMELINK_H
+#define GOOSEBERRYBEAM_RELAYD_HOMELINK_H
+
+#include "gooseberrybeam/http/Asio.h"
+#include "gooseberrybeam/http/CancelScope.h"
+#include "gooseberrybeam/peers/TcpPeerTransport.h"
+#include "gooseberrybeam/relay/HomeDesk.h"
+#include "gooseberrybeam/relay/HomeDirectory.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace gooseberry {
+
+/// Asks the home for engines and tokens, follows it when it changes, and serves
+/// whoever takes this instance as home. Used on one thread.
+class HomeLink {
+public:
+  /// What the link needs of the rest of the instance.
+  struct Callbacks {
+    /// Takes a configuration that a peer has handed over.
+    std::function<void(std::string Source)> OnConfiguration_;
+  };
+
+  /// \param Context runs the link; outlives it.
+  /// \param Self this instance.
+  /// \param Directory the registered backend servers; outlives the link.
+  /// \param Handlers what the link calls.
+  HomeLink(asio::io_context &Context, InstanceId Self,
+           const BackendDirectory &Directory, Callbacks Handlers);
+
+  /// Takes the connections to other instances into use.
+  /// \param Transport the connections.
+  void open(std::unique_ptr<PeerTransport> Transport);
+  /// \returns whether other instances can be reached.
+  bool isOpen() const { return Transport_ != nullptr; }
+  /// \param Members all registered instances, this one included.
+  void setMembers(std::vector<EpochMember> Members);
+  /// \param Configuration the newest configuration.
+  void configure(std::shared_ptr<const RelayConfiguration> Configuration);
+  /// Starts heartbeats.
+  void start();
+  /// Tells others that this instance shuts down.
+  void leave();
+
+  /// Waits for engines.
+  /// \param Ask what is asked; its request is not waiting already.
+  /// \param Scope ends the wait when cancelled.
+  /// \returns the home's answer, or none if the wait was cancelled.
+  Task<std::optional<PlacementAnswer>> place(PlacementAsk Ask,
+                                             CancelScope &Scope);
+  /// Tells the home of a step.
+  /// \param Report the step.
+  void report(const GenerationReport &Report);
+  /// Keeps what a new home must know.
+  /// \param Running a generation that holds a decode engine.
+  void noteRunning(const RunningGeneration &Running);
+
+  /// Counts tokens of a request that needs no engines.
+  /// \param Organisation whose tokens.
+  /// \param Tokens how many.
+  void noteUse(const OrganisationId &Organisation, double Tokens);
+  /// \param Organisation an organisation.
+  /// \returns whether its limit was used up when the home last answered.
+  bool isExhausted(const OrganisationId &Organisation) const;
+
+  /// \returns how many instances share limits and budgets; at least 1.
+  std::size_t instanceCount() const;
+  /// \returns the present home.
+  const InstanceId &home() const { return Home_; }
+  /// \returns the desk that serves as home.
+  const HomeDesk &desk() const { return Desk_; }
+  /// \returns registered instances that this home has not heard for \p Silence.
+  /// \param Silence a time.
+  std::vector<InstanceId> silentMembers(Duration Silence) const;
+
+private:
+  struct Pending {
+    PlacementAsk Ask_;
+    TimePoint AskedAt_;
+    std::optional<PlacementAnswer> Answer_;
+    asio::steady_timer *Timer_ = nullptr;
+  };
+
+  Task<void> tickForever();
+  void tick();
+  void sendHeartbeats(TimePoint Now);
+  void followHome(TimePoint Now);
+  void send(const InstanceId &To, const HomeMessage &Message);
+  void handle(const InstanceId &From, const HomeMessage &Message);
+  void handleHeartbeat(const InstanceId &From, const HomeHeartbeat &Message);
+  void handleReply(const InstanceId &From, const HomeReply &Message);
+  void handleAnswer(const InstanceId &From, const RequestId &Request,
+                    const PlacementAnswer &Answer);
+  void handleVersion(const InstanceId &From, std::uint64_t Version);
+  void decide();
+  void sendAsk(Pending &Of);
+  std::uint64_t version() const;
+
+  asio::io_context &Context_;
+  InstanceId Self_;
+  Callbacks Callbacks_;
+  HomeDesk Desk_;
+  HomeDirectory Homes_;
+  InstanceId Home_;
+  std::unique_ptr<PeerTransport> Transport_;
+  std::vector<EpochMember> Members_;
+  std::unordered_map<InstanceId, MemberId> MemberIds_;
+  std::unordered_map<InstanceId, TimePoint> HeardAt_;
+  std::shared_ptr<const RelayConfiguration> Configuration_;
+  std::unordered_map<RequestId, Pending *> Pending_;
+  std::unordered_map<RequestId, RunningGeneration> Running_;
+  std::unordered_map<OrganisationId, double> Used_;
+  std::unordered_set<OrganisationId> Exhausted_;
+  std::uint64_t Sequence_ = 0;
+  TimePoint HeartbeatAt_{Duration::zero()};
+  TimePoint CopyAskedAt_{Duration::zero()};
+  bool IsLeaving_ = false;
+};
+
+} // namespace gooseberry
+
+#endif // GOOSEBERRYBEAM_RELAYD_HOMELINK_H
--- /dev/null
+++ b/include/gooseberrybeam/relayd/RelayContext.h
@@ -0,0 +1,47 @@
+/// \file
+/// What the code that serves requests uses.
+#ifndef GOOSEBERRYBEAM_RELAYD_RELAYCONTEXT_H
+#define GOOSEBERRYBEAM_RELAYD_RELAYCONTEXT_H
+
+#include "gooseberrybeam/http/ConnectionPool.h"
+#include "gooseberrybeam/metrics/Metrics.h"
+#include "gooseberrybeam/relay/BackendDirectory.h"
+#include "gooseberrybeam/relay/RelayConfiguration.h"
+#include "gooseberrybeam/relay/RepeatWindow.h"
+#include "gooseberrybeam/relay/ServiceBalancer.h"
+#include "gooseberrybeam/relayd/HomeLink.h"
+#include "gooseberrybeam/relayd/RelaySettings.h"
+#include "gooseberrybeam/relayd/RelayWire.h"
+
+#include <memory>
+#include <random>
+#include <unordered_map>
+
+namespace gooseberry {
+
+/// State of an instance that its requests share. Used on one thread.
+struct RelayContext {
+  asio::io_context &Context_;
+  const RelaySettings &Settings_;
+  const RelayWire &Wire_;
+  BackendDirectory &Directory_;
+  HomeLink &Home_;
+  ConnectionPool Pool_;
+  Metrics Metrics_;
+  std::shared_ptr<const RelayConfiguration> Configuration_; ///< Null at first.
+  std::unordered_map<ServiceId, ServiceBalancer> Balancers_;
+  std::unordered_map<ServiceId, RepeatWindow> Repeats_;
+  std::minstd_rand Random_{std::random_device()()};
+  std::uint64_t InFlight_ = 0;
+  bool IsDraining_ = false;
+
+  /// \param Service a service.
+  /// \returns the window that bounds its repeated requests.
+  RepeatWindow &repeatsOf(const ServiceId &Service) {
+    return Repeats_.try_emplace(Service, Settings_.Repeats_).first->second;
+  }
+};
+
+} // namespace gooseberry
+
+#endif // GOOSEBERRYBEAM_RELAYD_RELAYCONTEXT_H
--- /dev/null
+++ b/include/gooseberrybeam/relayd/RelayHandler.h
@@ -0,0 +1,33 @@
+/// \file
+/// Decides what a caller's request is and relays it.
+#ifndef GOOSEBERRYBEAM_RELAYD_RELAYHANDLER_H
+#define GOOSEBERRYBEAM_RELAYD_RELAYHANDLER_H
+
+#include "gooseberrybeam/http/RequestHandler.h"
+#include "gooseberrybeam/relayd/RelayContext.h"
+#include "gooseberrybeam/relayd/RelayRequest.h"
+
+#include <optional>
+
+namespace gooseberry {
+
+/// Finds the route and the organisation of each request, keeps the limits of
+/// requests without engines, and hands requests to the calls.
+class RelayHandler final : public RequestHandler {
+public:
+  /// \param Context the instance; outlives the handler.
+  explicit RelayHandler(RelayContext &Context) : Context_(Context) {}
+
+private:
+  Task<void> onHandle(CallerExchange &Exchange) override;
+  void onRefused(const RequestId &Id, const CallerError &Error) override;
+
+  Task<void> serve(CallerExchange &Exchange);
+  Task<void> relay(RelayRequest &Request);
+
+  RelayContext &Context_;
+};
+
+} // namespace gooseberry
+
+#endif // GOOSEBERRYBEAM_RELAYD_RELAYHANDLER_H
--- /dev/null
+++ b/include/gooseberrybeam/relayd/RelayRows.h
@@ -0,0 +1,40 @@
+/// \file
+/// What the relay finds in the store, and how adapters decode it.
+#ifndef GOOSEBERRYBEAM_RELAYD_RELAYROWS_H
+#define GOOSEBERRYBEAM_RELAYD_RELAYROWS_H
+
+#include "gooseberrybeam/relay/BackendEntry.h"
+#include "gooseberrybeam/relay/RelayConfiguration.h"
+#include "gooseberrybeam/relayd/RowStore.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace gooseberry {
+
+/// Names of tables and decoders of rows that others write.
+class RelayRows {
+public:
+  virtual ~RelayRows() = default;
+
+  /// \returns the table with the configuration.
+  virtual std::string configurationTable() const = 0;
+  /// \returns the key of the configuration's row.
+  virtual std::string configurationKey() const = 0;
+  /// \returns the table with the backend servers.
+  virtual std::string serversTable() const = 0;
+  /// \param Source a configuration row's value.
+  /// \returns the configuration, or none if it is malformed.
+  virtual std::shared_ptr<const RelayConfiguration>
+  parseConfiguration(std::string_view Source) const = 0;
+  /// \param Row a row of the servers' table.
+  /// \returns the backend server, or none if the row names none to use.
+  virtual std::optional<BackendEntry>
+  parseServer(const StoreRow &Row) const = 0;
+};
+
+} // namespace gooseberry
+
+#endif // GOOSEBERRYBEAM_RELAYD_RELAYROWS_H
--- /dev/null
+++ b/include/gooseberrybeam/relayd/RelayWire.h
@@ -0,0 +1,94 @@
+/// \file
+/// How callers and backend servers spell what the relay needs to know.
+#ifndef GOOSEBERRYBEAM_RELAYD_RELAYWIRE_H
+#define GOOSEBERRYBEAM_RELAYD_RELAYWIRE_H
+
+#include "gooseberrybeam/base/Ids.h"
+#include "gooseberrybeam/http/ClientConnection.h"
+#include "gooseberrybeam/http/RequestShape.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace gooseberry {
+
+/// What a caller's request says in its head.
+struct CallerFacts {
+  RequestId Request_; ///< Empty: the caller named none.
+  std::string Key_;   ///< Empty: none.
+  std::optional<Duration> TimeLeft_;
+  bool HasTokens_ = false; ///< The next two were declared.
+  std::uint32_t PromptTokens_ = 0;
+  std::uint32_t MaxOutputTokens_ = 0;
+  std::uint32_t LengthHint_ = 0; ///< 0 for none.
+  bool IsWellFormed_ = true;     ///< False: a field could not be read.
+};
+
+/// What the relay tells a backend server with a request.
+struct ServerOrder {
+  ServerId Server_;             ///< Any other server must not run the request.
+  OrganisationId Organisation_; ///< Empty on public routes.
+  Duration TimeLeft_{0};
+  bool IsPrefill_ = false; ///< Read the prompt and keep it under a handle.
+  std::string KvSource_;   ///< Where the read prompt is; empty for none.
+  std::optional<std::uint64_t> LastEvent_; ///< Go on after this event.
+};
+
+/// What a backend server's answer says in its head.
+struct ServerFacts {
+  RequestId Request_;       ///< Empty: it named none.
+  bool IsNotRun_ = false;   ///< The server did not and will not run it.
+  bool IsOtherServer_ = false; ///< Another server has the address.
+  bool IsSigned_ = false;   ///< It bears the server's signature.
+  bool IsEncoded_ = false;  ///< The body is not the server's own.
+};
+
+/// A prompt that was read and is kept.
+struct PrefilledPrompt {
+  std::string Handle_;
+  std::uint32_t Tokens_ = 0;
+};
+
+/// Translates heads and small bodies; decides nothing.
+class RelayWire {
+public:
+  virtual ~RelayWire() = default;
+
+  /// \param Head a caller's head.
+  /// \returns what it says.
+  virtual CallerFacts readCaller(const RequestHead &Head) const = 0;
+  /// Replaces the fields that belong to the relay, and removes the key.
+  /// \param Head the head that goes to the server.
+  /// \param Order what the server is told.
+  virtual void writeOrder(HttpFields &Head, const ServerOrder &Order) const = 0;
+  /// \param Head a server's head.
+  /// \returns what it says.
+  virtual ServerFacts readServer(const ResponseHead &Head) const = 0;
+  /// \param Body a server's answer to a prefill.
+  /// \returns the prompt, or none if the body is malformed.
+  virtual std::optional<PrefilledPrompt>
+  parsePrefilled(std::string_view Body) const = 0;
+  /// \param Address the server that keeps a prompt.
+  /// \param Handle its handle.
+  /// \returns the text of `ServerOrder::KvSource_`.
+  virtual std::string kvSource(const BackendId &Address,
+                               std::string_view Handle) const = 0;
+  /// \param Handle a handle.
+  /// \returns a request that frees it.
+  virtual HttpRequest makeFree(std::string_view Handle) const = 0;
+  /// Tells a caller when to come back.
+  /// \param Head the head of a refusal.
+  /// \param After from now.
+  virtual void writeRetryAfter(HttpFields &Head, Duration After) const = 0;
+  /// Names the request that an answer of the relay belongs to.
+  /// \param Head the head of an answer.
+  /// \param Request the caller's request.
+  virtual void writeRequest(HttpFields &Head,
+                            const RequestId &Request) const = 0;
+};
+
+} // namespace gooseberry
+
+#endif // GOOSEBERRYBEAM_RELAYD_RELAYWIRE_H
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -4,12 +4,20 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <netinet/tcp.h>
+
 #include <cassert>
+#include <charconv>
 #include <limits>
 
 namespace gooseberry {
 namespace {
 
+constexpr int KeepAliveIdleS = 2;
+constexpr int KeepAliveIntervalS = 1;
+constexpr int KeepAliveProbes = 2;
+constexpr int UnacknowledgedLimitMs = 3000;
+
 CallFailure failureOf(const boost::system::error_code &Error,
                       const CancelScope &Scope, CallFailure Otherwise) {
   if (Scope.isCancelled())
@@ -25,6 +33,37 @@
   return Otherwise;
 }
 
+constexpr std::string_view TimeoutParameter = "timeout=";
+
+/// \returns the timeout that a `Keep-Alive` field states in whole seconds.
+std::optional<Duration> findIdleLimit(const HttpFields &Fields) {
+  const std::string_view Text =
+      asStd(Fields[beast::http::field::keep_alive]);
+  const std::size_t At = Text.find(TimeoutParameter);
+  if (At == std::string_view::npos)
+    return std::nullopt;
+  const char *Begin = Text.data() + At + TimeoutParameter.size();
+  std::int64_t Seconds = 0;
+  const auto Parsed = std::from_chars(Begin, Text.data() + Text.size(), Seconds);
+  if (Parsed.ec != std::errc())
+    return std::nullopt;
+  return std::chrono::seconds(Seconds);
+}
+
+/// Lets the system find connections that went silent.
+void detectSilence(tcp::socket &Socket) {
+  const int Handle = Socket.native_handle();
+  const auto Set = [Handle](int Level, int Option, int Value) {
+    // A system without the option relies on the timeouts of each call.
+    (void)::setsockopt(Handle, Level, Option, &Value, sizeof(Value));
+  };
+  Set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  Set(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleS);
+  Set(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalS);
+  Set(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+  Set(IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedLimitMs);
+}
+
 } // namespace
 
 Task<ClientConnection::Made> ClientConnection::connect(tcp::endpoint Server,
@@ -43,6 +82,7 @@
   if (Error)
     co_return CallError{failureOf(Error, Scope, CallFailure::Connect), false};
   Stream.socket().set_option(tcp::no_delay(true), Error);
+  detectSilence(Stream.socket());
   co_return std::make_unique<ClientConnection>(std::move(Stream));
 }
 
@@ -65,6 +105,14 @@
       co_await beast::http::async_write(Stream_, Request, AsTuple);
   if (SendError)
     co_return failed(failureOf(SendError, Scope, CallFailure::Send), Sent > 0);
+  co_return co_await readHead(IdleTimeout, Scope);
+}
+
+Task<Result<ResponseHead, CallError>>
+ClientConnection::readHead(Duration IdleTimeout, CancelScope &Scope) {
+  if (Scope.isCancelled())
+    co_return failed(CallFailure::Cancelled, true);
+  CancelScope::Guard Guard(Scope, [this] { close(); });
   Parser_.emplace();
   Parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
   Stream_.expires_after(IdleTimeout);
@@ -73,6 +121,7 @@
   if (ReadError)
     co_return failed(failureOf(ReadError, Scope, CallFailure::Receive), true);
   const auto &Head = Parser_->get();
+  IdleLimit_ = findIdleLimit(Head.base());
   co_return ResponseHead{static_cast<int>(Head.result_int()), Head.base()};
 }
 
--- a/src/http/ConnectionPool.cpp
+++ b/src/http/ConnectionPool.cpp
@@ -2,21 +2,37 @@
 
 #include "gooseberrybeam/http/Endpoint.h"
 
+#include <algorithm>
+
 namespace gooseberry {
+namespace {
+
+/// A request must arrive before the server closes an idle connection.
+constexpr Duration IdleMargin = std::chrono::milliseconds(500);
+
+} // namespace
 
 ConnectionPool::ConnectionPool(PoolLimits Limits) : Limits_(Limits) {}
 
+Duration ConnectionPool::maxIdleOf(const ClientConnection &Connection) const {
+  const auto Limit = Connection.idleLimit();
+  if (!Limit)
+    return Limits_.MaxIdle_;
+  return std::min(Limits_.MaxIdle_, *Limit - IdleMargin);
+}
+
 std::unique_ptr<ClientConnection>
 ConnectionPool::takeIdle(const BackendId &Server) {
   const auto Found = Idle_.find(Server);
   if (Found == Idle_.end())
     return nullptr;
   auto &Connections = Found->second;
-  const TimePoint Oldest = readBootClock() - Limits_.MaxIdle_;
+  const TimePoint Now = readBootClock();
   while (!Connections.empty()) {
     Idle Last = std::move(Connections.back());
     Connections.pop_back();
-    if (Last.Since_ >= Oldest && Last.Connection_->isReusable())
+    const Duration MaxIdle = maxIdleOf(*Last.Connection_);
+    if (Now - Last.Since_ <= MaxIdle && Last.Connection_->isReusable())
       return std::move(Last.Connection_);
   }
   return nullptr;
--- /dev/null
+++ b/src/relay/GenerationPlacer.cpp
@@ -0,0 +1,440 @@
+#include "gooseberrybeam/relay/GenerationPlacer.h"
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+
+namespace gooseberry {
+namespace {
+
+/// Paces until a pool's own are learned, in tokens per ms.
+constexpr double InitialPrefillPerMs = 40;
+constexpr double InitialDecodePerMs = 1;
+/// Part of the most output that is expected until lengths are learned.
+constexpr double InitialOutputPart = 0.5;
+/// Output expected of a stream that has outlived its expectation, as a part of
+/// the pool's mean.
+constexpr double OverdueOutputPart = 0.25;
+
+/// Part of an engine's memory that is booked; lengths are only estimates.
+constexpr double BookedMemory = 0.93;
+/// Prompts are handed to a prefill engine when it can begin within so long, so
+/// that the rest can still be reordered.
+constexpr Duration PrefillBacklog = std::chrono::milliseconds(60);
+/// What moving a prompt to another data centre is worth waiting.
+constexpr Duration RemoteMove = std::chrono::milliseconds(15);
+/// From the end of a prefill to the first event at the caller.
+constexpr Duration FirstEventTime = std::chrono::milliseconds(60);
+
+constexpr double EngineWeight = 0.3; ///< Of an engine's newest pace.
+constexpr double PoolWeight = 0.05;  ///< Of a pool's newest pace or length.
+/// A decode engine below this part of its pool's pace is used last.
+constexpr double SlowPart = 0.6;
+
+constexpr Duration FullPause = std::chrono::milliseconds(150);
+constexpr Duration FirstFailurePause = std::chrono::milliseconds(1000);
+constexpr std::uint32_t MostPauseDoublings = 3;
+/// An engine's handles are lost now and then; so many in a row are a fault.
+constexpr std::uint32_t LostHandlesOfFault = 2;
+constexpr Duration RetryWithoutServer = std::chrono::seconds(1);
+
+void smooth(double &Value, double Sample, double Weight) {
+  Value = Value == 0 ? Sample : Value + Weight * (Sample - Value);
+}
+
+Duration fromMs(double Milliseconds) {
+  return Duration(static_cast<Duration::rep>(Milliseconds * 1000));
+}
+
+double asMs(Duration Value) { return asSeconds(Value) * 1000; }
+
+} // namespace
+
+GenerationPlacer::GenerationPlacer(const BackendDirectory &Directory)
+    : Directory_(Directory) {}
+
+void GenerationPlacer::configure(
+    std::shared_ptr<const RelayConfiguration> Configuration) {
+  Configuration_ = std::move(Configuration);
+}
+
+GenerationPlacer::Pool &GenerationPlacer::poolOf(const ServiceId &Service) {
+  return Pools_[Service];
+}
+
+GenerationPlacer::Engine &
+GenerationPlacer::engineOf(const BackendEntry &Entry) {
+  Engine &Of = Engines_[Entry.Id_];
+  if (Of.BornMs_ != Entry.BornMs_) {
+    // A restarted engine holds nothing of before.
+    const auto Streams = std::move(Of.Streams_);
+    Of = Engine();
+    Of.Streams_ = Streams;
+    Of.BornMs_ = Entry.BornMs_;
+  }
+  return Of;
+}
+
+double GenerationPlacer::expectedOutput(const Pool &Of,
+                                        const PlacementAsk &Ask) const {
+  const double Most = Ask.MaxOutputTokens_;
+  double Expected =
+      Of.OutputTokens_ > 0 ? Of.OutputTokens_ : Most * InitialOutputPart;
+  if (Ask.LengthHint_ > 0)
+    Expected = (Expected + Ask.LengthHint_) / 2;
+  return Most > 0 ? std::min(Expected, Most) : Expected;
+}
+
+double GenerationPlacer::prefillPerMs(const Pool &Of,
+                                      const Engine &Engine) const {
+  if (Engine.PrefillPerMs_ > 0)
+    return Engine.PrefillPerMs_;
+  return Of.PrefillPerMs_ > 0 ? Of.PrefillPerMs_ : InitialPrefillPerMs;
+}
+
+double GenerationPlacer::decodePerMs(const Pool &Of,
+                                     const Engine &Engine) const {
+  if (Engine.DecodePerMs_ > 0)
+    return Engine.DecodePerMs_;
+  return Of.DecodePerMs_ > 0 ? Of.DecodePerMs_ : InitialDecodePerMs;
+}
+
+void GenerationPlacer::ask(const InstanceId &From, const PlacementAsk &Ask,
+                           TimePoint Now) {
+  erase(Ask.Request_, Now);
+  Pool &In = poolOf(Ask.Service_);
+  Item Of;
+  Of.Instance_ = From;
+  Of.Ask_ = Ask;
+  Of.Arrival_ = Now;
+  Of.ExpectedOutput_ = expectedOutput(In, Ask);
+  Of.OutputTokens_ = Ask.OutputTokens_;
+  const Engine Any;
+  const double PrefillMs = Ask.PromptTokens_ / prefillPerMs(In, Any);
+  const double OutputMs =
+      std::max(0.0, Of.ExpectedOutput_ - Of.OutputTokens_) /
+      decodePerMs(In, Any);
+  Of.GiveUp_ = Now + Ask.TimeLeft_ - fromMs(PrefillMs + OutputMs);
+  QueueItem Entry;
+  Entry.Request_ = Ask.Request_;
+  Entry.Organisation_ = Ask.Organisation_;
+  Entry.LatestStart_ = Now + Ask.TargetLeft_ - fromMs(PrefillMs) -
+                       FirstEventTime;
+  Entry.GiveUp_ = Of.GiveUp_;
+  const RelayOrganisation *Organisation =
+      Configuration_ ? Configuration_->findOrganisation(Ask.Organisation_)
+                     : nullptr;
+  if (Organisation && Organisation->Limit_)
+    Entry.Weight_ = std::max(1.0, Organisation->Limit_->RatePerSecond_);
+  Items_.emplace(Ask.Request_, std::move(Of));
+  In.Queue_.push(Entry);
+}
+
+void GenerationPlacer::adopt(const InstanceId &From,
+                             const RunningGeneration &Running, TimePoint Now) {
+  const auto Known = Items_.find(Running.Request_);
+  if (Known != Items_.end() && Known->second.IsGranted_)
+    return;
+  erase(Running.Request_, Now);
+  Item Of;
+  Of.Instance_ = From;
+  Of.Ask_.Request_ = Running.Request_;
+  Of.Ask_.Organisation_ = Running.Organisation_;
+  Of.Ask_.Service_ = Running.Service_;
+  Of.Ask_.PromptTokens_ = Running.PromptTokens_;
+  Of.Ask_.LengthHint_ = Running.LengthHint_;
+  Of.IsGranted_ = true;
+  Of.Decode_ = Running.Decode_;
+  Of.GrantedAt_ = Now;
+  Of.OutputAt_ = Now;
+  Of.OutputTokens_ = Running.OutputTokens_;
+  Of.ExpectedOutput_ =
+      std::max<double>(Running.OutputTokens_,
+                       expectedOutput(poolOf(Running.Service_), Of.Ask_));
+  Engines_[Running.Decode_].Streams_.push_back(Running.Request_);
+  Items_.emplace(Running.Request_, std::move(Of));
+}
+
+void GenerationPlacer::releasePrefill(Item &Of, TimePoint Now) {
+  if (!Of.IsPrefilling_)
+    return;
+  Of.IsPrefilling_ = false;
+  Engine &At = Engines_[Of.Prefill_];
+  if (At.Prefills_ > 0)
+    --At.Prefills_;
+  if (At.Prefills_ == 0)
+    At.ReadyAt_ = Now;
+}
+
+void GenerationPlacer::release(Item &Of, TimePoint Now) {
+  releasePrefill(Of, Now);
+  const auto At = Engines_.find(Of.Decode_);
+  if (At != Engines_.end())
+    std::erase(At->second.Streams_, Of.Ask_.Request_);
+}
+
+void GenerationPlacer::erase(const RequestId &Request, TimePoint Now) {
+  const auto Found = Items_.find(Request);
+  if (Found == Items_.end())
+    return;
+  if (Found->second.IsGranted_)
+    release(Found->second, Now);
+  else
+    poolOf(Found->second.Ask_.Service_).Queue_.erase(Request);
+  Items_.erase(Found);
+}
+
+void GenerationPlacer::drop(const InstanceId &Instance) {
+  std::vector<RequestId> Dropped;
+  for (const auto &[Request, Of] : Items_)
+    if (Of.Instance_ == Instance)
+      Dropped.push_back(Request);
+  for (const auto &Request : Dropped)
+    erase(Request, TimePoint(Duration::zero()));
+}
+
+void GenerationPlacer::suspect(const ServerId &Server, TimePoint Now) {
+  Engine &Of = Engines_[Server];
+  const std::uint32_t Doublings = std::min(Of.Failures_, MostPauseDoublings);
+  Of.AvoidUntil_ = Now + FirstFailurePause * (1U << Doublings);
+  ++Of.Failures_;
+}
+
+void GenerationPlacer::learnPrefill(const GenerationReport &Report) {
+  const auto Found = Items_.find(Report.Request_);
+  if (Found == Items_.end() || Report.Took_ <= Duration::zero())
+    return;
+  Engine &Of = Engines_[Report.Server_];
+  Of.Failures_ = 0;
+  if (!Found->second.IsSolePrefill_)
+    return;
+  const double PerMs = Report.Tokens_ / asMs(Report.Took_);
+  smooth(Of.PrefillPerMs_, PerMs, EngineWeight);
+  smooth(poolOf(Found->second.Ask_.Service_).PrefillPerMs_, PerMs, PoolWeight);
+}
+
+void GenerationPlacer::learnDecode(Item &Of, const GenerationReport &Report,
+                                   TimePoint Now) {
+  Of.OutputTokens_ = std::max<double>(Of.OutputTokens_, Report.Tokens_);
+  Of.OutputAt_ = Now;
+  if (Report.Took_ <= Duration::zero())
+    return;
+  Engine &At = Engines_[Report.Server_];
+  At.Failures_ = 0;
+  const double PerMs = Report.Tokens_ / asMs(Report.Took_);
+  smooth(At.DecodePerMs_, PerMs, EngineWeight);
+  smooth(poolOf(Of.Ask_.Service_).DecodePerMs_, PerMs, PoolWeight);
+}
+
+void GenerationPlacer::report(const GenerationReport &Report, TimePoint Now) {
+  const auto Found = Items_.find(Report.Request_);
+  switch (Report.Step_) {
+  case GenerationStep::Prefilled:
+    learnPrefill(Report);
+    if (Found != Items_.end())
+      releasePrefill(Found->second, Now);
+    return;
+  case GenerationStep::Progressed:
+    if (Found != Items_.end())
+      learnDecode(Found->second, Report, Now);
+    return;
+  case GenerationStep::Ended:
+    if (Found != Items_.end() && Report.Took_ > Duration::zero())
+      smooth(poolOf(Found->second.Ask_.Service_).OutputTokens_, Report.Tokens_,
+             PoolWeight);
+    erase(Report.Request_, Now);
+    return;
+  case GenerationStep::HandleLost:
+    if (++Engines_[Report.Server_].Failures_ >= LostHandlesOfFault)
+      Engines_[Report.Server_].AvoidUntil_ = Now + FirstFailurePause;
+    return;
+  case GenerationStep::ServerFull:
+    Engines_[Report.Server_].AvoidUntil_ = Now + FullPause;
+    return;
+  case GenerationStep::ServerFailed:
+  case GenerationStep::ServerMissing:
+    suspect(Report.Server_, Now);
+    return;
+  }
+}
+
+KvStream GenerationPlacer::streamOf(const Item &Of, const Pool &In,
+                                    const Engine &On, TimePoint Now) const {
+  double Output = Of.OutputTokens_;
+  if (!Of.IsPrefilling_ && Of.IsGranted_)
+    Output += asMs(Now - Of.OutputAt_) * decodePerMs(In, On);
+  const double Mean =
+      In.OutputTokens_ > 0 ? In.OutputTokens_ : Of.ExpectedOutput_;
+  const double Left =
+      std::max(Of.ExpectedOutput_ - Output, OverdueOutputPart * Mean);
+  return {Of.Ask_.PromptTokens_ + Output, Left};
+}
+
+bool GenerationPlacer::isUsable(const BackendEntry &Entry,
+                                const Engine &Engine, const PlacementAsk &Ask,
+                                TimePoint Now) const {
+  if (Entry.IsLeaving_ || Now < Engine.AvoidUntil_)
+    return false;
+  return std::find(Ask.Avoid_.begin(), Ask.Avoid_.end(), Entry.Id_) ==
+         Ask.Avoid_.end();
+}
+
+const BackendEntry *GenerationPlacer::choosePrefill(const Pool &In,
+                                                    const PlacementAsk &Ask,
+                                                    TimePoint Now,
+                                                    bool &IsAnyKnown) {
+  const BackendEntry *Best = nullptr;
+  TimePoint BestReady = TimePoint::max();
+  IsAnyKnown = false;
+  for (const auto &[Id, Entry] : Directory_.entries()) {
+    if (Entry.Service_ != Ask.Service_ || Entry.Role_ != EngineRole::Prefill)
+      continue;
+    Engine &Of = engineOf(Entry);
+    if (!isUsable(Entry, Of, Ask, Now))
+      continue;
+    IsAnyKnown = true;
+    const double PoolPace = prefillPerMs(In, Engine());
+    TimePoint Ready = std::max(Now, Of.ReadyAt_);
+    if (Ready > Now + PrefillBacklog)
+      continue;
+    Ready += fromMs(Ask.PromptTokens_ / prefillPerMs(In, Of) -
+                    Ask.PromptTokens_ / PoolPace);
+    if (Ready < BestReady) {
+      Best = &Entry;
+      BestReady = Ready;
+    }
+  }
+  return Best;
+}
+
+const BackendEntry *GenerationPlacer::chooseDecode(const Pool &In,
+                                                   const Item &For,
+                                                   const EngineTraits &Traits,
+                                                   TimePoint Now) {
+  const BackendEntry *Best = nullptr;
+  double BestCost = std::numeric_limits<double>::infinity();
+  const double PoolPace = decodePerMs(In, Engine());
+  for (const auto &[Id, Entry] : Directory_.entries()) {
+    if (Entry.Service_ != For.Ask_.Service_ ||
+        Entry.Role_ != EngineRole::Decode)
+      continue;
+    Engine &Of = engineOf(Entry);
+    if (!isUsable(Entry, Of, For.Ask_, Now))
+      continue;
+    if (Of.Streams_.size() >= Traits.Slots_)
+      continue;
+    std::vector<KvStream> Streams = {streamOf(For, In, Of, Now)};
+    for (const auto &Request : Of.Streams_)
+      Streams.push_back(streamOf(Items_.at(Request), In, Of, Now));
+    const double Peak = forecastPeak(std::move(Streams));
+    const double Room = BookedMemory * static_cast<double>(Traits.KvTokens_);
+    if (Peak > Room && !Of.Streams_.empty())
+      continue;
+    const double Pace = decodePerMs(In, Of);
+    const double Slowness = Pace < SlowPart * PoolPace ? PoolPace / Pace : 0;
+    const double Cost = Peak / Room + Slowness;
+    if (Cost < BestCost) {
+      Best = &Entry;
+      BestCost = Cost;
+    }
+  }
+  return Best;
+}
+
+std::optional<GenerationPlacer::Choice>
+GenerationPlacer::choose(const Pool &In, const Item &For,
+                         const EngineTraits &Traits, TimePoint Now) {
+  Choice Of;
+  Of.Decode_ = chooseDecode(In, For, Traits, Now);
+  if (!Of.Decode_)
+    return std::nullopt;
+  if (!For.Ask_.NeedsPrefill_)
+    return Of;
+  bool IsAnyKnown = false;
+  Of.Prefill_ = choosePrefill(In, For.Ask_, Now, IsAnyKnown);
+  if (!Of.Prefill_ && IsAnyKnown)
+    return std::nullopt;
+  return Of;
+}
+
+void GenerationPlacer::grant(Pool &In, Item &To, const Choice &Of,
+                             TimePoint Now, std::vector<PlacedFor> &Out) {
+  In.Queue_.erase(To.Ask_.Request_);
+  double Weight = 1;
+  if (const auto *Organisation =
+          Configuration_->findOrganisation(To.Ask_.Organisation_);
+      Organisation && Organisation->Limit_)
+    Weight = std::max(1.0, Organisation->Limit_->RatePerSecond_);
+  In.Queue_.charge(To.Ask_.Organisation_, Weight,
+                   To.Ask_.PromptTokens_ + To.ExpectedOutput_);
+  To.IsGranted_ = true;
+  To.GrantedAt_ = Now;
+  To.OutputAt_ = Now;
+  To.Decode_ = Of.Decode_->Id_;
+  Engines_[To.Decode_].Streams_.push_back(To.Ask_.Request_);
+  PlacementGrant Answer;
+  Answer.Request_ = To.Ask_.Request_;
+  Answer.Decode_ = {Of.Decode_->Id_, Of.Decode_->Address_};
+  if (Of.Prefill_) {
+    Engine &At = Engines_[Of.Prefill_->Id_];
+    To.Prefill_ = Of.Prefill_->Id_;
+    To.IsPrefilling_ = true;
+    To.IsSolePrefill_ = At.Prefills_ == 0;
+    ++At.Prefills_;
+    At.ReadyAt_ = std::max(Now, At.ReadyAt_) +
+                  fromMs(To.Ask_.PromptTokens_ / prefillPerMs(In, At));
+    Answer.Prefill_ = ChosenServer{Of.Prefill_->Id_, Of.Prefill_->Address_};
+  }
+  Out.push_back({To.Instance_, std::move(Answer)});
+}
+
+void GenerationPlacer::refuseHopeless(Pool &In, TimePoint Now,
+                                      std::vector<PlacedFor> &Out) {
+  for (const auto &Request : In.Queue_.takeExpired(Now)) {
+    const auto Found = Items_.find(Request);
+    assert(Found != Items_.end());
+    Out.push_back(
+        {Found->second.Instance_,
+         PlacementDenial{Request, RefusalReason::DeadlineUnreachable, {}}});
+    Items_.erase(Found);
+  }
+}
+
+void GenerationPlacer::decidePool(const ServiceId &Service, Pool &In,
+                                  TimePoint Now, std::vector<PlacedFor> &Out) {
+  refuseHopeless(In, Now, Out);
+  const RelayService *Known = Configuration_->findService(Service);
+  while (const auto Next = In.Queue_.peek(Now)) {
+    Item &Of = Items_.at(*Next);
+    if (!Known || !Known->Engine_) {
+      In.Queue_.erase(*Next);
+      Out.push_back({Of.Instance_,
+                     PlacementDenial{*Next, RefusalReason::NoBackendServer,
+                                     RetryWithoutServer}});
+      Items_.erase(*Next);
+      continue;
+    }
+    const auto Chosen = choose(In, Of, *Known->Engine_, Now);
+    if (!Chosen)
+      return;
+    grant(In, Of, *Chosen, Now, Out);
+  }
+}
+
+std::vector<PlacedFor> GenerationPlacer::decide(TimePoint Now) {
+  std::vector<PlacedFor> Out;
+  if (!Configuration_)
+    return Out;
+  for (auto &[Service, In] : Pools_)
+    decidePool(Service, In, Now, Out);
+  return Out;
+}
+
+std::size_t GenerationPlacer::waiting() const {
+  std::size_t Count = 0;
+  for (const auto &[Service, In] : Pools_)
+    Count += In.Queue_.size();
+  return Count;
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/src/relay/HomeDesk.cpp
@@ -0,0 +1,91 @@
+#include "gooseberrybeam/relay/HomeDesk.h"
+
+#include <algorithm>
+
+namespace gooseberry {
+namespace {
+
+/// An instance that was not heard for so long has another home, or is gone.
+constexpr Duration AttachedFor = std::chrono::milliseconds(800);
+
+} // namespace
+
+HomeDesk::HomeDesk(const BackendDirectory &Directory) : Placer_(Directory) {}
+
+void HomeDesk::configure(
+    std::shared_ptr<const RelayConfiguration> Configuration, TimePoint Now) {
+  Limits_.configure(Configuration, Now);
+  Placer_.configure(std::move(Configuration));
+}
+
+void HomeDesk::updatePart(TimePoint Now) {
+  const double All =
+      static_cast<double>(std::max(InstanceCount_, Attached_.size()));
+  Limits_.setPart(static_cast<double>(Attached_.size()) / All, Now);
+}
+
+std::vector<OrganisationId>
+HomeDesk::onHeartbeat(const InstanceId &From, const HomeHeartbeat &Message,
+                      TimePoint Now) {
+  std::vector<OrganisationId> Exhausted;
+  if (!Message.IsAttached_) {
+    if (Attached_.erase(From) > 0)
+      Placer_.drop(From);
+    return Exhausted;
+  }
+  Attached_[From] = Now;
+  updatePart(Now);
+  for (const auto &Each : Message.Running_)
+    Placer_.adopt(From, Each, Now);
+  for (const auto &Each : Message.Used_) {
+    Limits_.note(Each.Organisation_, Each.Tokens_, Now);
+    if (Limits_.isExhausted(Each.Organisation_, Now))
+      Exhausted.push_back(Each.Organisation_);
+  }
+  return Exhausted;
+}
+
+void HomeDesk::onAsk(const InstanceId &From, const PlacementAsk &Ask,
+                     TimePoint Now) {
+  Attached_[From] = Now;
+  updatePart(Now);
+  if (!Ask.IsCharged_) {
+    const double Tokens = Ask.PromptTokens_ + Ask.MaxOutputTokens_;
+    const auto Wait = Limits_.tryTake(Ask.Organisation_, Tokens, Now);
+    if (Wait) {
+      Denied_.push_back(
+          {From,
+           PlacementDenial{Ask.Request_, RefusalReason::RateExceeded, Wait}});
+      return;
+    }
+  }
+  Placer_.ask(From, Ask, Now);
+}
+
+void HomeDesk::onReport(const GenerationReport &Report, TimePoint Now) {
+  Placer_.report(Report, Now);
+}
+
+void HomeDesk::dropSilent(TimePoint Now) {
+  std::vector<InstanceId> Silent;
+  for (const auto &[Instance, HeardAt] : Attached_)
+    if (HeardAt + AttachedFor < Now)
+      Silent.push_back(Instance);
+  for (const auto &Each : Silent) {
+    Attached_.erase(Each);
+    Placer_.drop(Each);
+  }
+  if (!Silent.empty())
+    updatePart(Now);
+}
+
+std::vector<PlacedFor> HomeDesk::decide(TimePoint Now) {
+  dropSilent(Now);
+  std::vector<PlacedFor> Out = std::move(Denied_);
+  Denied_.clear();
+  for (auto &Each : Placer_.decide(Now))
+    Out.push_back(std::move(Each));
+  return Out;
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/src/relayd/HomeLink.cpp
@@ -0,0 +1,326 @@
+#include "gooseberrybeam/relayd/HomeLink.h"
+
+#include "gooseberrybeam/log/Log.h"
+#include "gooseberrybeam/relayd/HomeCodec.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace gooseberry {
+namespace {
+
+constexpr Duration TickInterval = std::chrono::milliseconds(25);
+constexpr Duration HeartbeatInterval = std::chrono::milliseconds(150);
+/// A configuration is asked for again if it has not come by then.
+constexpr Duration CopyTimeout = std::chrono::milliseconds(500);
+
+std::string text(std::uint64_t Value) { return std::to_string(Value); }
+
+} // namespace
+
+HomeLink::HomeLink(asio::io_context &Context, InstanceId Self,
+                   const BackendDirectory &Directory, Callbacks Handlers)
+    : Context_(Context), Self_(Self), Callbacks_(std::move(Handlers)),
+      Desk_(Directory), Homes_(Self, "pools"), Home_(Self) {}
+
+void HomeLink::open(std::unique_ptr<PeerTransport> Transport) {
+  Transport_ = std::move(Transport);
+  Transport_->setHandler([this](const MemberId &From, PeerMessage Message) {
+    const auto *Bytes = std::get_if<PlacementBytes>(&Message);
+    if (!Bytes)
+      return;
+    MemberIds_[From.Name_] = From;
+    if (const auto Parsed = parseHomeMessage(Bytes->Bytes_))
+      handle(From.Name_, *Parsed);
+  });
+  Transport_->setMembers(Members_);
+}
+
+void HomeLink::setMembers(std::vector<EpochMember> Members) {
+  Members_ = std::move(Members);
+  std::vector<InstanceId> Names;
+  const TimePoint Now = readBootClock();
+  for (const auto &Each : Members_) {
+    Names.push_back(Each.Id_.Name_);
+    MemberIds_[Each.Id_.Name_] = Each.Id_;
+    HeardAt_.try_emplace(Each.Id_.Name_, Now);
+  }
+  std::erase_if(HeardAt_, [&Names](const auto &Each) {
+    return std::find(Names.begin(), Names.end(), Each.first) == Names.end();
+  });
+  Homes_.setInstances(Names, Now);
+  Desk_.setInstanceCount(instanceCount());
+  if (Transport_)
+    Transport_->setMembers(Members_);
+}
+
+std::size_t HomeLink::instanceCount() const {
+  return std::max<std::size_t>(1, Members_.size());
+}
+
+std::uint64_t HomeLink::version() const {
+  return Configuration_ ? Configuration_->version() : 0;
+}
+
+void HomeLink::configure(
+    std::shared_ptr<const RelayConfiguration> Configuration) {
+  Configuration_ = std::move(Configuration);
+  Desk_.configure(Configuration_, readBootClock());
+  decide();
+}
+
+void HomeLink::start() {
+  asio::co_spawn(Context_, tickForever(), asio::detached);
+}
+
+void HomeLink::leave() {
+  IsLeaving_ = true;
+  const TimePoint Now = readBootClock();
+  Homes_.onLeaving(Self_);
+  for (const auto &Each : Members_) {
+    if (Each.Id_.Name_ == Self_)
+      continue;
+    HomeHeartbeat Message;
+    Message.Sequence_ = ++Sequence_;
+    Message.ConfigurationVersion_ = version();
+    Message.IsLeaving_ = true;
+    Message.IsAttached_ = Each.Id_.Name_ == Home_;
+    send(Each.Id_.Name_, Message);
+  }
+  followHome(Now);
+}
+
+Task<void> HomeLink::tickForever() {
+  asio::steady_timer Timer(Context_);
+  for (;;) {
+    tick();
+    Timer.expires_after(TickInterval);
+    co_await Timer.async_wait(AsTuple);
+  }
+}
+
+void HomeLink::tick() {
+  const TimePoint Now = readBootClock();
+  followHome(Now);
+  if (Now >= HeartbeatAt_ + HeartbeatInterval) {
+    HeartbeatAt_ = Now;
+    sendHeartbeats(Now);
+  }
+  decide();
+}
+
+void HomeLink::followHome(TimePoint Now) {
+  const InstanceId Next = Homes_.home(Now);
+  if (Next == Home_)
+    return;
+  logLine(LogPart::Membership, LogLevel::Info, "Home changed.",
+          {{"from", Home_.Value_},
+           {"to", Next.Value_},
+           {"instances", text(instanceCount())},
+           {"waiting", text(Pending_.size())},
+           {"running", text(Running_.size())}});
+  const InstanceId Last = std::exchange(Home_, Next);
+  HomeHeartbeat Detach;
+  Detach.Sequence_ = ++Sequence_;
+  Detach.ConfigurationVersion_ = version();
+  Detach.IsLeaving_ = IsLeaving_;
+  send(Last, Detach);
+  HomeHeartbeat Attach = Detach;
+  Attach.Sequence_ = ++Sequence_;
+  Attach.IsAttached_ = true;
+  for (const auto &[Request, Each] : Running_)
+    Attach.Running_.push_back(Each);
+  send(Home_, Attach);
+  Homes_.onSent(Home_, Now);
+  for (auto &[Request, Each] : Pending_)
+    if (!Each->Answer_)
+      sendAsk(*Each);
+}
+
+void HomeLink::sendHeartbeats(TimePoint Now) {
+  for (const auto &Each : Homes_.probed(Now)) {
+    HomeHeartbeat Message;
+    Message.Sequence_ = ++Sequence_;
+    Message.ConfigurationVersion_ = version();
+    Message.IsLeaving_ = IsLeaving_;
+    Message.IsAttached_ = Each == Home_;
+    if (Message.IsAttached_) {
+      for (const auto &[Organisation, Tokens] : Used_)
+        Message.Used_.push_back({Organisation, Tokens});
+      // An organisation that was refused is asked about until it may go on.
+      for (const auto &Organisation : Exhausted_)
+        if (!Used_.contains(Organisation))
+          Message.Used_.push_back({Organisation, 0});
+      Used_.clear();
+    }
+    if (Each != Self_)
+      Homes_.onSent(Each, Now);
+    send(Each, Message);
+  }
+}
+
+void HomeLink::send(const InstanceId &To, const HomeMessage &Message) {
+  if (To == Self_) {
+    handle(Self_, Message);
+    return;
+  }
+  const auto Found = MemberIds_.find(To);
+  if (Transport_ && Found != MemberIds_.end())
+    Transport_->send(Found->second, PlacementBytes{encodeHomeMessage(Message)});
+}
+
+void HomeLink::handle(const InstanceId &From, const HomeMessage &Message) {
+  HeardAt_[From] = readBootClock();
+  const auto Answered = [this, &From](const auto &Each) {
+    handleAnswer(From, Each.Request_, Each);
+  };
+  std::visit(
+      Overloaded{
+          [this, &From](const HomeHeartbeat &Each) {
+            handleHeartbeat(From, Each);
+          },
+          [this, &From](const HomeReply &Each) { handleReply(From, Each); },
+          [this, &From](const PlacementAsk &Each) {
+            Desk_.onAsk(From, Each, readBootClock());
+            decide();
+          },
+          [&Answered](const PlacementGrant &Each) { Answered(Each); },
+          [&Answered](const PlacementDenial &Each) { Answered(Each); },
+          [this](const GenerationReport &Each) {
+            Desk_.onReport(Each, readBootClock());
+            decide();
+          },
+          [this, &From](const ConfigurationRequest &Each) {
+            if (version() > Each.Version_)
+              send(From, ConfigurationCopy{Configuration_->parts().Source_});
+          },
+          [this](const ConfigurationCopy &Each) {
+            Callbacks_.OnConfiguration_(Each.Source_);
+          }},
+      Message);
+}
+
+void HomeLink::handleVersion(const InstanceId &From, std::uint64_t Version) {
+  const TimePoint Now = readBootClock();
+  if (Version <= version() || Now < CopyAskedAt_ + CopyTimeout)
+    return;
+  CopyAskedAt_ = Now;
+  send(From, ConfigurationRequest{version()});
+}
+
+void HomeLink::handleHeartbeat(const InstanceId &From,
+                               const HomeHeartbeat &Message) {
+  const TimePoint Now = readBootClock();
+  if (Message.IsLeaving_ && From != Self_)
+    Homes_.onLeaving(From);
+  HomeReply Reply;
+  Reply.Sequence_ = Message.Sequence_;
+  Reply.ConfigurationVersion_ = version();
+  Reply.IsLeaving_ = IsLeaving_;
+  Reply.Exhausted_ = Desk_.onHeartbeat(From, Message, Now);
+  if (From == Self_) {
+    handleReply(Self_, Reply);
+    return;
+  }
+  handleVersion(From, Message.ConfigurationVersion_);
+  send(From, Reply);
+  decide();
+}
+
+void HomeLink::handleReply(const InstanceId &From, const HomeReply &Message) {
+  if (From != Self_) {
+    Homes_.onReply(From);
+    if (Message.IsLeaving_)
+      Homes_.onLeaving(From);
+    handleVersion(From, Message.ConfigurationVersion_);
+  }
+  if (From != Home_)
+    return;
+  Exhausted_.clear();
+  Exhausted_.insert(Message.Exhausted_.begin(), Message.Exhausted_.end());
+}
+
+void HomeLink::handleAnswer(const InstanceId &From, const RequestId &Request,
+                            const PlacementAnswer &Answer) {
+  const auto Found = Pending_.find(Request);
+  const bool IsWanted =
+      Found != Pending_.end() && !Found->second->Answer_ && From == Home_;
+  if (IsWanted) {
+    Found->second->Answer_ = Answer;
+    Found->second->Timer_->cancel();
+    return;
+  }
+  // Engines that were booked for a request that does not wait are freed.
+  if (std::holds_alternative<PlacementGrant>(Answer) &&
+      !Running_.contains(Request))
+    send(From, GenerationReport{Request, GenerationStep::Ended, {}, 0, {}});
+}
+
+void HomeLink::decide() {
+  for (const auto &Each : Desk_.decide(readBootClock()))
+    std::visit([this, &Each](const auto &Answer) { send(Each.Instance_, Answer); },
+               Each.Answer_);
+}
+
+void HomeLink::sendAsk(Pending &Of) {
+  PlacementAsk Ask = Of.Ask_;
+  const Duration Waited = readBootClock() - Of.AskedAt_;
+  Ask.TargetLeft_ -= Waited;
+  Ask.TimeLeft_ -= Waited;
+  send(Home_, Ask);
+}
+
+Task<std::optional<PlacementAnswer>> HomeLink::place(PlacementAsk Ask,
+                                                     CancelScope &Scope) {
+  asio::steady_timer Timer(Context_, asio::steady_timer::time_point::max());
+  Pending Of;
+  Of.AskedAt_ = readBootClock();
+  Of.Ask_ = std::move(Ask);
+  Of.Timer_ = &Timer;
+  const RequestId Request = Of.Ask_.Request_;
+  Pending_[Request] = &Of;
+  sendAsk(Of);
+  {
+    CancelScope::Guard Guard(Scope, [&Timer] { Timer.cancel(); });
+    while (!Of.Answer_ && !Scope.isCancelled())
+      co_await Timer.async_wait(AsTuple);
+  }
+  Pending_.erase(Request);
+  if (!Of.Answer_)
+    report({Request, GenerationStep::Ended, {}, 0, {}});
+  co_return std::move(Of.Answer_);
+}
+
+void HomeLink::report(const GenerationReport &Report) {
+  if (Report.Step_ == GenerationStep::Ended)
+    Running_.erase(Report.Request_);
+  const auto Found = Running_.find(Report.Request_);
+  if (Report.Step_ == GenerationStep::Progressed && Found != Running_.end())
+    Found->second.OutputTokens_ = Report.Tokens_;
+  send(Home_, Report);
+}
+
+void HomeLink::noteRunning(const RunningGeneration &Running) {
+  Running_[Running.Request_] = Running;
+}
+
+void HomeLink::noteUse(const OrganisationId &Organisation, double Tokens) {
+  Used_[Organisation] += Tokens;
+}
+
+bool HomeLink::isExhausted(const OrganisationId &Organisation) const {
+  return Exhausted_.contains(Organisation);
+}
+
+std::vector<InstanceId> HomeLink::silentMembers(Duration Silence) const {
+  std::vector<InstanceId> Out;
+  const TimePoint Now = readBootClock();
+  for (const auto &[Instance, HeardAt] : HeardAt_)
+    if (Instance != Self_ && HeardAt + Silence < Now)
+      Out.push_back(Instance);
+  return Out;
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/src/relayd/RelayHandler.cpp
@@ -0,0 +1,139 @@
+#include "gooseberrybeam/relayd/RelayHandler.h"
+
+#include "gooseberrybeam/http/CallerKey.h"
+#include "gooseberrybeam/http/HopByHop.h"
+#include "gooseberrybeam/log/Log.h"
+#include "gooseberrybeam/relayd/GenerationCall.h"
+#include "gooseberrybeam/relayd/PlainCall.h"
+#include "gooseberrybeam/relayd/RelayAnswer.h"
+
+#include <algorithm>
+
+namespace gooseberry {
+namespace {
+
+/// Told to callers of an instance that has just started.
+constexpr Duration RetryAfterStart = std::chrono::milliseconds(300);
+/// Told to callers whose organisation is beyond its limit.
+constexpr Duration RetryAfterLimit = std::chrono::seconds(1);
+
+Refusal notRun(RefusalReason Reason,
+               std::optional<Duration> After = std::nullopt) {
+  return {Reason, Execution::NotRun, After};
+}
+
+/// Counts a request for as long as it is served.
+class InFlight {
+public:
+  explicit InFlight(std::uint64_t &Count) : Count_(Count) { ++Count_; }
+  ~InFlight() { --Count_; }
+  InFlight(const InFlight &) = delete;
+  InFlight &operator=(const InFlight &) = delete;
+
+private:
+  std::uint64_t &Count_;
+};
+
+} // namespace
+
+void RelayHandler::onRefused(const RequestId &Id, const CallerError &Error) {
+  Context_.Metrics_.addRefusal(Error.Refusal_.Reason_);
+  logLine(LogPart::Http, LogLevel::Info, "Request refused unread.",
+          {{"request", Id.Value_},
+           {"reason", asCode(Error.Refusal_.Reason_)}});
+}
+
+Task<void> RelayHandler::onHandle(CallerExchange &Exchange) {
+  const InFlight Counted(Context_.InFlight_);
+  Context_.Metrics_.add(Count::Requests);
+  co_await serve(Exchange);
+}
+
+Task<void> RelayHandler::serve(CallerExchange &Exchange) {
+  CallerFacts Facts = Context_.Wire_.readCaller(Exchange.head());
+  if (!Facts.Request_.isEmpty())
+    Exchange.setId(Facts.Request_);
+  const auto Configuration = Context_.Configuration_;
+  if (!Configuration) {
+    co_await refuse(Context_, Exchange,
+                    notRun(RefusalReason::ConfigurationUnknown,
+                           RetryAfterStart),
+                    "no configuration known");
+    co_return;
+  }
+  if (Facts.Request_.isEmpty() || !Facts.IsWellFormed_) {
+    co_await refuse(Context_, Exchange, notRun(RefusalReason::MalformedRequest),
+                    "a header field is missing or malformed");
+    co_return;
+  }
+  const std::string_view Host =
+      asStd(Exchange.head()[beast::http::field::host]);
+  const RelayRoute *Route = Configuration->findRoute(Host, Exchange.path());
+  if (!Route) {
+    co_await refuse(Context_, Exchange, notRun(RefusalReason::UnknownRoute),
+                    "configuration " +
+                        std::to_string(Configuration->version()));
+    co_return;
+  }
+  const RelayOrganisation *Organisation = nullptr;
+  if (!Route->IsPublic_ && !Configuration->parts().Organisations_.empty()) {
+    Organisation = Configuration->findByKey(Facts.Key_);
+    if (!Organisation) {
+      co_await refuse(Context_, Exchange,
+                      notRun(Facts.Key_.empty() ? RefusalReason::MissingKey
+                                                : RefusalReason::UnknownKey),
+                      "configuration " +
+                          std::to_string(Configuration->version()));
+      co_return;
+    }
+  }
+  Duration Bound = Route->Timeout_;
+  if (Facts.TimeLeft_)
+    Bound = std::min(Bound, *Facts.TimeLeft_);
+  Exchange.setDeadline(Exchange.arrival() + Bound);
+  const std::uniform_real_distribution<double> Even(0, 1);
+  auto Draw = Even;
+  const ServiceId Service = chooseTarget(*Route, Draw(Context_.Random_));
+  RelayRequest Request = {Exchange,
+                          Configuration,
+                          *Route,
+                          Organisation,
+                          std::move(Facts),
+                          Service,
+                          Exchange.head().method(),
+                          std::string(asStd(Exchange.head().target())),
+                          Exchange.head(),
+                          {}};
+  auto Body = co_await Exchange.readBody();
+  if (!isOk(Body)) {
+    co_await refuse(Context_, Exchange, errorOf(Body).Refusal_,
+                    "the body could not be read");
+    co_return;
+  }
+  Request.Body_ = takeValue(std::move(Body));
+  removeHopByHop(Request.Fields_);
+  Exchange.watchCaller();
+  co_await relay(Request);
+}
+
+Task<void> RelayHandler::relay(RelayRequest &Request) {
+  const RelayService *Service =
+      Request.Configuration_->findService(Request.Service_);
+  if (Request.Route_.IsGeneration_ && Service && Service->Engine_) {
+    co_await GenerationCall(Context_, Request, *Service->Engine_).run();
+    co_return;
+  }
+  if (Request.Organisation_ && Request.Organisation_->Limit_) {
+    const OrganisationId &Name = Request.Organisation_->Name_;
+    if (Context_.Home_.isExhausted(Name)) {
+      co_await refuse(Context_, Request.Exchange_,
+                      notRun(RefusalReason::RateExceeded, RetryAfterLimit),
+                      "exhausted says " + Context_.Home_.home().Value_);
+      co_return;
+    }
+    Context_.Home_.noteUse(Name, Request.Organisation_->PlainTokens_);
+  }
+  co_await PlainCall(Context_, Request).run();
+}
+
+} // namespace gooseberry
