Hand servers' rows to instances without the store; limit use over a window

Homes now take the rows from instances that know newer ones, and an instance rejects grants of engines that it knows are over. Ruled out: slow delivery of the feed (the sender knew within 10 ms).

Limits were a bucket of one burst, so a burst of callers within the limit of its window was refused; use is now added up over the window of the bounds.

--- a/include/gooseberrybeam/relay/BackendDirectory.h
+++ b/include/gooseberrybeam/relay/BackendDirectory.h
@@ -6,6 +6,7 @@
 #include "gooseberrybeam/base/Time.h"
 #include "gooseberrybeam/relay/BackendEntry.h"
 
+#include <deque>
 #include <map>
 #include <vector>
 
@@ -42,6 +43,9 @@
   /// \param Id a registration.
   /// \returns the entry, or null.
   const BackendEntry *find(const ServerId &Id) const;
+  /// \param Id a registration.
+  /// \returns whether it takes no new work: it is leaving, or was removed.
+  bool isOver(const ServerId &Id) const;
   /// \returns all entries that may be used or are leaving, by id.
   const std::map<ServerId, BackendEntry> &entries() const { return Entries_; }
   /// \returns a number that grows with each change.
@@ -49,9 +53,11 @@
 
 private:
   bool isNearOutage(TimePoint Now) const;
+  void erase(const ServerId &Id);
 
   std::map<ServerId, BackendEntry> Entries_;
   std::map<ServerId, TimePoint> Lapsed_; ///< When each is dropped.
+  std::deque<ServerId> Removed_; ///< The latest ones.
   bool IsLost_ = false;
   TimePoint BackAt_{Duration::min()};
   std::uint64_t Changes_ = 0;
--- a/include/gooseberrybeam/relay/GenerationPlacer.h
+++ b/include/gooseberrybeam/relay/GenerationPlacer.h
@@ -20,6 +20,7 @@
 struct PlacedFor {
   InstanceId Instance_;
   PlacementAnswer Answer_;
+  Duration Waited_{0}; ///< In the queue.
 };
 
 /// Holds generations until a decode engine is expected to have memory for their
--- a/include/gooseberrybeam/relay/HomeDesk.h
+++ b/include/gooseberrybeam/relay/HomeDesk.h
@@ -17,7 +17,8 @@
 class HomeDesk {
 public:
   /// \param Directory the registered backend servers; outlives the desk.
-  explicit HomeDesk(const BackendDirectory &Directory);
+  /// \param LimitWindow the time over which use of limits is added up.
+  HomeDesk(const BackendDirectory &Directory, Duration LimitWindow);
 
   /// Takes a configuration into use.
   /// \param Configuration the configuration.
@@ -25,7 +26,7 @@
   void configure(std::shared_ptr<const RelayConfiguration> Configuration,
                  TimePoint Now);
   /// \param Count how many instances share the limits; at least 1.
-  void setInstanceCount(std::size_t Count) { InstanceCount_ = Count; }
+  void setInstanceCount(std::size_t Count) { Limits_.setInstanceCount(Count); }
 
   /// Handles a heartbeat.
   /// \param From the instance.
@@ -56,13 +57,13 @@
   const GenerationPlacer &placer() const { return Placer_; }
 
 private:
+  void attach(const InstanceId &Instance, TimePoint Now);
+  void detach(const InstanceId &Instance);
   void dropSilent(TimePoint Now);
-  void updatePart(TimePoint Now);
 
   GenerationPlacer Placer_;
   LimitBook Limits_;
   std::map<InstanceId, TimePoint> Attached_; ///< Last heartbeat of each.
-  std::size_t InstanceCount_ = 1;
   std::vector<PlacedFor> Denied_;
 };
 
--- a/include/gooseberrybeam/relay/HomeMessages.h
+++ b/include/gooseberrybeam/relay/HomeMessages.h
@@ -11,10 +11,11 @@
 
 namespace gooseberry {
 
-/// Tokens that an instance has let through by itself.
+/// Tokens that an instance has let through by itself, or for another home.
 struct TokenUse {
   OrganisationId Organisation_;
   double Tokens_ = 0;
+  Duration Age_{0}; ///< How long ago.
 
   friend bool operator==(const TokenUse &, const TokenUse &) = default;
 };
@@ -23,9 +24,11 @@
 struct HomeHeartbeat {
   std::uint64_t Sequence_ = 0;
   std::uint64_t ConfigurationVersion_ = 0;
+  std::uint64_t ServersVersion_ = 0; ///< Of the known backend servers.
   bool IsAttached_ = false; ///< False: only asks whether the home is alive.
   bool IsLeaving_ = false;  ///< The sender shuts down and can be home no more.
-  std::vector<TokenUse> Used_;             ///< Since the last heartbeat.
+  /// Since the last heartbeat; when it attaches, of the whole window.
+  std::vector<TokenUse> Used_;
   std::vector<RunningGeneration> Running_; ///< All, when it attaches.
 
   friend bool operator==(const HomeHeartbeat &,
@@ -36,6 +39,7 @@
 struct HomeReply {
   std::uint64_t Sequence_ = 0;
   std::uint64_t ConfigurationVersion_ = 0;
+  std::uint64_t ServersVersion_ = 0;
   bool IsLeaving_ = false; ///< Ask another home.
   std::vector<OrganisationId> Exhausted_; ///< Their buckets are empty.
 
@@ -58,11 +62,35 @@
                          const ConfigurationCopy &) = default;
 };
 
+/// Asks for the backend servers as of a newer version.
+struct ServersRequest {
+  std::uint64_t Version_ = 0;
+
+  friend bool operator==(const ServersRequest &,
+                         const ServersRequest &) = default;
+};
+
+/// The backend servers' rows as the store has them.
+struct ServersCopy {
+  std::uint64_t Version_ = 0;
+  /// Key, value and version of each row.
+  struct Row {
+    std::string Key_;
+    std::string Value_;
+    std::uint64_t Version_ = 0;
+
+    friend bool operator==(const Row &, const Row &) = default;
+  };
+  std::vector<Row> Rows_;
+
+  friend bool operator==(const ServersCopy &, const ServersCopy &) = default;
+};
+
 /// Everything that instances and homes tell each other.
 using HomeMessage =
     std::variant<HomeHeartbeat, HomeReply, PlacementAsk, PlacementGrant,
                  PlacementDenial, GenerationReport, ConfigurationRequest,
-                 ConfigurationCopy>;
+                 ConfigurationCopy, ServersRequest, ServersCopy>;
 
 } // namespace gooseberry
 
--- a/include/gooseberrybeam/relay/LimitBook.h
+++ b/include/gooseberrybeam/relay/LimitBook.h
@@ -1,61 +1,87 @@
 /// \file
-/// The token buckets that one home keeps for the instances that ask it.
+/// The limits that one home keeps for the instances that ask it.
 #ifndef GOOSEBERRYBEAM_RELAY_LIMITBOOK_H
 #define GOOSEBERRYBEAM_RELAY_LIMITBOOK_H
 
 #include "gooseberrybeam/base/Time.h"
 #include "gooseberrybeam/relay/RelayConfiguration.h"
+#include "gooseberrybeam/relay/UsageWindow.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <unordered_map>
 
 namespace gooseberry {
 
-/// Each instance brings an equal part of every organisation's limit to the home
-/// that it asks, and asks one home at a time. So the parts add up to the whole,
-/// whatever instances are cut off, without an agreement on who is home.
+/// Keeps what each organisation uses in any window within its rate times the
+/// window, and its burst. Each instance brings an equal part of every limit to
+/// the home that it asks, and asks one home at a time. So the parts add up to
+/// the whole, whatever instances are cut off, without an agreement on who is
+/// home.
 class LimitBook {
 public:
-  /// Takes a configuration into use. Buckets keep their fill.
+  /// \param Window the time over which use is added up.
+  explicit LimitBook(Duration Window) : Window_(Window) {}
+
+  /// Takes a configuration into use. What was granted before stays granted.
   /// \param Configuration the configuration.
   /// \param Now the clock.
   void configure(std::shared_ptr<const RelayConfiguration> Configuration,
                  TimePoint Now);
-  /// Sets which part of the limits this home has.
-  /// \param Part instances that ask this home, of all, in [0, 1].
-  /// \param Now the clock.
-  void setPart(double Part, TimePoint Now);
+  /// Sets how many instances share the limits.
+  /// \param Count all instances; at least 1.
+  void setInstanceCount(std::size_t Count) { InstanceCount_ = Count; }
+  /// Adds an instance and the part of the limits that it brings.
+  /// \param Instance the instance.
+  void attach(const InstanceId &Instance) { Uses_[Instance]; }
+  /// Removes an instance, its part and its use.
+  /// \param Instance the instance.
+  void detach(const InstanceId &Instance) { Uses_.erase(Instance); }
 
-  /// Takes tokens if the organisation's bucket covers them.
+  /// Takes tokens if the limit covers them.
+  /// \param Instance who asks.
   /// \param Organisation whose tokens.
   /// \param Tokens how many.
   /// \param Now the clock.
   /// \returns nothing if they were taken, else how long until they could be.
-  std::optional<Duration> tryTake(const OrganisationId &Organisation,
+  std::optional<Duration> tryTake(const InstanceId &Instance,
+                                  const OrganisationId &Organisation,
                                   double Tokens, TimePoint Now);
-  /// Counts tokens that were used already.
+  /// Counts tokens that an instance used without asking.
+  /// \param Instance who used them.
   /// \param Organisation whose tokens.
   /// \param Tokens how many.
-  /// \param Now the clock.
-  void note(const OrganisationId &Organisation, double Tokens, TimePoint Now);
+  /// \param At when they were used.
+  void note(const InstanceId &Instance, const OrganisationId &Organisation,
+            double Tokens, TimePoint At);
   /// \param Organisation an organisation.
   /// \param Now the clock.
-  /// \returns whether its bucket is empty.
-  bool isExhausted(const OrganisationId &Organisation, TimePoint Now);
+  /// \returns whether it can use no more tokens now.
+  bool isExhausted(const OrganisationId &Organisation, TimePoint Now) const;
 
 private:
-  struct Bucket {
-    double Level_ = 0;
-    TimePoint FilledAt_;
+  using Uses = std::unordered_map<OrganisationId, UsageWindow>;
+
+  /// The rate that was in force before a change.
+  struct Past {
+    double RatePerSecond_ = 0;
+    TimePoint ChangedAt_;
   };
 
-  Bucket *bucketOf(const OrganisationId &Organisation, TimePoint Now);
   const TokenLimit *limitOf(const OrganisationId &Organisation) const;
+  double allowed(const OrganisationId &Organisation, const TokenLimit &Limit,
+                 TimePoint Now) const;
+  double used(const OrganisationId &Organisation, TimePoint Now) const;
+  Duration waitFor(const OrganisationId &Organisation, double Tokens,
+                   TimePoint Now) const;
+  double part() const;
 
+  Duration Window_;
   std::shared_ptr<const RelayConfiguration> Configuration_;
-  std::unordered_map<OrganisationId, Bucket> Buckets_;
-  double Part_ = 0;
+  std::map<InstanceId, Uses> Uses_; ///< Of the attached instances.
+  std::unordered_map<OrganisationId, Past> Pasts_;
+  std::size_t InstanceCount_ = 1;
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -44,6 +44,7 @@
   ServerTarget targetOf(const ChosenServer &Engine) const;
   bool mayGoOn(StepEnd End) const;
   bool payRepeat();
+  bool rejectLeaving(const PlacementGrant &Grant);
   void noteProgress(const ChosenServer &Engine, bool IsLast);
   void report(GenerationStep Step, const ChosenServer &Engine,
               std::uint32_t Tokens = 0, Duration Took = Duration::zero());
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -11,6 +11,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -28,14 +29,24 @@
   struct Callbacks {
     /// Takes a configuration that a peer has handed over.
     std::function<void(std::string Source)> OnConfiguration_;
+    /// Takes backend servers that a peer has handed over.
+    std::function<void(const ServersCopy &)> OnServers_;
+    /// \returns the version of the known backend servers.
+    std::function<std::uint64_t()> ServersVersion_;
+    /// \returns whether the store can be read, so that no peer is needed.
+    std::function<bool()> HasStore_;
+    /// \returns the known backend servers.
+    std::function<ServersCopy()> CopyServers_;
   };
 
   /// \param Context runs the link; outlives it.
   /// \param Self this instance.
   /// \param Directory the registered backend servers; outlives the link.
+  /// \param LimitWindow the time over which use of limits is added up.
   /// \param Handlers what the link calls.
   HomeLink(asio::io_context &Context, InstanceId Self,
-           const BackendDirectory &Directory, Callbacks Handlers);
+           const BackendDirectory &Directory, Duration LimitWindow,
+           Callbacks Handlers);
 
   /// Takes the connections to other instances into use.
   /// \param Transport the connections.
@@ -83,6 +94,12 @@
   std::vector<InstanceId> silentMembers(Duration Silence) const;
 
 private:
+  struct TimedUse {
+    OrganisationId Organisation_;
+    double Tokens_ = 0;
+    TimePoint At_;
+  };
+
   struct Pending {
     PlacementAsk Ask_;
     TimePoint AskedAt_;
@@ -91,6 +108,7 @@
   };
 
   Task<void> tickForever();
+  void rememberUse(const OrganisationId &Organisation, double Tokens);
   void tick();
   void sendHeartbeats(TimePoint Now);
   void followHome(TimePoint Now);
@@ -100,7 +118,11 @@
   void handleReply(const InstanceId &From, const HomeReply &Message);
   void handleAnswer(const InstanceId &From, const RequestId &Request,
                     const PlacementAnswer &Answer);
-  void handleVersion(const InstanceId &From, std::uint64_t Version);
+  void handleVersions(const InstanceId &From, std::uint64_t Configuration,
+                      std::uint64_t Servers);
+  HomeHeartbeat makeHeartbeat();
+  std::vector<TokenUse> recentUses() const;
+  void logAnswer(const PlacedFor &Placed) const;
   void decide();
   void sendAsk(Pending &Of);
   std::uint64_t version() const;
@@ -118,11 +140,14 @@
   std::shared_ptr<const RelayConfiguration> Configuration_;
   std::unordered_map<RequestId, Pending *> Pending_;
   std::unordered_map<RequestId, RunningGeneration> Running_;
-  std::unordered_map<OrganisationId, double> Used_;
+  Duration LimitWindow_;
+  std::unordered_map<OrganisationId, double> Used_; ///< Not yet told.
+  std::deque<TimedUse> Uses_; ///< Of the last window, oldest first.
   std::unordered_set<OrganisationId> Exhausted_;
   std::uint64_t Sequence_ = 0;
   TimePoint HeartbeatAt_{Duration::zero()};
   TimePoint CopyAskedAt_{Duration::zero()};
+  TimePoint ServersAskedAt_{Duration::zero()};
   bool IsLeaving_ = false;
 };
 
--- a/include/gooseberrybeam/relayd/RelayDaemon.h
+++ b/include/gooseberrybeam/relayd/RelayDaemon.h
@@ -61,6 +61,9 @@
   void startFollowers();
   void useConfiguration(std::string_view Source, std::string_view From);
   void useServers(const std::vector<StoreRow> &Rows, bool IsSnapshot);
+  void useServersCopy(const ServersCopy &Copy);
+  ServersCopy copyServers() const;
+  HomeLink::Callbacks makeCallbacks();
   void useOwnRows(const std::vector<StoreRow> &Rows, bool IsSnapshot);
   void updateMembers();
   void openPeers();
@@ -80,6 +83,9 @@
   std::vector<std::unique_ptr<TableFollower>> Followers_;
   std::vector<std::unique_ptr<Port>> Ports_;
   std::map<std::string, StoreRow> OwnRows_;
+  std::map<std::string, StoreRow> ServerRows_;
+  std::uint64_t ServersVersion_ = 0;
+  bool HasStore_ = true;
   std::string PeerKey_;
   std::uint64_t Incarnation_ = 0;
   TimePoint StartedAt_;
--- a/include/gooseberrybeam/relayd/RelaySettings.h
+++ b/include/gooseberrybeam/relayd/RelaySettings.h
@@ -24,6 +24,7 @@
   Duration ShutdownTime_ = std::chrono::seconds(8); ///< From SIGTERM to the end.
   Duration LeavingTime_ = std::chrono::seconds(2); ///< To stop using a server.
   RepeatBounds Repeats_;
+  Duration LimitWindow_ = std::chrono::seconds(8); ///< Use is added up over it.
   std::string LogLevel_ = "info";
 };
 
--- a/include/gooseberrybeam/relayd/TableFollower.h
+++ b/include/gooseberrybeam/relayd/TableFollower.h
@@ -27,9 +27,10 @@
   /// \param Context runs the follower; outlives it.
   /// \param Store the store; outlives the follower.
   /// \param Table the table.
+  /// \param Pause least time between two calls; changes within it come together.
   /// \param Tell takes what is learned.
   TableFollower(asio::io_context &Context, RowStore &Store, std::string Table,
-                Listener Tell);
+                Duration Pause, Listener Tell);
 
   /// Starts to follow, until the context stops.
   void start();
@@ -42,12 +43,14 @@
   Task<void> run();
   Task<bool> readAll();
   Task<bool> followOnce();
+  Task<void> wait(Duration Time);
   Task<void> noteFailure(StoreFailure Failure);
   void noteSuccess();
 
   asio::io_context &Context_;
   RowStore &Store_;
   std::string Table_;
+  Duration Pause_;
   Listener Listener_;
   CancelScope Scope_;
   std::uint64_t Version_ = 0;
--- a/src/relay/BackendDirectory.cpp
+++ b/src/relay/BackendDirectory.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrybeam/relay/BackendDirectory.h"
 
+#include <algorithm>
 #include <set>
 
 namespace gooseberry {
@@ -7,6 +8,8 @@
 
 /// Servers register again within 2 s of the store's return.
 constexpr Duration RenewalTime = std::chrono::milliseconds(2300);
+/// Removed registrations that are remembered.
+constexpr std::size_t MaxRemoved = 512;
 
 } // namespace
 
@@ -42,6 +45,7 @@
 
 void BackendDirectory::put(const BackendEntry &Entry) {
   Lapsed_.erase(Entry.Id_);
+  std::erase(Removed_, Entry.Id_);
   auto [At, IsNew] = Entries_.try_emplace(Entry.Id_, Entry);
   if (!IsNew && At->second == Entry)
     return;
@@ -58,11 +62,25 @@
     Lapsed_.try_emplace(Id, Since + RenewalTime);
     return;
   }
-  Entries_.erase(Found);
+  erase(Id);
+}
+
+void BackendDirectory::erase(const ServerId &Id) {
+  Entries_.erase(Id);
   Lapsed_.erase(Id);
+  Removed_.push_back(Id);
+  if (Removed_.size() > MaxRemoved)
+    Removed_.pop_front();
   ++Changes_;
 }
 
+bool BackendDirectory::isOver(const ServerId &Id) const {
+  const BackendEntry *Known = find(Id);
+  if (Known)
+    return Known->IsLeaving_;
+  return std::find(Removed_.begin(), Removed_.end(), Id) != Removed_.end();
+}
+
 std::vector<ServerId> BackendDirectory::expire(TimePoint Now) {
   std::vector<ServerId> Dropped;
   if (IsLost_)
@@ -70,11 +88,8 @@
   for (const auto &[Id, DropAt] : Lapsed_)
     if (DropAt <= Now)
       Dropped.push_back(Id);
-  for (const auto &Id : Dropped) {
-    Lapsed_.erase(Id);
-    Entries_.erase(Id);
-    ++Changes_;
-  }
+  for (const auto &Id : Dropped)
+    erase(Id);
   return Dropped;
 }
 
--- a/src/relay/GenerationPlacer.cpp
+++ b/src/relay/GenerationPlacer.cpp
@@ -385,7 +385,7 @@
                   fromMs(To.Ask_.PromptTokens_ / prefillPerMs(In, At));
     Answer.Prefill_ = ChosenServer{Of.Prefill_->Id_, Of.Prefill_->Address_};
   }
-  Out.push_back({To.Instance_, std::move(Answer)});
+  Out.push_back({To.Instance_, std::move(Answer), Now - To.Arrival_});
 }
 
 void GenerationPlacer::refuseHopeless(Pool &In, TimePoint Now,
@@ -395,7 +395,8 @@
     assert(Found != Items_.end());
     Out.push_back(
         {Found->second.Instance_,
-         PlacementDenial{Request, RefusalReason::DeadlineUnreachable, {}}});
+         PlacementDenial{Request, RefusalReason::DeadlineUnreachable, {}},
+         Now - Found->second.Arrival_});
     Items_.erase(Found);
   }
 }
@@ -410,7 +411,8 @@
       In.Queue_.erase(*Next);
       Out.push_back({Of.Instance_,
                      PlacementDenial{*Next, RefusalReason::NoBackendServer,
-                                     RetryWithoutServer}});
+                                     RetryWithoutServer},
+                     Now - Of.Arrival_});
       Items_.erase(*Next);
       continue;
     }
--- a/src/relay/HomeDesk.cpp
+++ b/src/relay/HomeDesk.cpp
@@ -10,7 +10,8 @@
 
 } // namespace
 
-HomeDesk::HomeDesk(const BackendDirectory &Directory) : Placer_(Directory) {}
+HomeDesk::HomeDesk(const BackendDirectory &Directory, Duration LimitWindow)
+    : Placer_(Directory), Limits_(LimitWindow) {}
 
 void HomeDesk::configure(
     std::shared_ptr<const RelayConfiguration> Configuration, TimePoint Now) {
@@ -18,10 +19,16 @@
   Placer_.configure(std::move(Configuration));
 }
 
-void HomeDesk::updatePart(TimePoint Now) {
-  const double All =
-      static_cast<double>(std::max(InstanceCount_, Attached_.size()));
-  Limits_.setPart(static_cast<double>(Attached_.size()) / All, Now);
+void HomeDesk::attach(const InstanceId &Instance, TimePoint Now) {
+  Attached_[Instance] = Now;
+  Limits_.attach(Instance);
+}
+
+void HomeDesk::detach(const InstanceId &Instance) {
+  if (Attached_.erase(Instance) == 0)
+    return;
+  Limits_.detach(Instance);
+  Placer_.drop(Instance);
 }
 
 std::vector<OrganisationId>
@@ -29,16 +36,14 @@
                       TimePoint Now) {
   std::vector<OrganisationId> Exhausted;
   if (!Message.IsAttached_) {
-    if (Attached_.erase(From) > 0)
-      Placer_.drop(From);
+    detach(From);
     return Exhausted;
   }
-  Attached_[From] = Now;
-  updatePart(Now);
+  attach(From, Now);
   for (const auto &Each : Message.Running_)
     Placer_.adopt(From, Each, Now);
   for (const auto &Each : Message.Used_) {
-    Limits_.note(Each.Organisation_, Each.Tokens_, Now);
+    Limits_.note(From, Each.Organisation_, Each.Tokens_, Now - Each.Age_);
     if (Limits_.isExhausted(Each.Organisation_, Now))
       Exhausted.push_back(Each.Organisation_);
   }
@@ -47,15 +52,15 @@
 
 void HomeDesk::onAsk(const InstanceId &From, const PlacementAsk &Ask,
                      TimePoint Now) {
-  Attached_[From] = Now;
-  updatePart(Now);
+  attach(From, Now);
   if (!Ask.IsCharged_) {
     const double Tokens = Ask.PromptTokens_ + Ask.MaxOutputTokens_;
-    const auto Wait = Limits_.tryTake(Ask.Organisation_, Tokens, Now);
+    const auto Wait = Limits_.tryTake(From, Ask.Organisation_, Tokens, Now);
     if (Wait) {
       Denied_.push_back(
           {From,
-           PlacementDenial{Ask.Request_, RefusalReason::RateExceeded, Wait}});
+           PlacementDenial{Ask.Request_, RefusalReason::RateExceeded, Wait},
+           {}});
       return;
     }
   }
@@ -71,12 +76,8 @@
   for (const auto &[Instance, HeardAt] : Attached_)
     if (HeardAt + AttachedFor < Now)
       Silent.push_back(Instance);
-  for (const auto &Each : Silent) {
-    Attached_.erase(Each);
-    Placer_.drop(Each);
-  }
-  if (!Silent.empty())
-    updatePart(Now);
+  for (const auto &Each : Silent)
+    detach(Each);
 }
 
 std::vector<PlacedFor> HomeDesk::decide(TimePoint Now) {
--- a/src/relay/LimitBook.cpp
+++ b/src/relay/LimitBook.cpp
@@ -1,31 +1,20 @@
 #include "gooseberrybeam/relay/LimitBook.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace gooseberry {
-namespace {
-
-/// A home that is new to an organisation cannot know what others have granted
-/// of the burst.
-constexpr double InitialFill = 0.5;
-/// Told where a limit grants nothing.
-constexpr Duration LongestWait = std::chrono::seconds(60);
-
-} // namespace
 
 void LimitBook::configure(
     std::shared_ptr<const RelayConfiguration> Configuration, TimePoint Now) {
-  for (const auto &Each : Configuration->parts().Organisations_)
-    bucketOf(Each.Name_, Now);
-  Configuration_ = std::move(Configuration);
-}
-
-void LimitBook::setPart(double Part, TimePoint Now) {
-  if (Part == Part_)
+  const auto Last = std::exchange(Configuration_, std::move(Configuration));
+  if (!Last)
     return;
-  for (auto &[Organisation, Of] : Buckets_)
-    bucketOf(Organisation, Now);
-  Part_ = Part;
+  for (const auto &Each : Last->parts().Organisations_) {
+    const TokenLimit *Next = limitOf(Each.Name_);
+    if (Each.Limit_ && Next && *Next != *Each.Limit_)
+      Pasts_[Each.Name_] = {Each.Limit_->RatePerSecond_, Now};
+  }
 }
 
 const TokenLimit *
@@ -36,54 +25,83 @@
   return Found && Found->Limit_ ? &*Found->Limit_ : nullptr;
 }
 
-LimitBook::Bucket *LimitBook::bucketOf(const OrganisationId &Organisation,
-                                       TimePoint Now) {
-  const TokenLimit *Limit = limitOf(Organisation);
-  if (!Limit)
-    return nullptr;
-  const double Most = Limit->Burst_ * Part_;
-  auto [At, IsNew] = Buckets_.try_emplace(
-      Organisation, Bucket{Most * InitialFill, Now});
-  Bucket &Of = At->second;
-  if (!IsNew && Now > Of.FilledAt_) {
-    Of.Level_ += asSeconds(Now - Of.FilledAt_) * Limit->RatePerSecond_ * Part_;
-    Of.FilledAt_ = Now;
+double LimitBook::part() const {
+  const std::size_t All = std::max(InstanceCount_, Uses_.size());
+  return static_cast<double>(Uses_.size()) /
+         static_cast<double>(std::max<std::size_t>(1, All));
+}
+
+// The window holds what flowed in at the rate of each moment.
+double LimitBook::allowed(const OrganisationId &Organisation,
+                          const TokenLimit &Limit, TimePoint Now) const {
+  Duration AtPastRate = Duration::zero();
+  double PastRate = 0;
+  const auto Found = Pasts_.find(Organisation);
+  if (Found != Pasts_.end()) {
+    AtPastRate = std::clamp(Window_ - (Now - Found->second.ChangedAt_),
+                            Duration::zero(), Window_);
+    PastRate = Found->second.RatePerSecond_;
+  }
+  const double Flowed = asSeconds(AtPastRate) * PastRate +
+                        asSeconds(Window_ - AtPastRate) * Limit.RatePerSecond_;
+  return part() * (Flowed + Limit.Burst_);
+}
+
+double LimitBook::used(const OrganisationId &Organisation,
+                       TimePoint Now) const {
+  double Sum = 0;
+  for (const auto &[Instance, Of] : Uses_) {
+    const auto Found = Of.find(Organisation);
+    if (Found != Of.end())
+      Sum += Found->second.sum(Now);
+  }
+  return Sum;
+}
+
+Duration LimitBook::waitFor(const OrganisationId &Organisation, double Tokens,
+                            TimePoint Now) const {
+  const TokenLimit &Limit = *limitOf(Organisation);
+  const Duration Step = Window_ / UsageWindow::CellsPerWindow;
+  for (Duration Wait = Step; Wait < Window_; Wait += Step) {
+    const TimePoint Then = Now + Wait;
+    if (used(Organisation, Then) + Tokens <=
+        allowed(Organisation, Limit, Then))
+      return Wait;
   }
-  Of.Level_ = std::min(Of.Level_, Most);
-  return &Of;
+  return Window_;
 }
 
 std::optional<Duration>
-LimitBook::tryTake(const OrganisationId &Organisation, double Tokens,
+LimitBook::tryTake(const InstanceId &Instance,
+                   const OrganisationId &Organisation, double Tokens,
                    TimePoint Now) {
-  Bucket *Of = bucketOf(Organisation, Now);
-  if (!Of)
-    return std::nullopt;
-  const TokenLimit &Limit = *limitOf(Organisation);
-  // A request larger than the burst is granted when the bucket is full.
-  const double Needed = std::min(Tokens, Limit.Burst_ * Part_);
-  if (Of->Level_ >= Needed) {
-    Of->Level_ -= Tokens;
+  const TokenLimit *Limit = limitOf(Organisation);
+  if (!Limit)
     return std::nullopt;
-  }
-  const double Rate = Limit.RatePerSecond_ * Part_;
-  if (Rate <= 0)
-    return LongestWait;
-  const double Seconds = (Needed - Of->Level_) / Rate;
-  return std::min(LongestWait, Duration(static_cast<Duration::rep>(
-                                   Seconds * 1e6)));
+  const double Used = used(Organisation, Now);
+  const double Allowed = allowed(Organisation, *Limit, Now);
+  // A request larger than all that is allowed is granted when nothing is used.
+  if (Used > 0 && Used + Tokens > Allowed)
+    return waitFor(Organisation, Tokens, Now);
+  note(Instance, Organisation, Tokens, Now);
+  return std::nullopt;
 }
 
-void LimitBook::note(const OrganisationId &Organisation, double Tokens,
-                     TimePoint Now) {
-  if (Bucket *Of = bucketOf(Organisation, Now))
-    Of->Level_ -= Tokens;
+void LimitBook::note(const InstanceId &Instance,
+                     const OrganisationId &Organisation, double Tokens,
+                     TimePoint At) {
+  const auto Found = Uses_.find(Instance);
+  if (Found == Uses_.end())
+    return;
+  Found->second.try_emplace(Organisation, Window_)
+      .first->second.add(Tokens, At);
 }
 
 bool LimitBook::isExhausted(const OrganisationId &Organisation,
-                            TimePoint Now) {
-  const Bucket *Of = bucketOf(Organisation, Now);
-  return Of && Of->Level_ <= 0;
+                            TimePoint Now) const {
+  const TokenLimit *Limit = limitOf(Organisation);
+  return Limit &&
+         used(Organisation, Now) >= allowed(Organisation, *Limit, Now);
 }
 
 } // namespace gooseberry
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -95,6 +95,22 @@
       .tryRepeat(Context_.Home_.instanceCount(), readBootClock());
 }
 
+// The home may have lost the store, and not know that an engine leaves.
+bool GenerationCall::rejectLeaving(const PlacementGrant &Grant) {
+  bool IsRejected = false;
+  const auto Reject = [&](const ChosenServer &Engine) {
+    if (!Context_.Directory_.isOver(Engine.Id_))
+      return;
+    report(GenerationStep::ServerMissing, Engine);
+    Avoid_.push_back(Engine.Id_);
+    IsRejected = true;
+  };
+  if (Grant.Prefill_)
+    Reject(*Grant.Prefill_);
+  Reject(Grant.Decode_);
+  return IsRejected;
+}
+
 bool GenerationCall::mayGoOn(StepEnd End) const {
   if (End == StepEnd::Done || End == StepEnd::Stopped)
     return false;
@@ -367,6 +383,10 @@
       co_return;
     }
     const auto &Grant = std::get<PlacementGrant>(*Placed);
+    if (rejectLeaving(Grant)) {
+      report(GenerationStep::Ended, Grant.Decode_);
+      continue;
+    }
     Context_.Home_.noteRunning({Request_.Exchange_.id(),
                                 Request_.organisationName(), Request_.Service_,
                                 Grant.Decode_.Id_,
--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -12,12 +12,14 @@
   auto &Out = *To.mutable_heartbeat();
   Out.set_sequence(From.Sequence_);
   Out.set_configuration_version(From.ConfigurationVersion_);
+  Out.set_servers_version(From.ServersVersion_);
   Out.set_is_attached(From.IsAttached_);
   Out.set_is_leaving(From.IsLeaving_);
   for (const auto &Each : From.Used_) {
     auto &Use = *Out.add_used();
     Use.set_organisation(Each.Organisation_.Value_);
     Use.set_tokens(Each.Tokens_);
+    Use.set_age_us(Each.Age_.count());
   }
   for (const auto &Each : From.Running_) {
     auto &Run = *Out.add_running();
@@ -35,6 +37,7 @@
   auto &Out = *To.mutable_reply();
   Out.set_sequence(From.Sequence_);
   Out.set_configuration_version(From.ConfigurationVersion_);
+  Out.set_servers_version(From.ServersVersion_);
   Out.set_is_leaving(From.IsLeaving_);
   for (const auto &Each : From.Exhausted_)
     Out.add_exhausted(Each.Value_);
@@ -96,14 +99,31 @@
   To.set_configuration(From.Source_);
 }
 
+void write(wire::Home &To, const ServersRequest &From) {
+  To.set_servers_request(From.Version_);
+}
+
+void write(wire::Home &To, const ServersCopy &From) {
+  auto &Out = *To.mutable_servers();
+  Out.set_version(From.Version_);
+  for (const auto &Each : From.Rows_) {
+    auto &Row = *Out.add_rows();
+    Row.set_key(Each.Key_);
+    Row.set_value(Each.Value_);
+    Row.set_version(Each.Version_);
+  }
+}
+
 HomeHeartbeat read(const wire::HomeHeartbeat &From) {
   HomeHeartbeat Out;
   Out.Sequence_ = From.sequence();
   Out.ConfigurationVersion_ = From.configuration_version();
+  Out.ServersVersion_ = From.servers_version();
   Out.IsAttached_ = From.is_attached();
   Out.IsLeaving_ = From.is_leaving();
   for (const auto &Each : From.used())
-    Out.Used_.push_back({{Each.organisation()}, Each.tokens()});
+    Out.Used_.push_back(
+        {{Each.organisation()}, Each.tokens(), Duration(Each.age_us())});
   for (const auto &Each : From.running())
     Out.Running_.push_back({{Each.request()},
                             {Each.organisation()},
@@ -119,6 +139,7 @@
   HomeReply Out;
   Out.Sequence_ = From.sequence();
   Out.ConfigurationVersion_ = From.configuration_version();
+  Out.ServersVersion_ = From.servers_version();
   Out.IsLeaving_ = From.is_leaving();
   for (const auto &Each : From.exhausted())
     Out.Exhausted_.push_back({Each});
@@ -178,6 +199,14 @@
                           Duration(From.took_us())};
 }
 
+ServersCopy read(const wire::HomeServers &From) {
+  ServersCopy Out;
+  Out.Version_ = From.version();
+  for (const auto &Each : From.rows())
+    Out.Rows_.push_back({Each.key(), Each.value(), Each.version()});
+  return Out;
+}
+
 } // namespace
 
 std::string encodeHomeMessage(const HomeMessage &Message) {
@@ -207,6 +236,10 @@
     return ConfigurationRequest{From.configuration_request()};
   case wire::Home::kConfiguration:
     return ConfigurationCopy{From.configuration()};
+  case wire::Home::kServersRequest:
+    return ServersRequest{From.servers_request()};
+  case wire::Home::kServers:
+    return read(From.servers());
   case wire::Home::BODY_NOT_SET:
     break;
   }
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -21,9 +21,11 @@
 } // namespace
 
 HomeLink::HomeLink(asio::io_context &Context, InstanceId Self,
-                   const BackendDirectory &Directory, Callbacks Handlers)
+                   const BackendDirectory &Directory, Duration LimitWindow,
+                   Callbacks Handlers)
     : Context_(Context), Self_(Self), Callbacks_(std::move(Handlers)),
-      Desk_(Directory), Homes_(Self, "pools"), Home_(Self) {}
+      Desk_(Directory, LimitWindow), Homes_(Self, "pools"), Home_(Self),
+      LimitWindow_(LimitWindow) {}
 
 void HomeLink::open(std::unique_ptr<PeerTransport> Transport) {
   Transport_ = std::move(Transport);
@@ -82,10 +84,7 @@
   for (const auto &Each : Members_) {
     if (Each.Id_.Name_ == Self_)
       continue;
-    HomeHeartbeat Message;
-    Message.Sequence_ = ++Sequence_;
-    Message.ConfigurationVersion_ = version();
-    Message.IsLeaving_ = true;
+    HomeHeartbeat Message = makeHeartbeat();
     Message.IsAttached_ = Each.Id_.Name_ == Home_;
     send(Each.Id_.Name_, Message);
   }
@@ -111,6 +110,30 @@
   decide();
 }
 
+HomeHeartbeat HomeLink::makeHeartbeat() {
+  HomeHeartbeat Message;
+  Message.Sequence_ = ++Sequence_;
+  Message.ConfigurationVersion_ = version();
+  Message.ServersVersion_ = Callbacks_.ServersVersion_();
+  Message.IsLeaving_ = IsLeaving_;
+  return Message;
+}
+
+void HomeLink::rememberUse(const OrganisationId &Organisation, double Tokens) {
+  const TimePoint Now = readBootClock();
+  Uses_.push_back({Organisation, Tokens, Now});
+  while (Uses_.front().At_ + LimitWindow_ < Now)
+    Uses_.pop_front();
+}
+
+std::vector<TokenUse> HomeLink::recentUses() const {
+  std::vector<TokenUse> Out;
+  const TimePoint Now = readBootClock();
+  for (const auto &Each : Uses_)
+    Out.push_back({Each.Organisation_, Each.Tokens_, Now - Each.At_});
+  return Out;
+}
+
 void HomeLink::followHome(TimePoint Now) {
   const InstanceId Next = Homes_.home(Now);
   if (Next == Home_)
@@ -122,14 +145,11 @@
            {"waiting", text(Pending_.size())},
            {"running", text(Running_.size())}});
   const InstanceId Last = std::exchange(Home_, Next);
-  HomeHeartbeat Detach;
-  Detach.Sequence_ = ++Sequence_;
-  Detach.ConfigurationVersion_ = version();
-  Detach.IsLeaving_ = IsLeaving_;
-  send(Last, Detach);
-  HomeHeartbeat Attach = Detach;
-  Attach.Sequence_ = ++Sequence_;
+  send(Last, makeHeartbeat());
+  HomeHeartbeat Attach = makeHeartbeat();
   Attach.IsAttached_ = true;
+  Attach.Used_ = recentUses();
+  Used_.clear();
   for (const auto &[Request, Each] : Running_)
     Attach.Running_.push_back(Each);
   send(Home_, Attach);
@@ -141,18 +161,15 @@
 
 void HomeLink::sendHeartbeats(TimePoint Now) {
   for (const auto &Each : Homes_.probed(Now)) {
-    HomeHeartbeat Message;
-    Message.Sequence_ = ++Sequence_;
-    Message.ConfigurationVersion_ = version();
-    Message.IsLeaving_ = IsLeaving_;
+    HomeHeartbeat Message = makeHeartbeat();
     Message.IsAttached_ = Each == Home_;
     if (Message.IsAttached_) {
       for (const auto &[Organisation, Tokens] : Used_)
-        Message.Used_.push_back({Organisation, Tokens});
+        Message.Used_.push_back({Organisation, Tokens, {}});
       // An organisation that was refused is asked about until it may go on.
       for (const auto &Organisation : Exhausted_)
         if (!Used_.contains(Organisation))
-          Message.Used_.push_back({Organisation, 0});
+          Message.Used_.push_back({Organisation, 0, {}});
       Used_.clear();
     }
     if (Each != Self_)
@@ -198,16 +215,29 @@
           },
           [this](const ConfigurationCopy &Each) {
             Callbacks_.OnConfiguration_(Each.Source_);
-          }},
+          },
+          [this, &From](const ServersRequest &Each) {
+            if (Callbacks_.ServersVersion_() > Each.Version_)
+              send(From, Callbacks_.CopyServers_());
+          },
+          [this](const ServersCopy &Each) { Callbacks_.OnServers_(Each); }},
       Message);
 }
 
-void HomeLink::handleVersion(const InstanceId &From, std::uint64_t Version) {
+void HomeLink::handleVersions(const InstanceId &From,
+                              std::uint64_t Configuration,
+                              std::uint64_t Servers) {
   const TimePoint Now = readBootClock();
-  if (Version <= version() || Now < CopyAskedAt_ + CopyTimeout)
-    return;
-  CopyAskedAt_ = Now;
-  send(From, ConfigurationRequest{version()});
+  if (Configuration > version() && Now >= CopyAskedAt_ + CopyTimeout) {
+    CopyAskedAt_ = Now;
+    send(From, ConfigurationRequest{version()});
+  }
+  const std::uint64_t Known = Callbacks_.ServersVersion_();
+  const bool IsBehind = Servers > Known && !Callbacks_.HasStore_();
+  if (IsBehind && Now >= ServersAskedAt_ + CopyTimeout) {
+    ServersAskedAt_ = Now;
+    send(From, ServersRequest{Known});
+  }
 }
 
 void HomeLink::handleHeartbeat(const InstanceId &From,
@@ -218,13 +248,14 @@
   HomeReply Reply;
   Reply.Sequence_ = Message.Sequence_;
   Reply.ConfigurationVersion_ = version();
+  Reply.ServersVersion_ = Callbacks_.ServersVersion_();
   Reply.IsLeaving_ = IsLeaving_;
   Reply.Exhausted_ = Desk_.onHeartbeat(From, Message, Now);
   if (From == Self_) {
     handleReply(Self_, Reply);
     return;
   }
-  handleVersion(From, Message.ConfigurationVersion_);
+  handleVersions(From, Message.ConfigurationVersion_, Message.ServersVersion_);
   send(From, Reply);
   decide();
 }
@@ -234,7 +265,7 @@
     Homes_.onReply(From);
     if (Message.IsLeaving_)
       Homes_.onLeaving(From);
-    handleVersion(From, Message.ConfigurationVersion_);
+    handleVersions(From, Message.ConfigurationVersion_, Message.ServersVersion_);
   }
   if (From != Home_)
     return;
@@ -259,9 +290,33 @@
 }
 
 void HomeLink::decide() {
-  for (const auto &Each : Desk_.decide(readBootClock()))
-    std::visit([this, &Each](const auto &Answer) { send(Each.Instance_, Answer); },
-               Each.Answer_);
+  for (const auto &Each : Desk_.decide(readBootClock())) {
+    logAnswer(Each);
+    std::visit(
+        [this, &Each](const auto &Answer) { send(Each.Instance_, Answer); },
+        Each.Answer_);
+  }
+}
+
+void HomeLink::logAnswer(const PlacedFor &Placed) const {
+  const auto *Grant = std::get_if<PlacementGrant>(&Placed.Answer_);
+  const auto *Denial = std::get_if<PlacementDenial>(&Placed.Answer_);
+  const RequestId &Request = Grant ? Grant->Request_ : Denial->Request_;
+  const std::string Prefill =
+      Grant && Grant->Prefill_ ? Grant->Prefill_->Id_.Value_ : "";
+  logLine(LogPart::Routing, LogLevel::Info,
+          Grant ? "Engines granted." : "Engines denied.",
+          {{"request", Request.Value_},
+           {"instance", Placed.Instance_.Value_},
+           {"prefill", Prefill},
+           {"decode", Grant ? Grant->Decode_.Id_.Value_ : ""},
+           {"reason", Denial ? asCode(Denial->Reason_) : ""},
+           {"waited_ms",
+            text(static_cast<std::uint64_t>(
+                asSeconds(Placed.Waited_) * 1000))},
+           {"waiting", text(Desk_.placer().waiting())},
+           {"booked", text(Desk_.placer().booked())},
+           {"attached", text(Desk_.attached())}});
 }
 
 void HomeLink::sendAsk(Pending &Of) {
@@ -288,6 +343,11 @@
       co_await Timer.async_wait(AsTuple);
   }
   Pending_.erase(Request);
+  const bool IsGranted =
+      Of.Answer_ && std::holds_alternative<PlacementGrant>(*Of.Answer_);
+  if (IsGranted && !Of.Ask_.IsCharged_)
+    rememberUse(Of.Ask_.Organisation_,
+                Of.Ask_.PromptTokens_ + Of.Ask_.MaxOutputTokens_);
   if (!Of.Answer_)
     report({Request, GenerationStep::Ended, {}, 0, {}});
   co_return std::move(Of.Answer_);
@@ -308,6 +368,7 @@
 
 void HomeLink::noteUse(const OrganisationId &Organisation, double Tokens) {
   Used_[Organisation] += Tokens;
+  rememberUse(Organisation, Tokens);
 }
 
 bool HomeLink::isExhausted(const OrganisationId &Organisation) const {
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -29,6 +29,10 @@
 constexpr Duration OperatorTimeout = std::chrono::seconds(3);
 /// An instance that a home has not heard for so long is taken off the list.
 constexpr Duration GoneAfter = std::chrono::seconds(20);
+/// Changes of backend servers within so long come in one call.
+constexpr Duration ServersPause = std::chrono::milliseconds(250);
+/// Instances find each other over their homes meanwhile.
+constexpr Duration OwnRowsPause = std::chrono::seconds(3);
 constexpr Duration FirstCallerDeadline = std::chrono::seconds(30);
 
 CallerLimits makeCallerLimits(const RelayCallerLimits &From) {
@@ -73,8 +77,8 @@
 
 RelayDaemon::RelayDaemon(RelaySettings Settings, Adapter Parts)
     : Settings_(std::move(Settings)), Adapter_(std::move(Parts)),
-      Home_(Context_, Settings_.Name_, Directory_,
-            {[this](std::string Source) { useConfiguration(Source, "peer"); }}),
+      Home_(Context_, Settings_.Name_, Directory_, Settings_.LimitWindow_,
+            makeCallbacks()),
       Relay_{Context_,
              Settings_,
              *Adapter_.Wire_,
@@ -94,6 +98,18 @@
 
 RelayDaemon::~RelayDaemon() { Context_.stop(); }
 
+HomeLink::Callbacks RelayDaemon::makeCallbacks() {
+  HomeLink::Callbacks Out;
+  Out.OnConfiguration_ = [this](std::string Source) {
+    useConfiguration(Source, "peer");
+  };
+  Out.OnServers_ = [this](const ServersCopy &Copy) { useServersCopy(Copy); };
+  Out.ServersVersion_ = [this] { return ServersVersion_; };
+  Out.HasStore_ = [this] { return HasStore_; };
+  Out.CopyServers_ = [this] { return copyServers(); };
+  return Out;
+}
+
 std::optional<std::string> RelayDaemon::open() {
   const auto Serve = [this](tcp::socket Socket) {
     Callers_.serve(std::move(Socket));
@@ -177,10 +193,10 @@
 
 void RelayDaemon::startFollowers() {
   const auto Quiet = [] {};
-  const auto Follow = [this](std::string Table,
+  const auto Follow = [this](std::string Table, Duration Pause,
                              TableFollower::Listener Listener) {
     Followers_.push_back(std::make_unique<TableFollower>(
-        Context_, *Store_, std::move(Table), std::move(Listener)));
+        Context_, *Store_, std::move(Table), Pause, std::move(Listener)));
     Followers_.back()->start();
   };
   const auto TakeConfiguration = [this](const std::vector<StoreRow> &Rows) {
@@ -188,14 +204,20 @@
       if (Each.Key_ == Adapter_.Rows_->configurationKey() && !Each.IsRemoved_)
         useConfiguration(Each.Value_, "store");
   };
-  Follow(Adapter_.Rows_->configurationTable(),
+  Follow(Adapter_.Rows_->configurationTable(), Duration::zero(),
          {TakeConfiguration, TakeConfiguration, Quiet, Quiet});
-  Follow(Adapter_.Rows_->serversTable(),
+  Follow(Adapter_.Rows_->serversTable(), ServersPause,
          {[this](const auto &Rows) { useServers(Rows, true); },
           [this](const auto &Rows) { useServers(Rows, false); },
-          [this] { Directory_.onStoreLost(readBootClock()); },
-          [this] { Directory_.onStoreBack(readBootClock()); }});
-  Follow(std::string(OwnTable),
+          [this] {
+            HasStore_ = false;
+            Directory_.onStoreLost(readBootClock());
+          },
+          [this] {
+            HasStore_ = true;
+            Directory_.onStoreBack(readBootClock());
+          }});
+  Follow(std::string(OwnTable), OwnRowsPause,
          {[this](const auto &Rows) { useOwnRows(Rows, true); },
           [this](const auto &Rows) { useOwnRows(Rows, false); }, Quiet, Quiet});
 }
@@ -225,32 +247,66 @@
                              bool IsSnapshot) {
   const TimePoint Now = readBootClock();
   std::vector<BackendEntry> Entries;
+  if (IsSnapshot)
+    ServerRows_.clear();
   for (const auto &Each : Rows) {
-    const auto Entry = Each.IsRemoved_
-                           ? std::nullopt
-                           : Adapter_.Rows_->parseServer(Each);
+    const auto Known = ServerRows_.find(Each.Key_);
+    if (Known != ServerRows_.end() && Known->second.Version_ > Each.Version_)
+      continue;
+    ServerRows_[Each.Key_] = Each;
+    ServersVersion_ = std::max(ServersVersion_, Each.Version_);
+    const auto Entry = Each.IsRemoved_ ? std::nullopt
+                                       : Adapter_.Rows_->parseServer(Each);
+    if (IsSnapshot) {
+      if (Entry)
+        Entries.push_back(*Entry);
+      continue;
+    }
     if (Entry)
-      Entries.push_back(*Entry);
-    if (Entry && !IsSnapshot)
       Directory_.put(*Entry);
-    if (!Entry && !IsSnapshot)
+    else
       Directory_.remove({Each.Key_}, Now);
-    if (!IsSnapshot)
-      logLine(LogPart::Service, LogLevel::Info, "Server changed.",
-              {{"server", Each.Key_},
-               {"state", !Entry              ? "gone"
-                         : Entry->IsLeaving_ ? "leaving"
-                                             : "ready"},
-               {"version", std::to_string(Each.Version_)}});
+    logLine(LogPart::Service, LogLevel::Info, "Server changed.",
+            {{"server", Each.Key_},
+             {"state", !Entry              ? "gone"
+                       : Entry->IsLeaving_ ? "leaving"
+                                           : "ready"},
+             {"version", std::to_string(Each.Version_)}});
   }
   if (IsSnapshot) {
     Directory_.replace(Entries, Now);
     logLine(LogPart::Service, LogLevel::Info, "Servers are known.",
-            {{"count", std::to_string(Entries.size())}});
+            {{"count", std::to_string(Entries.size())},
+             {"version", std::to_string(ServersVersion_)}});
   }
   HasServers_ = true;
 }
 
+void RelayDaemon::useServersCopy(const ServersCopy &Copy) {
+  if (HasStore_ || Copy.Version_ <= ServersVersion_)
+    return;
+  std::vector<StoreRow> Rows;
+  for (const auto &Each : Copy.Rows_) {
+    StoreRow Row;
+    Row.Key_ = Each.Key_;
+    Row.Value_ = Each.Value_;
+    Row.Version_ = Each.Version_;
+    Row.IsRemoved_ = Each.Value_.empty();
+    Rows.push_back(std::move(Row));
+  }
+  useServers(Rows, false);
+  ServersVersion_ = std::max(ServersVersion_, Copy.Version_);
+}
+
+ServersCopy RelayDaemon::copyServers() const {
+  ServersCopy Copy;
+  Copy.Version_ = ServersVersion_;
+  for (const auto &[Key, Row] : ServerRows_)
+    Copy.Rows_.push_back(
+        {Key, Row.IsRemoved_ ? std::string() : Row.Value_, Row.Version_});
+  return Copy;
+}
+
 EpochMember RelayDaemon::self() const {
   EpochMember Member;
   Member.Id_ = {Settings_.Name_, Incarnation_};
--- a/src/relayd/TableFollower.cpp
+++ b/src/relayd/TableFollower.cpp
@@ -28,8 +28,8 @@
 }
 
 TableFollower::TableFollower(asio::io_context &Context, RowStore &Store,
-                             std::string Table, Listener Tell)
-    : Context_(Context), Store_(Store), Table_(std::move(Table)),
+                             std::string Table, Duration Pause, Listener Tell)
+    : Context_(Context), Store_(Store), Table_(std::move(Table)), Pause_(Pause),
       Listener_(std::move(Tell)) {}
 
 void TableFollower::start() {
@@ -53,6 +53,7 @@
   Version_ = valueOf(Rows).Version_;
   noteSuccess();
   Listener_.OnSnapshot_(valueOf(Rows).Rows_);
+  co_await wait(Pause_);
   co_return true;
 }
 
@@ -70,8 +71,10 @@
   }
   noteSuccess();
   Version_ = std::max(Version_, valueOf(Rows).Version_);
-  if (!valueOf(Rows).Rows_.empty())
-    Listener_.OnChanges_(valueOf(Rows).Rows_);
+  if (valueOf(Rows).Rows_.empty())
+    co_return true;
+  Listener_.OnChanges_(valueOf(Rows).Rows_);
+  co_await wait(Pause_);
   co_return true;
 }
 
@@ -97,8 +100,14 @@
     Listener_.OnLost_();
   }
   const std::uint32_t Doublings = std::min(Failures_ - 1, MostDoublings);
+  co_await wait(std::min(LongestPause, FirstPause * (1U << Doublings)));
+}
+
+Task<void> TableFollower::wait(Duration Time) {
+  if (Time <= Duration::zero())
+    co_return;
   asio::steady_timer Timer(Context_);
-  Timer.expires_after(std::min(LongestPause, FirstPause * (1U << Doublings)));
+  Timer.expires_after(Time);
   co_await Timer.async_wait(AsTuple);
 }
 
