Count an instance's part of a limit from its process's start

An instance now brings its burst and what has flowed in since its start. Ruled out: two homes at once (one home in the logs before and after the kill).

--- a/include/gooseberrybeam/relay/HomeMessages.h
+++ b/include/gooseberrybeam/relay/HomeMessages.h
@@ -25,6 +25,7 @@
   std::uint64_t Sequence_ = 0;
   std::uint64_t ConfigurationVersion_ = 0;
   std::uint64_t ServersVersion_ = 0; ///< Of the known backend servers.
+  Duration Uptime_{0};               ///< Of the sender's process.
   bool IsAttached_ = false; ///< False: only asks whether the home is alive.
   bool IsLeaving_ = false;  ///< The sender shuts down and can be home no more.
   /// Since the last heartbeat; when it attaches, of the whole window.
--- a/include/gooseberrybeam/relay/LimitBook.h
+++ b/include/gooseberrybeam/relay/LimitBook.h
@@ -32,12 +32,17 @@
   /// Sets how many instances share the limits.
   /// \param Count all instances; at least 1.
   void setInstanceCount(std::size_t Count) { InstanceCount_ = Count; }
-  /// Adds an instance and the part of the limits that it brings.
+  /// Adds an instance and the part of the limits that it brings: its burst and
+  /// what has flowed in since its start, as what a process granted before its
+  /// end is forgotten.
   /// \param Instance the instance.
-  void attach(const InstanceId &Instance) { Uses_[Instance]; }
+  /// \param StartedAt when its process started; a later call may correct it.
+  void attach(const InstanceId &Instance, TimePoint StartedAt) {
+    Members_[Instance].StartedAt_ = StartedAt;
+  }
   /// Removes an instance, its part and its use.
   /// \param Instance the instance.
-  void detach(const InstanceId &Instance) { Uses_.erase(Instance); }
+  void detach(const InstanceId &Instance) { Members_.erase(Instance); }
 
   /// Takes tokens if the limit covers them.
   /// \param Instance who asks.
@@ -61,7 +66,11 @@
   bool isExhausted(const OrganisationId &Organisation, TimePoint Now) const;
 
 private:
-  using Uses = std::unordered_map<OrganisationId, UsageWindow>;
+  /// An attached instance.
+  struct Member {
+    TimePoint StartedAt_;
+    std::unordered_map<OrganisationId, UsageWindow> Uses_;
+  };
 
   /// The rate that was in force before a change.
   struct Past {
@@ -75,11 +84,12 @@
   double used(const OrganisationId &Organisation, TimePoint Now) const;
   Duration waitFor(const OrganisationId &Organisation, double Tokens,
                    TimePoint Now) const;
-  double part() const;
+  double partOf(const Member &Of, const TokenLimit &Limit, const Past *Before,
+                TimePoint Now) const;
 
   Duration Window_;
   std::shared_ptr<const RelayConfiguration> Configuration_;
-  std::map<InstanceId, Uses> Uses_; ///< Of the attached instances.
+  std::map<InstanceId, Member> Members_; ///< The attached instances.
   std::unordered_map<OrganisationId, Past> Pasts_;
   std::size_t InstanceCount_ = 1;
 };
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -145,6 +145,7 @@
   std::deque<TimedUse> Uses_; ///< Of the last window, oldest first.
   std::unordered_set<OrganisationId> Exhausted_;
   std::uint64_t Sequence_ = 0;
+  TimePoint StartedAt_ = readBootClock();
   TimePoint HeartbeatAt_{Duration::zero()};
   TimePoint CopyAskedAt_{Duration::zero()};
   TimePoint ServersAskedAt_{Duration::zero()};
--- a/src/relay/HomeDesk.cpp
+++ b/src/relay/HomeDesk.cpp
@@ -20,8 +20,10 @@
 }
 
 void HomeDesk::attach(const InstanceId &Instance, TimePoint Now) {
-  Attached_[Instance] = Now;
-  Limits_.attach(Instance);
+  // Its uptime is known from its first heartbeat on.
+  const bool IsNew = Attached_.insert_or_assign(Instance, Now).second;
+  if (IsNew)
+    Limits_.attach(Instance, Now);
 }
 
 void HomeDesk::detach(const InstanceId &Instance) {
@@ -40,6 +42,7 @@
     return Exhausted;
   }
   attach(From, Now);
+  Limits_.attach(From, Now - Message.Uptime_);
   for (const auto &Each : Message.Running_)
     Placer_.adopt(From, Each, Now);
   for (const auto &Each : Message.Used_) {
--- a/src/relay/LimitBook.cpp
+++ b/src/relay/LimitBook.cpp
@@ -25,34 +25,37 @@
   return Found && Found->Limit_ ? &*Found->Limit_ : nullptr;
 }
 
-double LimitBook::part() const {
-  const std::size_t All = std::max(InstanceCount_, Uses_.size());
-  return static_cast<double>(Uses_.size()) /
-         static_cast<double>(std::max<std::size_t>(1, All));
+// What flowed in at the rate of each moment since the instance's start.
+double LimitBook::partOf(const Member &Of, const TokenLimit &Limit,
+                         const Past *Before, TimePoint Now) const {
+  const Duration Known =
+      std::clamp(Now - Of.StartedAt_, Duration::zero(), Window_);
+  Duration AtPastRate = Duration::zero();
+  if (Before)
+    AtPastRate = std::clamp(Known - (Now - Before->ChangedAt_),
+                            Duration::zero(), Known);
+  const double PastRate = Before ? Before->RatePerSecond_ : 0;
+  return asSeconds(AtPastRate) * PastRate +
+         asSeconds(Known - AtPastRate) * Limit.RatePerSecond_ + Limit.Burst_;
 }
 
-// The window holds what flowed in at the rate of each moment.
 double LimitBook::allowed(const OrganisationId &Organisation,
                           const TokenLimit &Limit, TimePoint Now) const {
-  Duration AtPastRate = Duration::zero();
-  double PastRate = 0;
   const auto Found = Pasts_.find(Organisation);
-  if (Found != Pasts_.end()) {
-    AtPastRate = std::clamp(Window_ - (Now - Found->second.ChangedAt_),
-                            Duration::zero(), Window_);
-    PastRate = Found->second.RatePerSecond_;
-  }
-  const double Flowed = asSeconds(AtPastRate) * PastRate +
-                        asSeconds(Window_ - AtPastRate) * Limit.RatePerSecond_;
-  return part() * (Flowed + Limit.Burst_);
+  const Past *Before = Found == Pasts_.end() ? nullptr : &Found->second;
+  double Sum = 0;
+  for (const auto &[Instance, Of] : Members_)
+    Sum += partOf(Of, Limit, Before, Now);
+  return Sum / static_cast<double>(
+                   std::max<std::size_t>({1, InstanceCount_, Members_.size()}));
 }
 
 double LimitBook::used(const OrganisationId &Organisation,
                        TimePoint Now) const {
   double Sum = 0;
-  for (const auto &[Instance, Of] : Uses_) {
-    const auto Found = Of.find(Organisation);
-    if (Found != Of.end())
+  for (const auto &[Instance, Of] : Members_) {
+    const auto Found = Of.Uses_.find(Organisation);
+    if (Found != Of.Uses_.end())
       Sum += Found->second.sum(Now);
   }
   return Sum;
@@ -90,10 +93,10 @@
 void LimitBook::note(const InstanceId &Instance,
                      const OrganisationId &Organisation, double Tokens,
                      TimePoint At) {
-  const auto Found = Uses_.find(Instance);
-  if (Found == Uses_.end())
+  const auto Found = Members_.find(Instance);
+  if (Found == Members_.end())
     return;
-  Found->second.try_emplace(Organisation, Window_)
+  Found->second.Uses_.try_emplace(Organisation, Window_)
       .first->second.add(Tokens, At);
 }
 
--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -13,6 +13,7 @@
   Out.set_sequence(From.Sequence_);
   Out.set_configuration_version(From.ConfigurationVersion_);
   Out.set_servers_version(From.ServersVersion_);
+  Out.set_uptime_us(From.Uptime_.count());
   Out.set_is_attached(From.IsAttached_);
   Out.set_is_leaving(From.IsLeaving_);
   for (const auto &Each : From.Used_) {
@@ -119,6 +120,7 @@
   Out.Sequence_ = From.sequence();
   Out.ConfigurationVersion_ = From.configuration_version();
   Out.ServersVersion_ = From.servers_version();
+  Out.Uptime_ = Duration(From.uptime_us());
   Out.IsAttached_ = From.is_attached();
   Out.IsLeaving_ = From.is_leaving();
   for (const auto &Each : From.used())
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -115,6 +115,7 @@
   Message.Sequence_ = ++Sequence_;
   Message.ConfigurationVersion_ = version();
   Message.ServersVersion_ = Callbacks_.ServersVersion_();
+  Message.Uptime_ = readBootClock() - StartedAt_;
   Message.IsLeaving_ = IsLeaving_;
   return Message;
 }
