--- a/include/gooseberrybeam/relay/BackendDirectory.h
+++ b/include/gooseberrybeam/relay/BackendDirectory.h
@@ -57,7 +57,7 @@
 
   std::map<ServerId, BackendEntry> Entries_;
   std::map<ServerId, TimePoint> Lapsed_; ///< When each is dropped.
-  std::deque<ServerId> Removed_; ///< The latest ones.
+  std::deque<ServerId> Removed_;         ///< The latest ones.
   bool IsLost_ = false;
   TimePoint BackAt_{Duration::min()};
   std::uint64_t Changes_ = 0;
--- a/include/gooseberrybeam/relay/HomeDesk.h
+++ b/include/gooseberrybeam/relay/HomeDesk.h
@@ -57,8 +57,8 @@
   const GenerationPlacer &placer() const { return Placer_; }
 
 private:
-  void attach(const InstanceId &Instance, TimePoint Now);
-  void detach(const InstanceId &Instance);
+  void attach(const InstanceId &Instance, TimePoint StartedAt, TimePoint Now);
+  void detach(const InstanceId &Instance, TimePoint Now);
   void dropSilent(TimePoint Now);
 
   GenerationPlacer Placer_;
--- a/include/gooseberrybeam/relay/HomeMessages.h
+++ b/include/gooseberrybeam/relay/HomeMessages.h
@@ -41,7 +41,7 @@
   std::uint64_t Sequence_ = 0;
   std::uint64_t ConfigurationVersion_ = 0;
   std::uint64_t ServersVersion_ = 0;
-  bool IsLeaving_ = false; ///< Ask another home.
+  bool IsLeaving_ = false;                ///< Ask another home.
   std::vector<OrganisationId> Exhausted_; ///< Their buckets are empty.
 
   friend bool operator==(const HomeReply &, const HomeReply &) = default;
--- a/include/gooseberrybeam/relay/LimitBook.h
+++ b/include/gooseberrybeam/relay/LimitBook.h
@@ -37,12 +37,13 @@
   /// end is forgotten.
   /// \param Instance the instance.
   /// \param StartedAt when its process started; a later call may correct it.
-  void attach(const InstanceId &Instance, TimePoint StartedAt) {
-    Members_[Instance].StartedAt_ = StartedAt;
-  }
-  /// Removes an instance, its part and its use.
+  /// \param Now the clock; the instance was heard.
+  void attach(const InstanceId &Instance, TimePoint StartedAt, TimePoint Now);
+  /// Removes an instance, its part and its use. What it used beyond its part
+  /// came from the parts of others, and stays counted here.
   /// \param Instance the instance.
-  void detach(const InstanceId &Instance) { Members_.erase(Instance); }
+  /// \param Now the clock.
+  void detach(const InstanceId &Instance, TimePoint Now);
 
   /// Takes tokens if the limit covers them.
   /// \param Instance who asks.
@@ -66,10 +67,13 @@
   bool isExhausted(const OrganisationId &Organisation, TimePoint Now) const;
 
 private:
+  using Uses = std::unordered_map<OrganisationId, UsageWindow>;
+
   /// An attached instance.
   struct Member {
     TimePoint StartedAt_;
-    std::unordered_map<OrganisationId, UsageWindow> Uses_;
+    TimePoint HeardAt_;
+    Uses Uses_;
   };
 
   /// The rate that was in force before a change.
@@ -83,13 +87,18 @@
                  TimePoint Now) const;
   double used(const OrganisationId &Organisation, TimePoint Now) const;
   Duration waitFor(const OrganisationId &Organisation, double Tokens,
-                   TimePoint Now) const;
+                   double Allowed, TimePoint Now) const;
+  double allowedBy(const Member &Of, const OrganisationId &Organisation,
+                   const TokenLimit &Limit, TimePoint Now) const;
+  const Past *pastOf(const OrganisationId &Organisation) const;
   double partOf(const Member &Of, const TokenLimit &Limit, const Past *Before,
                 TimePoint Now) const;
+  double instanceCount() const;
 
   Duration Window_;
   std::shared_ptr<const RelayConfiguration> Configuration_;
   std::map<InstanceId, Member> Members_; ///< The attached instances.
+  std::map<InstanceId, Uses> Borrowed_;  ///< By instances that have left.
   std::unordered_map<OrganisationId, Past> Pasts_;
   std::size_t InstanceCount_ = 1;
 };
--- a/include/gooseberrybeam/relay/RelayRoute.h
+++ b/include/gooseberrybeam/relay/RelayRoute.h
@@ -36,7 +36,7 @@
   Duration Timeout_ = std::chrono::seconds(30); ///< Bound on the whole answer.
   Duration Target_ = std::chrono::seconds(1); ///< To the answer or first event.
   Duration EventGap_{0}; ///< Longest pause between events that is on time.
-  std::uint32_t Priority_ = 0; ///< 0 is most urgent.
+  std::uint32_t Priority_ = 0;   ///< 0 is most urgent.
   std::uint32_t MaxServers_ = 1; ///< Backend servers that one request may see.
   bool IsPublic_ = false;        ///< Needs no key.
   bool IsGeneration_ = false;    ///< Runs on engines, in prefill and decode.
--- a/include/gooseberrybeam/relay/ServiceBalancer.h
+++ b/include/gooseberrybeam/relay/ServiceBalancer.h
@@ -57,14 +57,15 @@
 private:
   struct Load {
     std::multiset<TimePoint> Started_; ///< Attempts without an end.
-    double AnswerMs_ = 20;             ///< Smoothed time to an answer.
-    double FailedShare_ = 0;           ///< Smoothed share of failed attempts.
+    double AnswerMs_ = 0;    ///< Smoothed time to an answer; 0 before any.
+    double FailedShare_ = 0; ///< Smoothed share of failed attempts.
     TimePoint JudgedAt_{Duration::zero()};
     TimePoint AvoidUntil_{Duration::zero()};
   };
 
-  double costOf(const BackendEntry &Server, const DataCentreId &Near,
-                TimePoint Now);
+  double bestAnswerMs(std::span<const BackendEntry *const> Candidates) const;
+  double costOf(const BackendEntry &Server, double BestMs,
+                const DataCentreId &Near, TimePoint Now) const;
 
   std::unordered_map<ServerId, Load> Loads_;
   std::uint64_t Turn_ = 0;
--- a/include/gooseberrybeam/relay/UsageWindow.h
+++ b/include/gooseberrybeam/relay/UsageWindow.h
@@ -26,6 +26,8 @@
   /// \param Now the clock.
   /// \returns the sum over the window before \p Now.
   double sum(TimePoint Now) const;
+  /// \param Factor what to multiply all amounts by.
+  void scale(double Factor);
   /// \returns the width of a cell.
   Duration cellWidth() const { return Width_; }
 
--- a/include/gooseberrybeam/relayd/RelaySettings.h
+++ b/include/gooseberrybeam/relayd/RelaySettings.h
@@ -20,8 +20,9 @@
   std::string PeerListen_;    ///< `ip:port` for other instances.
   std::string MetricsListen_; ///< `ip:port`; empty for none.
   std::string ReadyPath_ = "/readyz";
-  BackendId Store_;                              ///< The platform's store.
-  Duration ShutdownTime_ = std::chrono::seconds(8); ///< From SIGTERM to the end.
+  BackendId Store_; ///< The platform's store.
+  Duration ShutdownTime_ =
+      std::chrono::seconds(8);                     ///< From SIGTERM to the end.
   Duration LeavingTime_ = std::chrono::seconds(2); ///< To stop using a server.
   RepeatBounds Repeats_;
   Duration LimitWindow_ = std::chrono::seconds(8); ///< Use is added up over it.
--- a/include/gooseberrybeam/relayd/RelayWire.h
+++ b/include/gooseberrybeam/relayd/RelayWire.h
@@ -38,11 +38,11 @@
 
 /// What a backend server's answer says in its head.
 struct ServerFacts {
-  RequestId Request_;       ///< Empty: it named none.
-  bool IsNotRun_ = false;   ///< The server did not and will not run it.
+  RequestId Request_;          ///< Empty: it named none.
+  bool IsNotRun_ = false;      ///< The server did not and will not run it.
   bool IsOtherServer_ = false; ///< Another server has the address.
-  bool IsSigned_ = false;   ///< It bears the server's signature.
-  bool IsEncoded_ = false;  ///< The body is not the server's own.
+  bool IsSigned_ = false;      ///< It bears the server's signature.
+  bool IsEncoded_ = false;     ///< The body is not the server's own.
 };
 
 /// A prompt that was read and is kept.
--- a/include/gooseberrybeam/relayd/RowStore.h
+++ b/include/gooseberrybeam/relayd/RowStore.h
@@ -47,8 +47,8 @@
 
 /// A row to write, if it still has a version.
 struct RowWrite {
-  StoreRow Row_;                 ///< `IsRemoved_`: remove it.
-  std::uint64_t IfVersion_ = 0;  ///< 0: only if there is none.
+  StoreRow Row_;                ///< `IsRemoved_`: remove it.
+  std::uint64_t IfVersion_ = 0; ///< 0: only if there is none.
   bool IsConditional_ = true;
 };
 
--- a/include/gooseberrybeam/relayd/ServerCall.h
+++ b/include/gooseberrybeam/relayd/ServerCall.h
@@ -32,10 +32,11 @@
 /// \param AnswerTimeout bound on the wait for the start of the answer.
 /// \param Scope aborts the attempt when cancelled.
 /// \returns the start of the answer or a failure.
-Task<Result<ServerAnswer, CallError>>
-callServer(RelayContext &Context, const RelayRequest &Request,
-           const ServerTarget &Target, Duration AnswerTimeout,
-           CancelScope &Scope);
+Task<Result<ServerAnswer, CallError>> callServer(RelayContext &Context,
+                                                 const RelayRequest &Request,
+                                                 const ServerTarget &Target,
+                                                 Duration AnswerTimeout,
+                                                 CancelScope &Scope);
 
 } // namespace gooseberry
 
--- a/include/gooseberrybeam/relayd/TableFollower.h
+++ b/include/gooseberrybeam/relayd/TableFollower.h
@@ -27,8 +27,8 @@
   /// \param Context runs the follower; outlives it.
   /// \param Store the store; outlives the follower.
   /// \param Table the table.
-  /// \param Pause least time between two calls; changes within it come together.
-  /// \param Tell takes what is learned.
+  /// \param Pause least time between two calls; changes within it come
+  /// together. \param Tell takes what is learned.
   TableFollower(asio::io_context &Context, RowStore &Store, std::string Table,
                 Duration Pause, Listener Tell);
 
--- a/src/relay/EventSplitter.cpp
+++ b/src/relay/EventSplitter.cpp
@@ -50,8 +50,7 @@
     if (const auto Id = parseId(Line))
       Event.Id_ = Id;
   }
-  Event.Bytes_ =
-      std::string_view(Buffer_.data() + Start_, LineStart - Start_);
+  Event.Bytes_ = std::string_view(Buffer_.data() + Start_, LineStart - Start_);
   Start_ = LineStart;
   return Event;
 }
--- a/src/relay/GenerationPlacer.cpp
+++ b/src/relay/GenerationPlacer.cpp
@@ -80,8 +80,9 @@
   const double Most = Ask.MaxOutputTokens_;
   double Expected =
       Of.OutputTokens_ > 0 ? Of.OutputTokens_ : Most * InitialOutputPart;
-  if (Ask.LengthHint_ > 0)
-    Expected = (Expected + Ask.LengthHint_) / 2;
+  const double Hint = Ask.LengthHint_;
+  if (Hint > 0)
+    Expected = Expected > 0 ? (Expected + Hint) / 2 : Hint;
   return Most > 0 ? std::min(Expected, Most) : Expected;
 }
 
@@ -111,15 +112,14 @@
   Of.OutputTokens_ = Ask.OutputTokens_;
   const Engine Any;
   const double PrefillMs = Ask.PromptTokens_ / prefillPerMs(In, Any);
-  const double OutputMs =
-      std::max(0.0, Of.ExpectedOutput_ - Of.OutputTokens_) /
-      decodePerMs(In, Any);
+  const double OutputMs = std::max(0.0, Of.ExpectedOutput_ - Of.OutputTokens_) /
+                          decodePerMs(In, Any);
   Of.GiveUp_ = Now + Ask.TimeLeft_ - fromMs(PrefillMs + OutputMs);
   QueueItem Entry;
   Entry.Request_ = Ask.Request_;
   Entry.Organisation_ = Ask.Organisation_;
-  Entry.LatestStart_ = Now + Ask.TargetLeft_ - fromMs(PrefillMs) -
-                       FirstEventTime;
+  Entry.LatestStart_ =
+      Now + Ask.TargetLeft_ - fromMs(PrefillMs) - FirstEventTime;
   Entry.GiveUp_ = Of.GiveUp_;
   const RelayOrganisation *Organisation =
       Configuration_ ? Configuration_->findOrganisation(Ask.Organisation_)
@@ -148,9 +148,8 @@
   Of.GrantedAt_ = Now;
   Of.OutputAt_ = Now;
   Of.OutputTokens_ = Running.OutputTokens_;
-  Of.ExpectedOutput_ =
-      std::max<double>(Running.OutputTokens_,
-                       expectedOutput(poolOf(Running.Service_), Of.Ask_));
+  Of.ExpectedOutput_ = std::max<double>(
+      Running.OutputTokens_, expectedOutput(poolOf(Running.Service_), Of.Ask_));
   Engines_[Running.Decode_].Streams_.push_back(Running.Request_);
   Items_.emplace(Running.Request_, std::move(Of));
 }
@@ -270,9 +269,8 @@
   return {Of.Ask_.PromptTokens_ + Output, Left};
 }
 
-bool GenerationPlacer::isUsable(const BackendEntry &Entry,
-                                const Engine &Engine, const PlacementAsk &Ask,
-                                TimePoint Now) const {
+bool GenerationPlacer::isUsable(const BackendEntry &Entry, const Engine &Engine,
+                                const PlacementAsk &Ask, TimePoint Now) const {
   if (Entry.IsLeaving_ || Now < Engine.AvoidUntil_)
     return false;
   return std::find(Ask.Avoid_.begin(), Ask.Avoid_.end(), Entry.Id_) ==
--- a/src/relay/HomeDesk.cpp
+++ b/src/relay/HomeDesk.cpp
@@ -19,30 +19,28 @@
   Placer_.configure(std::move(Configuration));
 }
 
-void HomeDesk::attach(const InstanceId &Instance, TimePoint Now) {
-  // Its uptime is known from its first heartbeat on.
-  const bool IsNew = Attached_.insert_or_assign(Instance, Now).second;
-  if (IsNew)
-    Limits_.attach(Instance, Now);
+void HomeDesk::attach(const InstanceId &Instance, TimePoint StartedAt,
+                      TimePoint Now) {
+  Attached_[Instance] = Now;
+  Limits_.attach(Instance, StartedAt, Now);
 }
 
-void HomeDesk::detach(const InstanceId &Instance) {
+void HomeDesk::detach(const InstanceId &Instance, TimePoint Now) {
   if (Attached_.erase(Instance) == 0)
     return;
-  Limits_.detach(Instance);
+  Limits_.detach(Instance, Now);
   Placer_.drop(Instance);
 }
 
-std::vector<OrganisationId>
-HomeDesk::onHeartbeat(const InstanceId &From, const HomeHeartbeat &Message,
-                      TimePoint Now) {
+std::vector<OrganisationId> HomeDesk::onHeartbeat(const InstanceId &From,
+                                                  const HomeHeartbeat &Message,
+                                                  TimePoint Now) {
   std::vector<OrganisationId> Exhausted;
   if (!Message.IsAttached_) {
-    detach(From);
+    detach(From, Now);
     return Exhausted;
   }
-  attach(From, Now);
-  Limits_.attach(From, Now - Message.Uptime_);
+  attach(From, Now - Message.Uptime_, Now);
   for (const auto &Each : Message.Running_)
     Placer_.adopt(From, Each, Now);
   for (const auto &Each : Message.Used_) {
@@ -55,7 +53,9 @@
 
 void HomeDesk::onAsk(const InstanceId &From, const PlacementAsk &Ask,
                      TimePoint Now) {
-  attach(From, Now);
+  // Its uptime is known from its first heartbeat on.
+  if (!Attached_.contains(From))
+    attach(From, Now, Now);
   if (!Ask.IsCharged_) {
     const double Tokens = Ask.PromptTokens_ + Ask.MaxOutputTokens_;
     const auto Wait = Limits_.tryTake(From, Ask.Organisation_, Tokens, Now);
@@ -80,7 +80,7 @@
     if (HeardAt + AttachedFor < Now)
       Silent.push_back(Instance);
   for (const auto &Each : Silent)
-    detach(Each);
+    detach(Each, Now);
 }
 
 std::vector<PlacedFor> HomeDesk::decide(TimePoint Now) {
--- a/src/relay/LimitBook.cpp
+++ b/src/relay/LimitBook.cpp
@@ -4,6 +4,20 @@
 #include <utility>
 
 namespace gooseberry {
+namespace {
+
+/// The part of an instance that was not heard for so long covers nothing but
+/// its own use, as it may bring it to another home now. Shorter than the
+/// silence after which an instance takes another home.
+constexpr Duration LendingTime = std::chrono::milliseconds(400);
+
+double sumOf(const std::unordered_map<OrganisationId, UsageWindow> &Uses,
+             const OrganisationId &Organisation, TimePoint Now) {
+  const auto Found = Uses.find(Organisation);
+  return Found == Uses.end() ? 0 : Found->second.sum(Now);
+}
+
+} // namespace
 
 void LimitBook::configure(
     std::shared_ptr<const RelayConfiguration> Configuration, TimePoint Now) {
@@ -17,8 +31,7 @@
   }
 }
 
-const TokenLimit *
-LimitBook::limitOf(const OrganisationId &Organisation) const {
+const TokenLimit *LimitBook::limitOf(const OrganisationId &Organisation) const {
   if (!Configuration_)
     return nullptr;
   const auto *Found = Configuration_->findOrganisation(Organisation);
@@ -32,52 +45,96 @@
       std::clamp(Now - Of.StartedAt_, Duration::zero(), Window_);
   Duration AtPastRate = Duration::zero();
   if (Before)
-    AtPastRate = std::clamp(Known - (Now - Before->ChangedAt_),
-                            Duration::zero(), Known);
+    AtPastRate =
+        std::clamp(Known - (Now - Before->ChangedAt_), Duration::zero(), Known);
   const double PastRate = Before ? Before->RatePerSecond_ : 0;
   return asSeconds(AtPastRate) * PastRate +
          asSeconds(Known - AtPastRate) * Limit.RatePerSecond_ + Limit.Burst_;
 }
 
+const LimitBook::Past *
+LimitBook::pastOf(const OrganisationId &Organisation) const {
+  const auto Found = Pasts_.find(Organisation);
+  return Found == Pasts_.end() ? nullptr : &Found->second;
+}
+
+double LimitBook::instanceCount() const {
+  return static_cast<double>(
+      std::max<std::size_t>({1, InstanceCount_, Members_.size()}));
+}
+
+void LimitBook::attach(const InstanceId &Instance, TimePoint StartedAt,
+                       TimePoint Now) {
+  Member &Of = Members_[Instance];
+  Of.StartedAt_ = StartedAt;
+  Of.HeardAt_ = Now;
+  // It tells its whole use again.
+  Borrowed_.erase(Instance);
+}
+
+void LimitBook::detach(const InstanceId &Instance, TimePoint Now) {
+  const auto Found = Members_.find(Instance);
+  if (Found == Members_.end())
+    return;
+  Uses Borrowed;
+  for (auto &[Organisation, Of] : Found->second.Uses_) {
+    const TokenLimit *Limit = limitOf(Organisation);
+    const double Used = Of.sum(Now);
+    if (!Limit || Used <= 0)
+      continue;
+    const double Own =
+        partOf(Found->second, *Limit, pastOf(Organisation), Now) /
+        instanceCount();
+    if (Used <= Own)
+      continue;
+    Of.scale((Used - Own) / Used);
+    Borrowed.emplace(Organisation, Of);
+  }
+  Members_.erase(Found);
+  if (!Borrowed.empty())
+    Borrowed_[Instance] = std::move(Borrowed);
+}
+
+double LimitBook::allowedBy(const Member &Of,
+                            const OrganisationId &Organisation,
+                            const TokenLimit &Limit, TimePoint Now) const {
+  const double Own =
+      partOf(Of, Limit, pastOf(Organisation), Now) / instanceCount();
+  if (Now <= Of.HeardAt_ + LendingTime)
+    return Own;
+  return std::min(Own, sumOf(Of.Uses_, Organisation, Now));
+}
+
 double LimitBook::allowed(const OrganisationId &Organisation,
                           const TokenLimit &Limit, TimePoint Now) const {
-  const auto Found = Pasts_.find(Organisation);
-  const Past *Before = Found == Pasts_.end() ? nullptr : &Found->second;
   double Sum = 0;
   for (const auto &[Instance, Of] : Members_)
-    Sum += partOf(Of, Limit, Before, Now);
-  return Sum / static_cast<double>(
-                   std::max<std::size_t>({1, InstanceCount_, Members_.size()}));
+    Sum += allowedBy(Of, Organisation, Limit, Now);
+  return Sum;
 }
 
 double LimitBook::used(const OrganisationId &Organisation,
                        TimePoint Now) const {
   double Sum = 0;
-  for (const auto &[Instance, Of] : Members_) {
-    const auto Found = Of.Uses_.find(Organisation);
-    if (Found != Of.Uses_.end())
-      Sum += Found->second.sum(Now);
-  }
+  for (const auto &[Instance, Of] : Members_)
+    Sum += sumOf(Of.Uses_, Organisation, Now);
+  for (const auto &[Instance, Of] : Borrowed_)
+    Sum += sumOf(Of, Organisation, Now);
   return Sum;
 }
 
 Duration LimitBook::waitFor(const OrganisationId &Organisation, double Tokens,
-                            TimePoint Now) const {
-  const TokenLimit &Limit = *limitOf(Organisation);
+                            double Allowed, TimePoint Now) const {
   const Duration Step = Window_ / UsageWindow::CellsPerWindow;
-  for (Duration Wait = Step; Wait < Window_; Wait += Step) {
-    const TimePoint Then = Now + Wait;
-    if (used(Organisation, Then) + Tokens <=
-        allowed(Organisation, Limit, Then))
-      return Wait;
-  }
-  return Window_;
+  Duration Wait = Step;
+  while (Wait < Window_ && used(Organisation, Now + Wait) + Tokens > Allowed)
+    Wait += Step;
+  return Wait;
 }
 
-std::optional<Duration>
-LimitBook::tryTake(const InstanceId &Instance,
-                   const OrganisationId &Organisation, double Tokens,
-                   TimePoint Now) {
+std::optional<Duration> LimitBook::tryTake(const InstanceId &Instance,
+                                           const OrganisationId &Organisation,
+                                           double Tokens, TimePoint Now) {
   const TokenLimit *Limit = limitOf(Organisation);
   if (!Limit)
     return std::nullopt;
@@ -85,7 +142,7 @@
   const double Allowed = allowed(Organisation, *Limit, Now);
   // A request larger than all that is allowed is granted when nothing is used.
   if (Used > 0 && Used + Tokens > Allowed)
-    return waitFor(Organisation, Tokens, Now);
+    return waitFor(Organisation, Tokens, Allowed, Now);
   note(Instance, Organisation, Tokens, Now);
   return std::nullopt;
 }
@@ -103,8 +160,7 @@
 bool LimitBook::isExhausted(const OrganisationId &Organisation,
                             TimePoint Now) const {
   const TokenLimit *Limit = limitOf(Organisation);
-  return Limit &&
-         used(Organisation, Now) >= allowed(Organisation, *Limit, Now);
+  return Limit && used(Organisation, Now) >= allowed(Organisation, *Limit, Now);
 }
 
 } // namespace gooseberry
--- a/src/relay/ServiceBalancer.cpp
+++ b/src/relay/ServiceBalancer.cpp
@@ -3,15 +3,18 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <vector>
 
 namespace gooseberry {
 namespace {
 
-constexpr double AnswerWeight = 0.2;  ///< Of the newest answer time.
-constexpr double FailureWeight = 0.2; ///< Of the newest outcome.
-/// Old judgements fade to the initial one, so that a server is tried again.
-constexpr double JudgementHalfLifeS = 3;
-constexpr double InitialAnswerMs = 20;
+constexpr double InitialAnswerMs = 20; ///< Until any answer was seen.
+constexpr double AnswerWeight = 0.2;   ///< Of the newest answer time.
+constexpr double FailureWeight = 0.2;  ///< Of the newest outcome.
+/// Old judgements fade to the best server's, so that a server is tried again.
+constexpr double JudgementHalfLifeS = 1.5;
+/// Servers that cost little more than the best take turns with it.
+constexpr double EqualCost = 1.3;
 constexpr double FailureCost = 4; ///< Failing always costs as much as 5 waits.
 constexpr double RemoteCost = 1.15;
 constexpr double AvoidedCost = 1000;
@@ -20,20 +23,37 @@
 
 double asMs(Duration Value) { return asSeconds(Value) * 1000; }
 
+/// \returns the part of a judgement that has not faded, in (0, 1].
+double keptPart(TimePoint JudgedAt, TimePoint Now) {
+  return std::exp2(-asSeconds(Now - JudgedAt) / JudgementHalfLifeS);
+}
+
 } // namespace
 
-double ServiceBalancer::costOf(const BackendEntry &Server,
-                               const DataCentreId &Near, TimePoint Now) {
+double ServiceBalancer::bestAnswerMs(
+    std::span<const BackendEntry *const> Candidates) const {
+  double Best = 0;
+  for (const BackendEntry *Each : Candidates) {
+    const auto Found = Loads_.find(Each->Id_);
+    const double Answer = Found == Loads_.end() ? 0 : Found->second.AnswerMs_;
+    if (Answer > 0 && (Best == 0 || Answer < Best))
+      Best = Answer;
+  }
+  return Best > 0 ? Best : InitialAnswerMs;
+}
+
+double ServiceBalancer::costOf(const BackendEntry &Server, double BestMs,
+                               const DataCentreId &Near, TimePoint Now) const {
   const auto Found = Loads_.find(Server.Id_);
-  double Answer = InitialAnswerMs;
+  double Answer = BestMs;
   double Failed = 0;
   double Waiting = 0;
   double Factor = Server.DataCentre_ == Near ? 1 : RemoteCost;
   if (Found != Loads_.end()) {
     const Load &Of = Found->second;
-    const double Age = asSeconds(Now - Of.JudgedAt_) / JudgementHalfLifeS;
-    const double Kept = std::exp2(-Age);
-    Answer += (Of.AnswerMs_ - InitialAnswerMs) * Kept;
+    const double Kept = keptPart(Of.JudgedAt_, Now);
+    if (Of.AnswerMs_ > 0)
+      Answer += (Of.AnswerMs_ - BestMs) * Kept;
     Failed = Of.FailedShare_ * Kept;
     Waiting = static_cast<double>(Of.Started_.size());
     if (!Of.Started_.empty())
@@ -41,26 +61,24 @@
     if (Now < Of.AvoidUntil_)
       Factor *= AvoidedCost;
   }
-  const double Slots = std::max(1U, Server.Slots_);
-  return Answer * (1 + Waiting / Slots) * (1 + FailureCost * Failed) * Factor;
+  return Answer * (1 + Waiting) * (1 + FailureCost * Failed) * Factor;
 }
 
 const BackendEntry &
 ServiceBalancer::choose(std::span<const BackendEntry *const> Candidates,
                         const DataCentreId &Near, TimePoint Now) {
   assert(!Candidates.empty());
-  const std::size_t First = ++Turn_ % Candidates.size();
-  const BackendEntry *Best = nullptr;
-  double BestCost = 0;
-  for (std::size_t I = 0; I != Candidates.size(); ++I) {
-    const BackendEntry *Each = Candidates[(First + I) % Candidates.size()];
-    const double Cost = costOf(*Each, Near, Now);
-    if (Best == nullptr || Cost < BestCost) {
-      Best = Each;
-      BestCost = Cost;
-    }
+  const double BestMs = bestAnswerMs(Candidates);
+  std::vector<double> Costs;
+  for (const BackendEntry *Each : Candidates)
+    Costs.push_back(costOf(*Each, BestMs, Near, Now));
+  const double Least = *std::min_element(Costs.begin(), Costs.end());
+  const std::size_t First = ++Turn_;
+  for (std::size_t I = 0;; ++I) {
+    const std::size_t At = (First + I) % Candidates.size();
+    if (Costs[At] <= EqualCost * Least)
+      return *Candidates[At];
   }
-  return *Best;
 }
 
 void ServiceBalancer::onStart(const ServerId &Server, TimePoint Now) {
@@ -77,12 +95,19 @@
     return;
   if (End == AttemptEnd::Rejected || End == AttemptEnd::Broken)
     Of.AvoidUntil_ = Now + AvoidTime;
+  // The older the judgement, the more the newest attempt weighs.
+  const double Kept = keptPart(Of.JudgedAt_, Now);
   const double Failure = End == AttemptEnd::Answered ? 0 : 1;
-  Of.FailedShare_ += FailureWeight * (Failure - Of.FailedShare_);
+  Of.FailedShare_ +=
+      (1 - (1 - FailureWeight) * Kept) * (Failure - Of.FailedShare_);
   const double Took = asMs(Now - Started);
   // A fast failure says nothing of the time to an answer.
-  if (End == AttemptEnd::Answered || Took > Of.AnswerMs_)
-    Of.AnswerMs_ += AnswerWeight * (Took - Of.AnswerMs_);
+  if (End == AttemptEnd::Answered ||
+      Took > std::max(Of.AnswerMs_, InitialAnswerMs))
+    Of.AnswerMs_ = Of.AnswerMs_ == 0
+                       ? Took
+                       : Of.AnswerMs_ + (1 - (1 - AnswerWeight) * Kept) *
+                                            (Took - Of.AnswerMs_);
   Of.JudgedAt_ = Now;
 }
 
--- a/src/relay/UsageWindow.cpp
+++ b/src/relay/UsageWindow.cpp
@@ -14,6 +14,11 @@
   Of.Amount_ += Amount;
 }
 
+void UsageWindow::scale(double Factor) {
+  for (Cell &Each : Cells_)
+    Each.Amount_ *= Factor;
+}
+
 double UsageWindow::sum(TimePoint Now) const {
   const std::int64_t Newest = Now.time_since_epoch() / Width_;
   double Sum = 0;
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -156,8 +156,7 @@
 void GenerationCall::freeLater(const BackendId &Address,
                                const std::string &Handle) {
   asio::co_spawn(Context_.Context_,
-                 freeHandle(Context_, Address,
-                            Context_.Wire_.makeFree(Handle)),
+                 freeHandle(Context_, Address, Context_.Wire_.makeFree(Handle)),
                  asio::detached);
 }
 
@@ -211,8 +210,8 @@
     Duration Patience = Request_.timeLeft();
     if (MayMove)
       Patience = EngineEvents_ == 0 ? FirstEventSilence : EventSilence;
-    auto Read =
-        co_await Answer.Connection_->readSome(Buffer, Patience, Exchange.scope());
+    auto Read = co_await Answer.Connection_->readSome(Buffer, Patience,
+                                                      Exchange.scope());
     if (Exchange.scope().isCancelled())
       co_return StepEnd::Stopped;
     if (!isOk(Read) || Events.held() > MaxEvent)
@@ -266,8 +265,7 @@
   Target.Order_.KvSource_ = KvSource;
   const bool MayMove =
       Request_.Route_.mayRepeat() && Sent_ + 1 < Request_.Route_.MaxServers_;
-  const Duration Patience =
-      MayMove ? FirstEventSilence : Request_.timeLeft();
+  const Duration Patience = MayMove ? FirstEventSilence : Request_.timeLeft();
   auto Called = co_await callServer(Context_, Request_, Target, Patience,
                                     Exchange.scope());
   if (!isOk(Called)) {
@@ -327,17 +325,17 @@
 Task<void> GenerationCall::finish(StepEnd End) {
   CallerExchange &Exchange = Request_.Exchange_;
   const bool IsBegun = Exchange.isAnswerBegun();
-  logLine(LogPart::Engine, LogLevel::Info,
-          IsWhole_ ? "Stream ended." : "Generation failed.",
-          {{"request", Exchange.id().Value_},
-           {"route", Request_.Route_.Name_},
-           {"organisation", Request_.organisationName().Value_},
-           {"placements", std::to_string(Placements_)},
-           {"engines", std::to_string(Sent_)},
-           {"events", std::to_string(Events_)},
-           {"configuration",
-            std::to_string(Request_.Configuration_->version())},
-           {"elapsed_ms", elapsedMs(Exchange)}});
+  logLine(
+      LogPart::Engine, LogLevel::Info,
+      IsWhole_ ? "Stream ended." : "Generation failed.",
+      {{"request", Exchange.id().Value_},
+       {"route", Request_.Route_.Name_},
+       {"organisation", Request_.organisationName().Value_},
+       {"placements", std::to_string(Placements_)},
+       {"engines", std::to_string(Sent_)},
+       {"events", std::to_string(Events_)},
+       {"configuration", std::to_string(Request_.Configuration_->version())},
+       {"elapsed_ms", elapsedMs(Exchange)}});
   if (IsWhole_ || IsBegun) {
     Context_.Metrics_.add(Count::AnswersGenerated, IsWhole_ ? 1 : 0);
     co_return;
@@ -359,10 +357,10 @@
                     {RefusalReason::BackendFailed, Execution::Unknown, {}},
                     "the engine failed");
   else
-    co_await refuse(Context_, Exchange,
-                    {RefusalReason::NoBackendServer, Execution::NotRun,
-                     RetryAfterFailure},
-                    "no engine took it");
+    co_await refuse(
+        Context_, Exchange,
+        {RefusalReason::NoBackendServer, Execution::NotRun, RetryAfterFailure},
+        "no engine took it");
 }
 
 Task<void> GenerationCall::run() {
@@ -387,12 +385,10 @@
       report(GenerationStep::Ended, Grant.Decode_);
       continue;
     }
-    Context_.Home_.noteRunning({Request_.Exchange_.id(),
-                                Request_.organisationName(), Request_.Service_,
-                                Grant.Decode_.Id_,
-                                Request_.Facts_.PromptTokens_,
-                                Events_ * Engine_.EventTokens_,
-                                Request_.Facts_.LengthHint_});
+    Context_.Home_.noteRunning(
+        {Request_.Exchange_.id(), Request_.organisationName(),
+         Request_.Service_, Grant.Decode_.Id_, Request_.Facts_.PromptTokens_,
+         Events_ * Engine_.EventTokens_, Request_.Facts_.LengthHint_});
     std::string KvSource;
     const bool IsReady = co_await prepare(Grant, KvSource);
     if (Request_.Exchange_.scope().isCancelled()) {
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -266,7 +266,8 @@
     Homes_.onReply(From);
     if (Message.IsLeaving_)
       Homes_.onLeaving(From);
-    handleVersions(From, Message.ConfigurationVersion_, Message.ServersVersion_);
+    handleVersions(From, Message.ConfigurationVersion_,
+                   Message.ServersVersion_);
   }
   if (From != Home_)
     return;
@@ -313,8 +314,7 @@
            {"decode", Grant ? Grant->Decode_.Id_.Value_ : ""},
            {"reason", Denial ? asCode(Denial->Reason_) : ""},
            {"waited_ms",
-            text(static_cast<std::uint64_t>(
-                asSeconds(Placed.Waited_) * 1000))},
+            text(static_cast<std::uint64_t>(asSeconds(Placed.Waited_) * 1000))},
            {"waiting", text(Desk_.placer().waiting())},
            {"booked", text(Desk_.placer().booked())},
            {"attached", text(Desk_.attached())}});
--- a/src/relayd/PlainCall.cpp
+++ b/src/relayd/PlainCall.cpp
@@ -50,8 +50,8 @@
   Target.Order_.TimeLeft_ = Request_.timeLeft();
   CancelScope &Scope = Request_.Exchange_.scope();
   Duration Patience = Request_.timeLeft();
-  const bool MayMove = Request_.Route_.mayRepeat() &&
-                       Sent_ < Request_.Route_.MaxServers_;
+  const bool MayMove =
+      Request_.Route_.mayRepeat() && Sent_ < Request_.Route_.MaxServers_;
   if (MayMove)
     Patience = std::min(Patience, Request_.Route_.Target_ * PatienceTargets);
   auto Started =
@@ -128,19 +128,18 @@
   for (;;) {
     const auto Servers = candidates();
     if (Servers.empty()) {
-      co_await refuse(Context_, Request_.Exchange_,
-                      {RefusalReason::NoBackendServer, Execution::NotRun,
-                       RetryAfterFull},
-                      "no server registered");
+      co_await refuse(
+          Context_, Request_.Exchange_,
+          {RefusalReason::NoBackendServer, Execution::NotRun, RetryAfterFull},
+          "no server registered");
       co_return;
     }
     const BackendEntry Server = Context_.Balancers_[Request_.Service_].choose(
         Servers, Context_.Settings_.DataCentre_, readBootClock());
     Attempt Outcome = co_await attempt(Server);
     const AttemptEnd End = endOf(Outcome);
-    const bool HasRun =
-        isOk(Outcome) ? !valueOf(Outcome).Facts_.IsNotRun_
-                      : errorOf(Outcome).MayHaveStarted_;
+    const bool HasRun = isOk(Outcome) ? !valueOf(Outcome).Facts_.IsNotRun_
+                                      : errorOf(Outcome).MayHaveStarted_;
     MayHaveRun = MayHaveRun || HasRun;
     if (mayTryAgain(End, MayHaveRun)) {
       Context_.Metrics_.addRetry(static_cast<std::size_t>(End), codeOf(End));
@@ -165,16 +164,16 @@
                             readBootClock() - Exchange.arrival());
   co_await Exchange.answer(Answer.Head_.Status_, relayedFields(Answer.Head_),
                            Answer.Body_);
-  logLine(LogPart::Service, LogLevel::Info, "Request answered.",
-          {{"request", Exchange.id().Value_},
-           {"route", Request_.Route_.Name_},
-           {"organisation", Request_.organisationName().Value_},
-           {"server", Tried_.back().Value_},
-           {"attempts", std::to_string(Tried_.size())},
-           {"status", std::to_string(Answer.Head_.Status_)},
-           {"configuration",
-            std::to_string(Request_.Configuration_->version())},
-           {"elapsed_ms", elapsedMs(Exchange)}});
+  logLine(
+      LogPart::Service, LogLevel::Info, "Request answered.",
+      {{"request", Exchange.id().Value_},
+       {"route", Request_.Route_.Name_},
+       {"organisation", Request_.organisationName().Value_},
+       {"server", Tried_.back().Value_},
+       {"attempts", std::to_string(Tried_.size())},
+       {"status", std::to_string(Answer.Head_.Status_)},
+       {"configuration", std::to_string(Request_.Configuration_->version())},
+       {"elapsed_ms", elapsedMs(Exchange)}});
 }
 
 Task<void> PlainCall::fail(const Attempt &Last, bool MayHaveRun) {
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -79,19 +79,13 @@
     : Settings_(std::move(Settings)), Adapter_(std::move(Parts)),
       Home_(Context_, Settings_.Name_, Directory_, Settings_.LimitWindow_,
             makeCallbacks()),
-      Relay_{Context_,
-             Settings_,
-             *Adapter_.Wire_,
-             Directory_,
-             Home_,
-             ConnectionPool(PoolLimits()),
-             {},
-             {},
-             {},
+      Relay_{Context_,   Settings_, *Adapter_.Wire_,
+             Directory_, Home_,     ConnectionPool(PoolLimits()),
+             {},         {},        {},
              {}},
-      Handler_(Relay_), Callers_(Context_, Handler_,
-                                 makeCallerLimits(RelayCallerLimits()),
-                                 Settings_.Name_.Value_ + "-"),
+      Handler_(Relay_),
+      Callers_(Context_, Handler_, makeCallerLimits(RelayCallerLimits()),
+               Settings_.Name_.Value_ + "-"),
       Store_(Adapter_.MakeStore_(Context_)), Incarnation_(makeIncarnation(0)),
       StartedAt_(readBootClock()), HomeSince_(StartedAt_),
       Signals_(Context_, SIGTERM, SIGINT), Hangups_(Context_, SIGHUP) {}
@@ -122,8 +116,8 @@
   Ports_.push_back(
       std::make_unique<Port>(Context_, Settings_.ReadyListen_, ServeOperator));
   if (!Settings_.MetricsListen_.empty())
-    Ports_.push_back(std::make_unique<Port>(
-        Context_, Settings_.MetricsListen_, ServeOperator));
+    Ports_.push_back(std::make_unique<Port>(Context_, Settings_.MetricsListen_,
+                                            ServeOperator));
   for (const auto &Each : Ports_)
     if (!Each->open())
       return Each->Address_;
@@ -255,8 +249,8 @@
       continue;
     ServerRows_[Each.Key_] = Each;
     ServersVersion_ = std::max(ServersVersion_, Each.Version_);
-    const auto Entry = Each.IsRemoved_ ? std::nullopt
-                                       : Adapter_.Rows_->parseServer(Each);
+    const auto Entry =
+        Each.IsRemoved_ ? std::nullopt : Adapter_.Rows_->parseServer(Each);
     if (IsSnapshot) {
       if (Entry)
         Entries.push_back(*Entry);
@@ -493,9 +487,8 @@
   }
   logLine(LogPart::Daemon, LogLevel::Info, "Instance stops.",
           {{"in_flight", std::to_string(Relay_.InFlight_)},
-           {"served_s",
-            std::to_string(
-                static_cast<int>(asSeconds(readBootClock() - StartedAt_)))}});
+           {"served_s", std::to_string(static_cast<int>(
+                            asSeconds(readBootClock() - StartedAt_)))}});
   Context_.stop();
 }
 
--- a/src/relayd/RelayHandler.cpp
+++ b/src/relayd/RelayHandler.cpp
@@ -39,8 +39,7 @@
 void RelayHandler::onRefused(const RequestId &Id, const CallerError &Error) {
   Context_.Metrics_.addRefusal(Error.Refusal_.Reason_);
   logLine(LogPart::Http, LogLevel::Info, "Request refused unread.",
-          {{"request", Id.Value_},
-           {"reason", asCode(Error.Refusal_.Reason_)}});
+          {{"request", Id.Value_}, {"reason", asCode(Error.Refusal_.Reason_)}});
 }
 
 Task<void> RelayHandler::onHandle(CallerExchange &Exchange) {
@@ -55,10 +54,10 @@
     Exchange.setId(Facts.Request_);
   const auto Configuration = Context_.Configuration_;
   if (!Configuration) {
-    co_await refuse(Context_, Exchange,
-                    notRun(RefusalReason::ConfigurationUnknown,
-                           RetryAfterStart),
-                    "no configuration known");
+    co_await refuse(
+        Context_, Exchange,
+        notRun(RefusalReason::ConfigurationUnknown, RetryAfterStart),
+        "no configuration known");
     co_return;
   }
   if (Facts.Request_.isEmpty() || !Facts.IsWellFormed_) {
--- a/src/relayd/ServerCall.cpp
+++ b/src/relayd/ServerCall.cpp
@@ -28,16 +28,16 @@
 }
 
 bool isForeign(const ServerFacts &Facts, const RelayRequest &Request) {
-  return !Facts.Request_.isEmpty() &&
-         Facts.Request_ != Request.Facts_.Request_;
+  return !Facts.Request_.isEmpty() && Facts.Request_ != Request.Facts_.Request_;
 }
 
 } // namespace
 
-Task<Result<ServerAnswer, CallError>>
-callServer(RelayContext &Context, const RelayRequest &Request,
-           const ServerTarget &Target, Duration AnswerTimeout,
-           CancelScope &Scope) {
+Task<Result<ServerAnswer, CallError>> callServer(RelayContext &Context,
+                                                 const RelayRequest &Request,
+                                                 const ServerTarget &Target,
+                                                 Duration AnswerTimeout,
+                                                 CancelScope &Scope) {
   auto Made = co_await Context.Pool_.acquire(Target.Address_, Scope);
   if (!isOk(Made))
     co_return errorOf(Made);
--- a/src/relayd/TableFollower.cpp
+++ b/src/relayd/TableFollower.cpp
@@ -21,9 +21,8 @@
 } // namespace
 
 std::string_view asCode(StoreFailure Failure) {
-  constexpr std::string_view Codes[] = {"unreachable", "refused",
-                                        "history_gone", "conflict",
-                                        "malformed"};
+  constexpr std::string_view Codes[] = {
+      "unreachable", "refused", "history_gone", "conflict", "malformed"};
   return Codes[static_cast<std::size_t>(Failure)];
 }
 
@@ -32,9 +31,7 @@
     : Context_(Context), Store_(Store), Table_(std::move(Table)), Pause_(Pause),
       Listener_(std::move(Tell)) {}
 
-void TableFollower::start() {
-  asio::co_spawn(Context_, run(), asio::detached);
-}
+void TableFollower::start() { asio::co_spawn(Context_, run(), asio::detached); }
 
 Task<void> TableFollower::run() {
   for (;;) {
--- /dev/null
+++ b/tests/GenerationPlacerTest.cpp
@@ -0,0 +1,270 @@
+#include "gooseberrybeam/relay/GenerationPlacer.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <set>
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceId Pool = {"writer"};
+const InstanceId Edge = {"edge"};
+
+/// A pool of engines that hold 100,000 tokens each.
+class PoolWorld {
+public:
+  PoolWorld() : Placer_(Directory_) {
+    RelayConfigurationParts Parts;
+    Parts.Version_ = 1;
+    EngineTraits Traits;
+    Traits.Slots_ = 16;
+    Traits.KvTokens_ = 100'000;
+    Parts.Services_ = {{Pool, 100, Traits}};
+    Placer_.configure(
+        std::make_shared<const RelayConfiguration>(std::move(Parts)));
+    addEngine("p1", EngineRole::Prefill);
+    addEngine("p2", EngineRole::Prefill);
+    addEngine("d1", EngineRole::Decode);
+    addEngine("d2", EngineRole::Decode);
+  }
+
+  void addEngine(std::string Id, EngineRole Role, bool IsLeaving = false) {
+    BackendEntry Entry;
+    Entry.Id_ = {Id};
+    Entry.Address_ = {Id + ":80"};
+    Entry.Service_ = Pool;
+    Entry.Role_ = Role;
+    Entry.IsLeaving_ = IsLeaving;
+    Directory_.put(Entry);
+  }
+
+  static PlacementAsk makeAsk(std::string Request) {
+    PlacementAsk Ask;
+    Ask.Request_ = {std::move(Request)};
+    Ask.Organisation_ = {"acme"};
+    Ask.Service_ = Pool;
+    Ask.PromptTokens_ = 5000;
+    Ask.MaxOutputTokens_ = 8000;
+    Ask.TargetLeft_ = 900ms;
+    Ask.TimeLeft_ = 14s;
+    return Ask;
+  }
+
+  /// Asks for one generation and decides.
+  std::optional<PlacementAnswer> place(const PlacementAsk &Ask) {
+    Placer_.ask(Edge, Ask, Now_);
+    return answerFor(Ask.Request_);
+  }
+
+  std::optional<PlacementAnswer> answerFor(const RequestId &Request) {
+    std::optional<PlacementAnswer> Out;
+    for (auto &Each : Placer_.decide(Now_)) {
+      const RequestId Of = std::visit(
+          [](const auto &Answer) { return Answer.Request_; }, Each.Answer_);
+      Answers_[Of] = Each.Answer_;
+    }
+    const auto Found = Answers_.find(Request);
+    if (Found == Answers_.end())
+      return std::nullopt;
+    Out = Found->second;
+    Answers_.erase(Found);
+    return Out;
+  }
+
+  static PlacementGrant grantOf(const std::optional<PlacementAnswer> &Answer) {
+    REQUIRE(Answer);
+    REQUIRE(std::holds_alternative<PlacementGrant>(*Answer));
+    return std::get<PlacementGrant>(*Answer);
+  }
+
+  void tell(const char *Request, GenerationStep Step, const ServerId &Server,
+            std::uint32_t Tokens = 0, Duration Took = Duration::zero()) {
+    Placer_.report({{Request}, Step, Server, Tokens, Took}, Now_);
+  }
+
+  /// Fills the pool until a generation has to wait.
+  /// \returns how many were granted.
+  int fill(const std::string &Prefix) {
+    for (int I = 0; I != 100; ++I) {
+      const std::string Name = Prefix + std::to_string(I);
+      const auto Answer = place(makeAsk(Name));
+      if (!Answer)
+        return I;
+      const PlacementGrant Grant = grantOf(Answer);
+      if (Grant.Prefill_)
+        tell(Name.c_str(), GenerationStep::Prefilled, Grant.Prefill_->Id_, 5000,
+             100ms);
+    }
+    return 100;
+  }
+
+  BackendDirectory Directory_;
+  GenerationPlacer Placer_;
+  TimePoint Now_{100s};
+  std::map<RequestId, PlacementAnswer> Answers_;
+};
+
+} // namespace
+
+TEST_CASE("A generation gets a prefill and a decode engine", "[relay]") {
+  PoolWorld World;
+  const PlacementGrant Grant = World.grantOf(World.place(World.makeAsk("r1")));
+  REQUIRE(Grant.Prefill_);
+  CHECK(Grant.Prefill_->Id_.Value_.front() == 'p');
+  CHECK(Grant.Decode_.Id_.Value_.front() == 'd');
+
+  SECTION("the next one gets the other engines") {
+    const PlacementGrant Next = World.grantOf(World.place(World.makeAsk("r2")));
+    CHECK(Next.Prefill_->Id_ != Grant.Prefill_->Id_);
+    CHECK(Next.Decode_.Id_ != Grant.Decode_.Id_);
+  }
+  SECTION("a moved stream needs no prefill") {
+    PlacementAsk Ask = World.makeAsk("r3");
+    Ask.NeedsPrefill_ = false;
+    Ask.Avoid_ = {Grant.Decode_.Id_};
+    const PlacementGrant Moved = World.grantOf(World.place(Ask));
+    CHECK_FALSE(Moved.Prefill_);
+    CHECK(Moved.Decode_.Id_ != Grant.Decode_.Id_);
+  }
+}
+
+TEST_CASE("Engines that cannot take work get none", "[relay]") {
+  PoolWorld World;
+  SECTION("a leaving engine") {
+    World.addEngine("d1", EngineRole::Decode, true);
+    for (int I = 0; I != 4; ++I) {
+      const std::string Name = "r" + std::to_string(I);
+      const auto Grant = World.grantOf(World.place(World.makeAsk(Name)));
+      CHECK(Grant.Decode_.Id_.Value_ == "d2");
+      World.tell(Name.c_str(), GenerationStep::Prefilled, Grant.Prefill_->Id_,
+                 5000, 100ms);
+    }
+  }
+  SECTION("an engine that failed, for a while") {
+    World.tell("x", GenerationStep::ServerFailed, {"d1"});
+    CHECK(World.grantOf(World.place(World.makeAsk("r1"))).Decode_.Id_.Value_ ==
+          "d2");
+    World.Now_ += 2s;
+    CHECK(World.grantOf(World.place(World.makeAsk("r2"))).Decode_.Id_.Value_ ==
+          "d1");
+  }
+  SECTION("a prefill engine whose handles are lost in a row") {
+    World.tell("x", GenerationStep::HandleLost, {"p1"});
+    World.tell("y", GenerationStep::HandleLost, {"p1"});
+    const auto Grant = World.grantOf(World.place(World.makeAsk("r1")));
+    CHECK(Grant.Prefill_->Id_.Value_ == "p2");
+  }
+  SECTION("without prefill engines the decode engine reads the prompt") {
+    World.tell("x", GenerationStep::ServerFailed, {"p1"});
+    World.tell("x", GenerationStep::ServerFailed, {"p2"});
+    CHECK_FALSE(World.grantOf(World.place(World.makeAsk("r1"))).Prefill_);
+  }
+  SECTION("a service without engines is denied at once, as not run") {
+    PlacementAsk Ask = World.makeAsk("r1");
+    Ask.Service_ = {"unknown"};
+    const auto Answer = World.place(Ask);
+    REQUIRE(Answer);
+    REQUIRE(std::holds_alternative<PlacementDenial>(*Answer));
+    CHECK(std::get<PlacementDenial>(*Answer).Reason_ ==
+          RefusalReason::NoBackendServer);
+  }
+}
+
+TEST_CASE("Generations wait for memory, not for slots", "[relay]") {
+  PoolWorld World;
+  const int Granted = World.fill("r");
+  // Two engines of 100,000 tokens; each generation is expected to end at 9,000.
+  CHECK(Granted >= 16);
+  CHECK(Granted <= 22);
+
+  SECTION("a finished one makes room") {
+    World.tell("r0", GenerationStep::Ended, {}, 4000, 4s);
+    CHECK(World.Placer_.decide(World.Now_).size() == 1);
+  }
+  SECTION("one that cannot be finished in time is refused before it has run") {
+    PlacementAsk Ask = World.makeAsk("late");
+    Ask.TimeLeft_ = 5s;
+    CHECK_FALSE(World.place(Ask));
+    World.Now_ += 2s;
+    const auto Answer = World.answerFor({"late"});
+    REQUIRE(Answer);
+    CHECK(std::get<PlacementDenial>(*Answer).Reason_ ==
+          RefusalReason::DeadlineUnreachable);
+  }
+  SECTION("what an instance had is freed when it is dropped") {
+    World.Placer_.drop(Edge);
+    CHECK(World.Placer_.booked() == 0);
+    CHECK(World.Placer_.waiting() == 0);
+    CHECK(World.fill("s") == Granted);
+  }
+}
+
+TEST_CASE("A new home takes over what runs", "[relay]") {
+  PoolWorld World;
+  const int Granted = World.fill("r");
+  PoolWorld Next;
+  for (int I = 0; I != Granted; ++I) {
+    RunningGeneration Running;
+    Running.Request_ = {"r" + std::to_string(I)};
+    Running.Service_ = Pool;
+    Running.Decode_ = {I % 2 == 0 ? "d1" : "d2"};
+    Running.PromptTokens_ = 5000;
+    Running.LengthHint_ = 4000;
+    Next.Placer_.adopt(Edge, Running, Next.Now_);
+  }
+  CHECK(Next.Placer_.booked() == static_cast<std::size_t>(Granted));
+  CHECK(Next.fill("s") <= 2);
+  SECTION("twice the same is once") {
+    RunningGeneration Again;
+    Again.Request_ = {"r0"};
+    Again.Service_ = Pool;
+    Again.Decode_ = {"d1"};
+    const auto Before = Next.Placer_.booked();
+    Next.Placer_.adopt(Edge, Again, Next.Now_);
+    CHECK(Next.Placer_.booked() == Before);
+  }
+}
+
+TEST_CASE("Beyond capacity some callers are served in time", "[relay]") {
+  // A burst of about three times what the pool can finish, for eight seconds,
+  // two lives of a generation: what can still meet its target goes before what
+  // is late already. The pool holds some 20 generations at once.
+  PoolWorld World;
+  std::map<RequestId, TimePoint> Asked;
+  std::map<RequestId, TimePoint> Ends;
+  int InTime = 0;
+  int Late = 0;
+  int Number = 0;
+  const TimePoint Start = World.Now_;
+  for (; World.Now_ < Start + 9s; World.Now_ += 10ms) {
+    if (World.Now_ < Start + 8s && (World.Now_ - Start) % 70ms == 0ms) {
+      const std::string Name = "r" + std::to_string(Number++);
+      Asked[{Name}] = World.Now_;
+      World.Placer_.ask(Edge, World.makeAsk(Name), World.Now_);
+    }
+    for (auto It = Ends.begin(); It != Ends.end();) {
+      if (It->second > World.Now_) {
+        ++It;
+        continue;
+      }
+      World.tell(It->first.Value_.c_str(), GenerationStep::Ended, {}, 4000, 4s);
+      It = Ends.erase(It);
+    }
+    for (const auto &Each : World.Placer_.decide(World.Now_)) {
+      const auto *Grant = std::get_if<PlacementGrant>(&Each.Answer_);
+      if (!Grant)
+        continue;
+      Ends[Grant->Request_] = World.Now_ + 4s;
+      World.tell(Grant->Request_.Value_.c_str(), GenerationStep::Prefilled,
+                 Grant->Prefill_->Id_, 5000, 100ms);
+      const bool IsInTime = World.Now_ - Asked[Grant->Request_] < 800ms;
+      ++(IsInTime ? InTime : Late);
+    }
+  }
+  const int Capacity = PoolWorld().fill("x");
+  CHECK(InTime >= 2 * Capacity * 8 / 10);
+  CHECK(InTime > Late);
+}
--- /dev/null
+++ b/tests/HomeCodecTest.cpp
@@ -0,0 +1,68 @@
+#include "gooseberrybeam/relayd/HomeCodec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+void checkRoundTrip(const HomeMessage &Message) {
+  const auto Parsed = parseHomeMessage(encodeHomeMessage(Message));
+  REQUIRE(Parsed);
+  CHECK(*Parsed == Message);
+}
+
+} // namespace
+
+TEST_CASE("Messages between instances and homes survive encoding", "[relay]") {
+  SECTION("heartbeats") {
+    HomeHeartbeat Message;
+    Message.Sequence_ = 4;
+    Message.ConfigurationVersion_ = 17;
+    Message.ServersVersion_ = 99;
+    Message.Uptime_ = 12s;
+    Message.IsAttached_ = true;
+    Message.Used_ = {{{"acme"}, 250.5, 3s}};
+    Message.Running_ = {{{"r"}, {"acme"}, {"svc"}, {"d1"}, 5000, 630, 4400}};
+    checkRoundTrip(Message);
+    checkRoundTrip(HomeReply{4, 17, 99, true, {{"acme"}}});
+  }
+  SECTION("asks and their answers") {
+    PlacementAsk Ask;
+    Ask.Request_ = {"r"};
+    Ask.Organisation_ = {"acme"};
+    Ask.Service_ = {"svc"};
+    Ask.PromptTokens_ = 5000;
+    Ask.TargetLeft_ = -3ms;
+    Ask.TimeLeft_ = 13s;
+    Ask.NeedsPrefill_ = false;
+    Ask.Avoid_ = {{"d1"}, {"d2"}};
+    checkRoundTrip(Ask);
+    checkRoundTrip(PlacementGrant{{"r"},
+                                  ChosenServer{{"p1"}, {"10.0.0.1:80"}},
+                                  {{"d1"}, {"10.0.0.2:80"}}});
+    checkRoundTrip(
+        PlacementGrant{{"r"}, std::nullopt, {{"d1"}, {"1.1.1.1:1"}}});
+    checkRoundTrip(PlacementDenial{{"r"}, RefusalReason::RateExceeded, 1s});
+    checkRoundTrip(PlacementDenial{{"r"}, RefusalReason::QueueFull, {}});
+  }
+  SECTION("steps") {
+    checkRoundTrip(
+        GenerationReport{{"r"}, GenerationStep::HandleLost, {"p1"}, 7, 5ms});
+  }
+  SECTION("copies of what the store holds") {
+    checkRoundTrip(ConfigurationRequest{3});
+    checkRoundTrip(ConfigurationCopy{"{}"});
+    checkRoundTrip(ServersRequest{5});
+    checkRoundTrip(ServersCopy{6, {{"a", "{}", 4}, {"b", "", 6}}});
+  }
+}
+
+TEST_CASE("Malformed messages are rejected", "[relay]") {
+  CHECK_FALSE(parseHomeMessage(""));
+  CHECK_FALSE(parseHomeMessage("\xff\xff\xff"));
+  HomeMessage Denial =
+      PlacementDenial{{"r"}, static_cast<RefusalReason>(200), {}};
+  CHECK_FALSE(parseHomeMessage(encodeHomeMessage(Denial)));
+}
--- /dev/null
+++ b/tests/PlatformTest.cpp
@@ -0,0 +1,205 @@
+#include "ParseNodeSettings.h"
+#include "PlatformRows.h"
+#include "PlatformWire.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberry;
+using namespace gooseberry::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view SettingsText = R"({
+  "node_name": "edge-1", "zone": "dc-a", "ip": "10.1.0.3",
+  "listen": {"front": "10.1.0.3:8360", "ready": "10.1.0.3:8365"},
+  "port_range": [7500, 7515],
+  "bounds": {"grace_s": 8, "quota_window_s": 5, "retry_budget_ratio": 0.3,
+             "budget_slack": 56, "fail_closed": false},
+  "provider": {"address": "10.200.1.7:8361", "form": "table"},
+  "unknown": [1, 2]
+})";
+
+constexpr std::string_view ConfigurationText = R"({
+  "version": 7,
+  "routes": [
+    {"name": "r1", "host": "a.example", "path_prefix": "/x/",
+     "kind": "streaming", "timeout_ms": 14000, "target_latency_ms": 900,
+     "priority": 1, "max_attempts": 2, "sticky": true, "resumable": true,
+     "traffic_split": [{"service": "s1", "weight": 90},
+                       {"service": "s2", "weight": 10}]},
+    {"name": "broken", "host": "a.example", "kind": "streaming"},
+    {"name": "r2", "host": "a.example", "path_prefix": "/y/",
+     "kind": "non_idempotent", "service": "s2", "public": true}],
+  "services": [
+    {"name": "s1", "engine": {"slots": 16, "kv_tokens": 91723, "stride": 63,
+                              "kv_hold_s": 0.5}},
+    {"name": "s2", "max_connections": 110}],
+  "limits": {"idle_timeout_ms": 15000},
+  "tenants": [{"name": "acme", "api_keys": ["k1"], "unit": "token",
+               "plain_tokens": 200, "rate_per_s": 1000, "burst": 500}]
+})";
+
+StoreRow makeRow(std::string Value) {
+  StoreRow Row;
+  Row.Key_ = "i-1";
+  Row.Value_ = std::move(Value);
+  return Row;
+}
+
+} // namespace
+
+TEST_CASE("The platform's settings file is read", "[platform]") {
+  const auto Parsed = parseNodeSettings(SettingsText);
+  REQUIRE(isOk(Parsed));
+  const RelaySettings &Settings = valueOf(Parsed);
+  CHECK(Settings.Name_.Value_ == "edge-1");
+  CHECK(Settings.CallerListen_ == "10.1.0.3:8360");
+  CHECK(Settings.PeerListen_ == "10.1.0.3:7500");
+  CHECK(Settings.Store_.Value_ == "10.200.1.7:8361");
+  CHECK(Settings.ShutdownTime_ == 8s);
+  CHECK(Settings.LimitWindow_ == 5s);
+  CHECK(Settings.Repeats_.RepeatsPerRequest_ == 0.3);
+
+  SECTION("what is missing is named") {
+    const auto Missing = parseNodeSettings(R"({"node_name": "edge-1"})");
+    REQUIRE_FALSE(isOk(Missing));
+    CHECK(errorOf(Missing).Field_ == "zone");
+    CHECK_FALSE(isOk(parseNodeSettings("[]")));
+    CHECK_FALSE(isOk(parseNodeSettings("{")));
+  }
+}
+
+TEST_CASE("The operator's configuration is decoded", "[platform]") {
+  const PlatformRows Rows;
+  const auto Configuration = Rows.parseConfiguration(ConfigurationText);
+  REQUIRE(Configuration);
+  CHECK(Configuration->version() == 7);
+  SECTION("routes that lack something are left out") {
+    CHECK(Configuration->parts().Routes_.size() == 2);
+  }
+  SECTION("a route says what may be repeated") {
+    const RelayRoute *Route = Configuration->findRoute("a.example", "/x/1");
+    REQUIRE(Route);
+    CHECK(Route->Kind_ == RelayKind::Stream);
+    CHECK(Route->IsResumable_);
+    CHECK(Route->IsGeneration_);
+    CHECK(Route->Targets_.size() == 2);
+    CHECK(Route->Timeout_ == 14s);
+  }
+  SECTION("engines and plain services differ") {
+    CHECK(Configuration->findService({"s1"})->Engine_->KvTokens_ == 91723);
+    CHECK_FALSE(Configuration->findService({"s2"})->Engine_);
+  }
+  SECTION("limits count tokens") {
+    const auto *Acme = Configuration->findByKey("k1");
+    REQUIRE(Acme);
+    CHECK(Acme->Limit_->RatePerSecond_ == 1000);
+    CHECK(Acme->PlainTokens_ == 200);
+  }
+  SECTION("a text that is none is rejected") {
+    CHECK_FALSE(Rows.parseConfiguration("{}"));
+    CHECK_FALSE(Rows.parseConfiguration("no json"));
+  }
+}
+
+TEST_CASE("Backend servers' rows are decoded", "[platform]") {
+  const PlatformRows Rows;
+  const std::string Good =
+      R"({"service":"s1","address":"10.0.0.9:8080","zone":"dc-a","slots":16,)"
+      R"("state":"ready","stage":"decode","born":1700000000000})";
+  const auto Entry = Rows.parseServer(makeRow(Good));
+  REQUIRE(Entry);
+  CHECK(Entry->Id_.Value_ == "i-1");
+  CHECK(Entry->Role_ == EngineRole::Decode);
+  CHECK(Entry->BornMs_ == 1700000000000);
+  CHECK_FALSE(Entry->IsLeaving_);
+
+  SECTION("a row of another writer names no server to use") {
+    CHECK_FALSE(Rows.parseServer(makeRow("\xff\x01")));
+    CHECK_FALSE(Rows.parseServer(makeRow(R"({"service":"s1"})")));
+    CHECK_FALSE(Rows.parseServer(makeRow(
+        R"({"service":1,"address":"a:1","zone":"z","slots":1,"state":"ready"})")));
+    CHECK_FALSE(Rows.parseServer(makeRow(
+        R"({"service":"s","address":"a:1","zone":"z","slots":1,"state":"odd"})")));
+  }
+}
+
+TEST_CASE("Callers' heads are decoded and cleaned", "[platform]") {
+  const PlatformWire Wire;
+  RequestHead Head;
+  Head.set("Request-Id", "r1");
+  Head.set("Deadline-Ms", "14000");
+  Head.set("Token-Count", "1460,80");
+  Head.set("Length-Hint", "60");
+  Head.set("Authorization", "Token k1");
+  Head.set("Kv-Hold", "stolen");
+  Head.set("Tenant", "other");
+  const CallerFacts Facts = Wire.readCaller(Head);
+  CHECK(Facts.Request_.Value_ == "r1");
+  CHECK(Facts.Key_ == "k1");
+  CHECK(Facts.TimeLeft_ == Duration(14s));
+  CHECK(Facts.PromptTokens_ == 1460);
+  CHECK(Facts.MaxOutputTokens_ == 80);
+  CHECK(Facts.LengthHint_ == 60);
+
+  SECTION("the server is told what the relay knows, and never the key") {
+    ServerOrder Order;
+    Order.Server_ = {"i-1"};
+    Order.Organisation_ = {"acme"};
+    Order.TimeLeft_ = 900ms;
+    Order.KvSource_ = Wire.kvSource({"10.0.0.1:80"}, "abc");
+    Order.LastEvent_ = 12;
+    Wire.writeOrder(Head, Order);
+    CHECK(Head.count("Authorization") == 0);
+    CHECK(Head.count("Kv-Hold") == 0);
+    CHECK(Head["Tenant"] == "acme");
+    CHECK(Head["Deadline-Ms"] == "900");
+    CHECK(Head["Expect-Instance"] == "i-1");
+    CHECK(Head["Kv-Source"] == "10.0.0.1:80/abc");
+    CHECK(Head["Last-Event-Id"] == "12");
+    CHECK(Head["Request-Id"] == "r1");
+  }
+  SECTION("numbers that are none are malformed") {
+    Head.set("Deadline-Ms", "soon");
+    CHECK_FALSE(Wire.readCaller(Head).IsWellFormed_);
+    Head.set("Deadline-Ms", "10");
+    Head.set("Token-Count", "many,80");
+    CHECK_FALSE(Wire.readCaller(Head).IsWellFormed_);
+  }
+}
+
+TEST_CASE("Servers' heads are decoded", "[platform]") {
+  const PlatformWire Wire;
+  ResponseHead Head;
+  Head.Status_ = 200;
+  Head.Fields_.set("Request-Id", "r1");
+  Head.Fields_.set("Response-Signature", "s");
+  const ServerFacts Facts = Wire.readServer(Head);
+  CHECK(Facts.Request_.Value_ == "r1");
+  CHECK(Facts.IsSigned_);
+  CHECK_FALSE(Facts.IsNotRun_);
+  SECTION("a rejection says that nothing has run") {
+    Head.Status_ = 503;
+    Head.Fields_.set("Not-Executed", "1");
+    CHECK(Wire.readServer(Head).IsNotRun_);
+  }
+  SECTION("so does another server at the address") {
+    Head.Status_ = 421;
+    CHECK(Wire.readServer(Head).IsNotRun_);
+    CHECK(Wire.readServer(Head).IsOtherServer_);
+  }
+  SECTION("a prefill's answer names the handle") {
+    const auto Prompt =
+        Wire.parsePrefilled(R"({"kv_handle":"3f","tokens":1460,"version":1})");
+    REQUIRE(Prompt);
+    CHECK(Prompt->Handle_ == "3f");
+    CHECK(Prompt->Tokens_ == 1460);
+    CHECK_FALSE(Wire.parsePrefilled("{}"));
+  }
+  SECTION("a refusal tells fractions of seconds") {
+    HttpFields Fields;
+    Wire.writeRetryAfter(Fields, 150ms);
+    CHECK(Fields["Retry-After"] == "0.150");
+  }
+}
--- /dev/null
+++ b/tests/RelayConfigurationTest.cpp
@@ -0,0 +1,71 @@
+#include "gooseberrybeam/relay/RelayConfiguration.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberry;
+
+namespace {
+
+RelayRoute makeRoute(std::string Name, std::string Host, std::string Prefix) {
+  RelayRoute Route;
+  Route.Name_ = std::move(Name);
+  Route.Host_ = std::move(Host);
+  Route.PathPrefix_ = std::move(Prefix);
+  Route.Targets_ = {{{"svc"}, 1}};
+  return Route;
+}
+
+} // namespace
+
+TEST_CASE("A configuration finds routes and key holders", "[relay]") {
+  RelayConfigurationParts Parts;
+  Parts.Version_ = 7;
+  Parts.Routes_ = {makeRoute("short", "a.example", "/x/"),
+                   makeRoute("long", "a.example", "/x/y/"),
+                   makeRoute("other", "b.example", "/x/")};
+  RelayOrganisation Acme;
+  Acme.Name_ = {"acme"};
+  Acme.Keys_ = {"k1", "k2"};
+  Parts.Organisations_ = {Acme};
+  const RelayConfiguration Configuration(Parts);
+
+  SECTION("the longest prefix of the host wins") {
+    CHECK(Configuration.findRoute("a.example", "/x/1")->Name_ == "short");
+    CHECK(Configuration.findRoute("a.example", "/x/y/1")->Name_ == "long");
+    CHECK(Configuration.findRoute("b.example", "/x/y/1")->Name_ == "other");
+    SECTION("whatever the host's case and port") {
+      CHECK(Configuration.findRoute("A.Example:80", "/x/1")->Name_ == "short");
+    }
+  }
+  SECTION("an unknown host or path has no route") {
+    CHECK(Configuration.findRoute("c.example", "/x/1") == nullptr);
+    CHECK(Configuration.findRoute("a.example", "/z/1") == nullptr);
+    CHECK(Configuration.findRoute("a.example", "/x") == nullptr);
+  }
+  SECTION("every key of an organisation names it, and no other does") {
+    CHECK(Configuration.findByKey("k2")->Name_.Value_ == "acme");
+    CHECK(Configuration.findByKey("k3") == nullptr);
+    CHECK(Configuration.findByKey("") == nullptr);
+  }
+}
+
+TEST_CASE("A route's requests are split by weight", "[relay]") {
+  RelayRoute Route = makeRoute("r", "h", "/");
+  Route.Targets_ = {{{"old"}, 90}, {{"new"}, 10}};
+  CHECK(chooseTarget(Route, 0.0).Value_ == "old");
+  CHECK(chooseTarget(Route, 0.89).Value_ == "old");
+  CHECK(chooseTarget(Route, 0.91).Value_ == "new");
+  CHECK(chooseTarget(Route, 0.999).Value_ == "new");
+}
+
+TEST_CASE("Only idempotent requests and resumable streams repeat", "[relay]") {
+  RelayRoute Route = makeRoute("r", "h", "/");
+  Route.Kind_ = RelayKind::Idempotent;
+  CHECK(Route.mayRepeat());
+  Route.Kind_ = RelayKind::NonIdempotent;
+  CHECK_FALSE(Route.mayRepeat());
+  Route.Kind_ = RelayKind::Stream;
+  CHECK_FALSE(Route.mayRepeat());
+  Route.IsResumable_ = true;
+  CHECK(Route.mayRepeat());
+}
