--- a/include/gooseberrybeam/log/Log.h
+++ b/include/gooseberrybeam/log/Log.h
@@ -34,7 +34,8 @@
   std::string_view Value_;
 };
 
-/// Starts logging to the standard error stream.
+/// Starts logging to standard output. Lines beyond a bounded rate, or without
+/// room in a pipe, are dropped and counted; logging never waits.
 /// \param Level `debug`, `info`, `warn` or `error`.
 void startLog(std::string_view Level);
 
--- a/src/log/Log.cpp
+++ b/src/log/Log.cpp
@@ -1,9 +1,10 @@
 #include "gooseberrybeam/log/Log.h"
 
+#include "log/LineAppender.h"
+
 #include <boost/json/serialize.hpp>
 #include <boost/json/string_view.hpp>
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
@@ -44,8 +45,7 @@
 void startLog(std::string_view Level) {
   const auto Layout =
       std::make_shared<log4cxx::PatternLayout>("%d{ISO8601} %p %m%n");
-  const auto Appender =
-      std::make_shared<log4cxx::ConsoleAppender>(Layout, "System.err");
+  const auto Appender = std::make_shared<log4cxx::LineAppender>(Layout);
   log4cxx::BasicConfigurator::configure(Appender);
   logger()->setLevel(
       log4cxx::Level::toLevel(std::string(Level), log4cxx::Level::getInfo()));
