Hand prefill engines two prompts at most; count failures together once

Eight requests that failed on one crash doubled the pause to 8 s. Ruled out: false moves by the shorter silences (prefills failed, decodes did not).

--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -50,6 +50,7 @@
               std::uint32_t Tokens = 0, Duration Took = Duration::zero());
   void freeLater(const BackendId &Address, const std::string &Handle);
   Task<void> refuseDenied(const PlacementDenial &Denial);
+  std::string sinceArrival(TimePoint At) const;
   Task<void> finish(StepEnd End);
 
   RelayContext &Context_;
@@ -61,6 +62,8 @@
   std::uint32_t Placements_ = 0;
   std::uint32_t Events_ = 0; ///< Passed on to the caller.
   std::optional<std::uint64_t> LastEvent_;
+  TimePoint PlacedAt_;    ///< The last grant.
+  TimePoint PrefilledAt_; ///< The last prefill.
   TimePoint FirstEventAt_;
   std::uint32_t EngineEvents_ = 0; ///< Of the present engine.
   TimePoint EngineEventAt_;        ///< Its first event.
--- a/src/relay/GenerationPlacer.cpp
+++ b/src/relay/GenerationPlacer.cpp
@@ -21,6 +21,9 @@
 /// Prompts are handed to a prefill engine when it can begin within so long, so
 /// that the rest can still be reordered.
 constexpr Duration PrefillBacklog = std::chrono::milliseconds(60);
+/// Prompts that a prefill engine is handed before it has finished the first:
+/// it reads one while the next is on its way.
+constexpr std::uint32_t MaxPrefills = 2;
 /// What moving a prompt to another data centre is worth waiting.
 constexpr Duration RemoteMove = std::chrono::milliseconds(15);
 /// From the end of a prefill to the first event at the caller.
@@ -28,6 +31,8 @@
 
 constexpr double EngineWeight = 0.3; ///< Of an engine's newest pace.
 constexpr double PoolWeight = 0.05;  ///< Of a pool's newest pace or length.
+/// A sample of a pace counts at most this many times the usual one.
+constexpr double MostPaceRise = 1.3;
 /// A decode engine below this part of its pool's pace is used last.
 constexpr double SlowPart = 0.6;
 
@@ -194,6 +199,9 @@
 
 void GenerationPlacer::suspect(const ServerId &Server, TimePoint Now) {
   Engine &Of = Engines_[Server];
+  // Requests that fail together are one failure.
+  if (Now < Of.AvoidUntil_)
+    return;
   const std::uint32_t Doublings = std::min(Of.Failures_, MostPauseDoublings);
   Of.AvoidUntil_ = Now + FirstFailurePause * (1U << Doublings);
   ++Of.Failures_;
@@ -207,9 +215,14 @@
   Of.Failures_ = 0;
   if (!Found->second.IsSolePrefill_)
     return;
-  const double PerMs = Report.Tokens_ / asMs(Report.Took_);
+  Pool &In = poolOf(Found->second.Ask_.Service_);
+  const double Usual =
+      In.PrefillPerMs_ > 0 ? In.PrefillPerMs_ : InitialPrefillPerMs;
+  // A prompt that the engine had kept is read in no time, and says nothing.
+  const double PerMs =
+      std::min(Report.Tokens_ / asMs(Report.Took_), Usual * MostPaceRise);
   smooth(Of.PrefillPerMs_, PerMs, EngineWeight);
-  smooth(poolOf(Found->second.Ask_.Service_).PrefillPerMs_, PerMs, PoolWeight);
+  smooth(In.PrefillPerMs_, PerMs, PoolWeight);
 }
 
 void GenerationPlacer::learnDecode(Item &Of, const GenerationReport &Report,
@@ -293,7 +306,7 @@
     IsAnyKnown = true;
     const double PoolPace = prefillPerMs(In, Engine());
     TimePoint Ready = std::max(Now, Of.ReadyAt_);
-    if (Ready > Now + PrefillBacklog)
+    if (Ready > Now + PrefillBacklog || Of.Prefills_ >= MaxPrefills)
       continue;
     Ready += fromMs(Ask.PromptTokens_ / prefillPerMs(In, Of) -
                     Ask.PromptTokens_ / PoolPace);
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -19,10 +19,11 @@
 /// Events between two reports of progress to the home.
 constexpr std::uint32_t EventsPerReport = 12;
 /// A prefill that takes longer is given up; prompts take some 100 ms.
-constexpr Duration PrefillTimeout = std::chrono::milliseconds(1200);
-/// A resumable stream is moved after a silence of so long.
-constexpr Duration FirstEventSilence = std::chrono::milliseconds(1500);
-constexpr Duration EventSilence = std::chrono::milliseconds(1200);
+constexpr Duration PrefillTimeout = std::chrono::milliseconds(700);
+/// A resumable stream is moved after a silence of so long. Events come every
+/// 50 ms, or 250 ms from a slow engine.
+constexpr Duration FirstEventSilence = std::chrono::milliseconds(500);
+constexpr Duration EventSilence = std::chrono::milliseconds(600);
 /// When the first event of a stream that moves is due.
 constexpr Duration MovedTarget = std::chrono::milliseconds(300);
 constexpr Duration RetryAfterFailure = std::chrono::milliseconds(300);
@@ -145,6 +146,7 @@
   Context_.Metrics_.add(Count::PrefillTokens, Prompt->Tokens_);
   report(GenerationStep::Prefilled, Engine, Request_.Facts_.PromptTokens_,
          readBootClock() - Started);
+  PrefilledAt_ = readBootClock();
   KvSource = Context_.Wire_.kvSource(Engine.Address_, Prompt->Handle_);
   if (Scope.isCancelled()) {
     freeLater(Engine.Address_, Prompt->Handle_);
@@ -322,6 +324,14 @@
                   "denied by the home " + Context_.Home_.home().Value_);
 }
 
+std::string GenerationCall::sinceArrival(TimePoint At) const {
+  if (At == TimePoint())
+    return "";
+  const Duration Passed = At - Request_.Exchange_.arrival();
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Passed).count());
+}
+
 Task<void> GenerationCall::finish(StepEnd End) {
   CallerExchange &Exchange = Request_.Exchange_;
   const bool IsBegun = Exchange.isAnswerBegun();
@@ -334,6 +344,9 @@
        {"placements", std::to_string(Placements_)},
        {"engines", std::to_string(Sent_)},
        {"events", std::to_string(Events_)},
+       {"placed_ms", sinceArrival(PlacedAt_)},
+       {"prefilled_ms", sinceArrival(PrefilledAt_)},
+       {"first_event_ms", sinceArrival(FirstEventAt_)},
        {"configuration", std::to_string(Request_.Configuration_->version())},
        {"elapsed_ms", elapsedMs(Exchange)}});
   if (IsWhole_ || IsBegun) {
@@ -381,6 +394,7 @@
       co_return;
     }
     const auto &Grant = std::get<PlacementGrant>(*Placed);
+    PlacedAt_ = readBootClock();
     if (rejectLeaving(Grant)) {
       report(GenerationStep::Ended, Grant.Decode_);
       continue;
--- a/src/relayd/ServerCall.cpp
+++ b/src/relayd/ServerCall.cpp
@@ -46,8 +46,12 @@
   HttpRequest Out = makeRequest(Context, Request, Target);
   auto Head = co_await Answer.Connection_->exchange(Out, AnswerTimeout, Scope);
   for (int Foreign = 0;; ++Foreign) {
-    if (!isOk(Head))
+    if (!isOk(Head)) {
+      // What else is open to a server that fell silent is silent too.
+      if (errorOf(Head).Failure_ == CallFailure::Timeout)
+        Context.Pool_.discard(Target.Address_);
       co_return errorOf(Head);
+    }
     Answer.Head_ = takeValue(std::move(Head));
     Answer.Facts_ = Context.Wire_.readServer(Answer.Head_);
     if (!isForeign(Answer.Facts_, Request))
--- a/tests/GenerationPlacerTest.cpp
+++ b/tests/GenerationPlacerTest.cpp
@@ -268,3 +268,29 @@
   CHECK(InTime >= 2 * Capacity * 8 / 10);
   CHECK(InTime > Late);
 }
+
+TEST_CASE("Prefill engines are not handed more than they read", "[relay]") {
+  PoolWorld World;
+  SECTION("though kept prompts made them look fast") {
+    for (int I = 0; I != 40; ++I) {
+      const std::string Name = "warm" + std::to_string(I);
+      const auto Grant = World.grantOf(World.place(World.makeAsk(Name)));
+      World.tell(Name.c_str(), GenerationStep::Prefilled, Grant.Prefill_->Id_,
+                 5000, 6ms);
+      World.tell(Name.c_str(), GenerationStep::Ended, {});
+    }
+    int Handed = 0;
+    while (World.place(World.makeAsk("r" + std::to_string(Handed))))
+      ++Handed;
+    CHECK(Handed <= 4);
+  }
+}
+
+TEST_CASE("Requests that fail together count as one failure", "[relay]") {
+  PoolWorld World;
+  for (int I = 0; I != 8; ++I)
+    World.tell("x", GenerationStep::ServerFailed, {"d1"});
+  World.Now_ += 1100ms;
+  CHECK(World.grantOf(World.place(World.makeAsk("r1"))).Decode_.Id_.Value_ ==
+        "d1");
+}
