Soak the relay's real processes with seeded faults from outside

gbsoak hosts stand-ins of the platform's store and backend servers behind loopback proxies, runs relays as processes and checks what callers and servers see: bookings run once, refusals are true, answers are whole and their own, keys never arrive, organisations match, recovery and shutdown in time.

--- a/src/log/LineAppender.cpp
+++ b/src/log/LineAppender.cpp
@@ -24,8 +24,7 @@
 
 LineAppender::LineAppender() : Budget_(LinesPerSecond) {}
 
-LineAppender::LineAppender(const LayoutPtr &Format)
-    : Budget_(LinesPerSecond) {
+LineAppender::LineAppender(const LayoutPtr &Format) : Budget_(LinesPerSecond) {
   setLayout(Format);
 }
 
--- a/src/log/LineAppender.h
+++ b/src/log/LineAppender.h
@@ -32,8 +32,7 @@
   bool requiresLayout() const override { return true; }
 
 protected:
-  void append(const spi::LoggingEventPtr &Event,
-              helpers::Pool &Pool) override;
+  void append(const spi::LoggingEventPtr &Event, helpers::Pool &Pool) override;
 
 private:
   bool tryWrite(std::string_view Line);
--- a/tests/LineBudgetTest.cpp
+++ b/tests/LineBudgetTest.cpp
@@ -15,7 +15,5 @@
     CHECK(Budget.takeDropped() == 2);
     CHECK(Budget.takeDropped() == 0);
   }
-  SECTION("each second has its own") {
-    CHECK(Budget.tryTake(TimePoint(2s)));
-  }
+  SECTION("each second has its own") { CHECK(Budget.tryTake(TimePoint(2s))); }
 }
--- /dev/null
+++ b/tools/gbsoak/SoakClient.cpp
@@ -0,0 +1,103 @@
+#include "gbsoak/SoakClient.h"
+
+#include "standin_platform/BackendFace.h"
+
+namespace gooseberry {
+namespace {
+
+constexpr std::chrono::milliseconds ConnectTimeout(1000);
+constexpr std::chrono::milliseconds AnswerTimeout(6000);
+constexpr const char *DeadlineMs = "5000";
+
+std::string expectedStream(const std::string &Request) {
+  std::string Text;
+  for (int Event = 1; Event <= BackendFace::EventCount; ++Event)
+    Text += "id: " + std::to_string(Event) + "\ndata: " + Request + " " +
+            std::to_string(Event) + "\n\n";
+  return Text;
+}
+
+http::request<http::string_body>
+makeSoakRequest(const std::string &Id, SoakKind Kind, const std::string &Key) {
+  constexpr const char *Paths[] = {"/check/1", "/book/1", "/stream/1"};
+  const auto Verb =
+      Kind == SoakKind::Check ? http::verb::get : http::verb::post;
+  http::request<http::string_body> Out(Verb, Paths[static_cast<int>(Kind)], 11);
+  Out.set("Host", "soak.example");
+  Out.set("Request-Id", Id);
+  Out.set("Deadline-Ms", DeadlineMs);
+  Out.set("Authorization", "Token " + Key);
+  Out.set("Kv-Hold", "not yours");
+  if (Kind == SoakKind::Stream)
+    Out.set("Token-Count", "100,200");
+  if (Kind != SoakKind::Check)
+    Out.body() = "{}";
+  Out.prepare_payload();
+  return Out;
+}
+
+} // namespace
+
+SoakClient::SoakClient(asio::io_context &Context, std::string Name,
+                       SoakRecord &Record)
+    : Context_(Context), Name_(std::move(Name)), Record_(Record) {}
+
+asio::awaitable<bool> SoakClient::connect(const std::string &Server) {
+  if (Stream_ && Server_ == Server)
+    co_return true;
+  Buffer_.clear();
+  Server_ = Server;
+  Stream_.emplace(Context_);
+  Stream_->expires_after(ConnectTimeout);
+  auto [Error] =
+      co_await Stream_->async_connect(*parseEndpoint(Server), Awaiting);
+  if (Error)
+    Stream_.reset();
+  co_return !Error;
+}
+
+asio::awaitable<unsigned> SoakClient::send(std::string Server, SoakKind Kind,
+                                           std::string Key) {
+  const std::string Id = Name_ + "-" + std::to_string(++Sent_);
+  const bool IsOpen = co_await connect(Server);
+  if (!IsOpen)
+    co_return 0;
+  SoakRecord::Answer &Told = Record_.Answers_[Id];
+  Told.Kind_ = Kind;
+  const auto Request = makeSoakRequest(Id, Kind, Key);
+  Stream_->expires_after(AnswerTimeout);
+  auto [SendError, Sent] =
+      co_await http::async_write(*Stream_, Request, Awaiting);
+  http::response<http::string_body> Answer;
+  beast::error_code Error = SendError;
+  if (!Error) {
+    auto [ReadError, Read] =
+        co_await http::async_read(*Stream_, Buffer_, Answer, Awaiting);
+    Error = ReadError;
+  }
+  if (Error) {
+    Stream_.reset();
+    co_return 0;
+  }
+  Told.Status_ = Answer.result_int();
+  Told.IsWhole_ = true;
+  if (Told.Status_ == 200)
+    checkBody(Id, Kind, Answer.body());
+  if (!Answer.keep_alive())
+    Stream_.reset();
+  co_return Told.Status_;
+}
+
+void SoakClient::checkBody(const std::string &Request, SoakKind Kind,
+                           const std::string &Body) {
+  const std::string Expected = Kind == SoakKind::Stream
+                                   ? expectedStream(Request)
+                                   : "answer to " + Request;
+  if (Body == Expected)
+    ++Record_.Served_;
+  else
+    Record_.Faults_.push_back("the answer to " + Request +
+                              " is not its own: " + Body.substr(0, 80));
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/tools/gbsoak/SoakWorld.cpp
@@ -0,0 +1,319 @@
+#include "gbsoak/SoakWorld.h"
+
+#include <signal.h>
+
+#include <array>
+#include <cstdio>
+
+namespace gooseberry {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint16_t PortsPerRelay = 10;
+constexpr const char *KeyOne = "key-one";
+constexpr const char *KeyTwo = "key-two";
+constexpr milliseconds RestartPause(300);
+/// The time within which the platform wants everything back.
+constexpr milliseconds RecoveryTime(12000);
+constexpr milliseconds ShutdownTime(9000);
+constexpr milliseconds Poll(50);
+
+std::string organisationOf(const std::string &Request) {
+  // Even clients hold the first key.
+  const std::size_t Dash = Request.find('-');
+  return std::stoi(Request.substr(1, Dash - 1)) % 2 == 0 ? "one" : "two";
+}
+
+} // namespace
+
+SoakWorld::SoakWorld(SoakSettings Settings)
+    : Settings_(std::move(Settings)), Random_(Settings_.Seed_),
+      Store_(Context_) {
+  Store_.start();
+  for (const char *Id : {"plain-1", "plain-2"})
+    addBackend(Id, BackendPart::Plain);
+  for (const char *Id : {"prefill-1", "prefill-2"})
+    addBackend(Id, BackendPart::Prefill);
+  for (const char *Id : {"decode-1", "decode-2", "decode-3"})
+    addBackend(Id, BackendPart::Decode);
+  writeConfiguration();
+  for (std::size_t I = 0; I != Settings_.Relays_; ++I) {
+    StoreLinks_.push_back(
+        std::make_unique<TcpProxy>(Context_, Store_.address()));
+    RelayPlace Place;
+    Place.Name_ = "edge-" + std::to_string(I);
+    Place.Program_ = Settings_.Program_;
+    Place.Folder_ = Settings_.Folder_;
+    Place.Store_ = StoreLinks_.back()->address();
+    Place.Port_ =
+        static_cast<std::uint16_t>(Settings_.Port_ + I * PortsPerRelay);
+    Relays_.push_back(std::make_unique<RelayProcess>(std::move(Place)));
+  }
+}
+
+std::size_t SoakWorld::draw(std::size_t Below) {
+  return std::uniform_int_distribution<std::size_t>(0, Below - 1)(Random_);
+}
+
+milliseconds SoakWorld::drawMs(int From, int To) {
+  return milliseconds(From + static_cast<int>(draw(To - From)));
+}
+
+void SoakWorld::addBackend(const char *Id, BackendPart Part) {
+  Backend Of;
+  Of.Face_ = std::make_unique<BackendFace>(Context_, Id, Part, Log_);
+  Of.Face_->start();
+  Of.Proxy_ = std::make_unique<TcpProxy>(Context_, Of.Face_->address());
+  writeBackend(Of);
+  Backends_.push_back(std::move(Of));
+}
+
+void SoakWorld::writeBackend(const Backend &Of) {
+  const BackendPart Part = Of.Face_->part();
+  const bool IsPlain = Part == BackendPart::Plain;
+  const char *Stage = Part == BackendPart::Prefill ? "prefill" : "decode";
+  std::string Row = R"({"service":")";
+  Row += IsPlain ? "booking" : "writer";
+  Row += R"(","address":")" + Of.Proxy_->address() + R"(","zone":"dc-a",)";
+  Row += R"("slots":8,"born":1,"state":")";
+  Row += Of.IsLeaving_ ? "draining" : "ready";
+  Row += R"(")";
+  if (!IsPlain)
+    Row += std::string(R"(,"stage":")") + Stage + R"(")";
+  Store_.rows().put("servers", Of.Face_->id(), Row + "}");
+}
+
+void SoakWorld::writeConfiguration() {
+  ++ConfigurationVersion_;
+  const auto Route = [](const char *Name, const char *Kind, const char *Service,
+                        const char *More) {
+    return std::string(R"({"name":")") + Name +
+           R"(","host":"soak.example","path_prefix":"/)" + Name +
+           R"(/","kind":")" + Kind + R"(","service":")" + Service +
+           R"(","timeout_ms":5000,"target_latency_ms":500)" + More + "}";
+  };
+  const std::string Text =
+      R"({"version":)" + std::to_string(ConfigurationVersion_) +
+      R"(,"routes":[)" +
+      Route("check", "idempotent", "booking", R"(,"max_attempts":2)") + "," +
+      Route("book", "non_idempotent", "booking", R"(,"max_attempts":1)") + "," +
+      Route("stream", "streaming", "writer",
+            R"(,"max_attempts":2,"sticky":true,"resumable":true)") +
+      R"(],"services":[{"name":"booking"},{"name":"writer","engine":)"
+      R"({"slots":8,"kv_tokens":100000,"stride":4,"kv_hold_s":0.5}}],)"
+      R"("tenants":[{"name":"one","api_keys":["key-one"]},)"
+      R"({"name":"two","api_keys":["key-two"]}]})";
+  Store_.rows().put("op", "config", Text);
+}
+
+std::vector<std::string> SoakWorld::run() {
+  asio::co_spawn(Context_, play(), asio::detached);
+  Context_.run();
+  checkRuns();
+  for (const auto &Each : Record_.Faults_)
+    Faults_.push_back(Each);
+  for (const auto &Each : Log_.Faults_)
+    Faults_.push_back(Each);
+  return Faults_;
+}
+
+asio::awaitable<void> SoakWorld::play() {
+  for (const auto &Each : Relays_)
+    Each->start();
+  asio::co_spawn(Context_, watchRelays(), asio::detached);
+  for (std::size_t I = 0; I != Settings_.Clients_; ++I)
+    asio::co_spawn(Context_, runClient(I), asio::detached);
+  asio::co_spawn(Context_, injectFaults(), asio::detached);
+  co_await sleepFor(
+      std::chrono::microseconds(static_cast<long>(Settings_.Seconds_ * 1e6)));
+  IsOver_ = true;
+  while (RunningFaults_ > 0)
+    co_await sleepFor(Poll);
+  co_await checkRecovery();
+  co_await stopRelays();
+  Context_.stop();
+}
+
+asio::awaitable<void> SoakWorld::injectFaults() {
+  constexpr std::array<Fault, 12> Faults = {
+      &SoakWorld::killRelay,      &SoakWorld::freezeRelay,
+      &SoakWorld::terminateRelay, &SoakWorld::hangUpRelay,
+      &SoakWorld::takeStoreDown,  &SoakWorld::compactStore,
+      &SoakWorld::harmStoreLink,  &SoakWorld::harmBackendLink,
+      &SoakWorld::failBackend,    &SoakWorld::fillBackend,
+      &SoakWorld::drainBackend,   &SoakWorld::changeConfiguration};
+  co_await sleepFor(milliseconds(800));
+  while (!IsOver_) {
+    ++RunningFaults_;
+    const auto Run =
+        [this, Next = Faults[draw(Faults.size())]]() -> asio::awaitable<void> {
+      co_await (this->*Next)();
+      --RunningFaults_;
+    };
+    asio::co_spawn(Context_, Run, asio::detached);
+    co_await sleepFor(drawMs(100, 700));
+  }
+}
+
+asio::awaitable<void> SoakWorld::runClient(std::size_t Number) {
+  SoakClient Client(Context_, "c" + std::to_string(Number), Record_);
+  std::mt19937 Random(Settings_.Seed_ * 1000 + static_cast<unsigned>(Number));
+  const std::string Key = Number % 2 == 0 ? KeyOne : KeyTwo;
+  std::size_t At = Number % Relays_.size();
+  while (!IsStopping_) {
+    const auto Kind = static_cast<SoakKind>(Random() % 3);
+    const unsigned Status =
+        co_await Client.send(Relays_[At]->callers(), Kind, Key);
+    // An open connection is used until its process is gone.
+    if (Status == 0)
+      At = Random() % Relays_.size();
+    co_await sleepFor(milliseconds(20 + Random() % 60));
+  }
+}
+
+asio::awaitable<void> SoakWorld::watchRelays() {
+  while (!IsStopping_) {
+    for (const auto &Each : Relays_) {
+      if (!Each->hasEnded())
+        continue;
+      co_await sleepFor(RestartPause);
+      if (!IsStopping_)
+        Each->start();
+    }
+    co_await sleepFor(Poll);
+  }
+}
+
+asio::awaitable<void> SoakWorld::killRelay() {
+  anyRelay().signal(SIGKILL);
+  co_return;
+}
+
+asio::awaitable<void> SoakWorld::freezeRelay() {
+  RelayProcess &Frozen = anyRelay();
+  Frozen.signal(SIGSTOP);
+  co_await sleepFor(drawMs(200, 1800));
+  Frozen.signal(SIGCONT);
+}
+
+asio::awaitable<void> SoakWorld::terminateRelay() {
+  anyRelay().signal(SIGTERM);
+  co_return;
+}
+
+asio::awaitable<void> SoakWorld::hangUpRelay() {
+  anyRelay().signal(SIGHUP);
+  co_return;
+}
+
+asio::awaitable<void> SoakWorld::takeStoreDown() {
+  Store_.setDown(true);
+  co_await sleepFor(drawMs(300, 2500));
+  Store_.setDown(false);
+}
+
+asio::awaitable<void> SoakWorld::compactStore() {
+  Store_.rows().compact();
+  co_return;
+}
+
+asio::awaitable<void> SoakWorld::harmStoreLink() {
+  TcpProxy &Link = *StoreLinks_[draw(StoreLinks_.size())];
+  Link.setFault(static_cast<ProxyFault>(1 + draw(4)));
+  co_await sleepFor(drawMs(200, 2000));
+  Link.setFault(ProxyFault::None);
+}
+
+asio::awaitable<void> SoakWorld::harmBackendLink() {
+  TcpProxy &Link = *anyBackend().Proxy_;
+  Link.setFault(static_cast<ProxyFault>(1 + draw(4)));
+  co_await sleepFor(drawMs(200, 1500));
+  Link.setFault(ProxyFault::None);
+}
+
+asio::awaitable<void> SoakWorld::failBackend() {
+  BackendFace &Face = *anyBackend().Face_;
+  Face.setFailing(true);
+  co_await sleepFor(drawMs(200, 1500));
+  Face.setFailing(false);
+}
+
+asio::awaitable<void> SoakWorld::fillBackend() {
+  BackendFace &Face = *anyBackend().Face_;
+  Face.setFull(true);
+  co_await sleepFor(drawMs(200, 1000));
+  Face.setFull(false);
+}
+
+asio::awaitable<void> SoakWorld::drainBackend() {
+  Backend &Of = anyBackend();
+  if (Of.IsLeaving_)
+    co_return;
+  Of.IsLeaving_ = true;
+  writeBackend(Of);
+  co_await sleepFor(drawMs(1000, 3000));
+  Of.IsLeaving_ = false;
+  writeBackend(Of);
+}
+
+asio::awaitable<void> SoakWorld::changeConfiguration() {
+  writeConfiguration();
+  co_return;
+}
+
+asio::awaitable<void> SoakWorld::checkRecovery() {
+  SoakClient Client(Context_, "c1000", Record_);
+  const auto End = std::chrono::steady_clock::now() + RecoveryTime;
+  for (const auto &Relay : Relays_) {
+    for (const auto Kind :
+         {SoakKind::Check, SoakKind::Booking, SoakKind::Stream}) {
+      unsigned Status = 0;
+      while (Status != 200 && std::chrono::steady_clock::now() < End) {
+        Status = co_await Client.send(Relay->callers(), Kind, KeyOne);
+        if (Status != 200)
+          co_await sleepFor(milliseconds(100));
+      }
+      if (Status != 200)
+        Faults_.push_back("no recovery at " + Relay->callers() + ", status " +
+                          std::to_string(Status));
+    }
+  }
+}
+
+asio::awaitable<void> SoakWorld::stopRelays() {
+  IsStopping_ = true;
+  for (const auto &Each : Relays_)
+    Each->signal(SIGTERM);
+  const auto End = std::chrono::steady_clock::now() + ShutdownTime;
+  for (const auto &Each : Relays_) {
+    while (!Each->hasEnded() && std::chrono::steady_clock::now() < End)
+      co_await sleepFor(Poll);
+    if (!Each->hasEnded())
+      Faults_.push_back("a relay did not end after SIGTERM");
+    if (Each->hasFailed())
+      Faults_.push_back("a relay ended by itself");
+  }
+}
+
+void SoakWorld::checkRuns() {
+  for (const auto &[Request, Runs] : Log_.Runs_) {
+    const auto Told = Record_.Answers_.find(Request);
+    if (Told == Record_.Answers_.end()) {
+      Faults_.push_back("a server ran " + Request + ", which nobody sent");
+      continue;
+    }
+    const auto &Answer = Told->second;
+    if (Answer.Kind_ == SoakKind::Booking && Runs.size() > 1)
+      Faults_.push_back("booking " + Request + " ran " +
+                        std::to_string(Runs.size()) + " times");
+    const bool SaysNotRun = Answer.Status_ == 429 || Answer.Status_ == 503;
+    if (Answer.Kind_ == SoakKind::Booking && SaysNotRun)
+      Faults_.push_back(Request + " was refused as not run, and has run");
+    for (const auto &Run : Runs)
+      if (Run.Organisation_ != organisationOf(Request))
+        Faults_.push_back(Request + " ran for " + Run.Organisation_);
+  }
+}
+
+} // namespace gooseberry
