--- a/include/gooseberrybeam/relay/GenerationPlacer.h
+++ b/include/gooseberrybeam/relay/GenerationPlacer.h
@@ -97,6 +97,7 @@
   /// What is learned of a service's generations.
   struct Pool {
     FairQueue Queue_;
+    std::vector<RequestId> Moved_; ///< Streams whose engine failed, in order.
     double OutputTokens_ = 0; ///< Mean length; 0 before any.
     double PrefillPerMs_ = 0;
     double DecodePerMs_ = 0;
@@ -122,6 +123,8 @@
                                    const EngineTraits &Traits, TimePoint Now);
   std::optional<Choice> choose(const Pool &In, const Item &For,
                                const EngineTraits &Traits, TimePoint Now);
+  void decideMoved(Pool &In, const EngineTraits &Traits, TimePoint Now,
+                   std::vector<PlacedFor> &Out);
   void grant(Pool &In, Item &To, const Choice &Of, TimePoint Now,
              std::vector<PlacedFor> &Out);
   void refuseHopeless(Pool &In, TimePoint Now, std::vector<PlacedFor> &Out);
--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -8,6 +8,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace gooseberry {
@@ -45,6 +46,7 @@
   bool mayGoOn(StepEnd End) const;
   bool payRepeat();
   bool rejectLeaving(const PlacementGrant &Grant);
+  void logBroken(const ChosenServer &Engine, std::string_view Why) const;
   void noteProgress(const ChosenServer &Engine, bool IsLast);
   void report(GenerationStep Step, const ChosenServer &Engine,
               std::uint32_t Tokens = 0, Duration Took = Duration::zero());
--- a/src/relay/GenerationPlacer.cpp
+++ b/src/relay/GenerationPlacer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <limits>
+#include <utility>
 
 namespace gooseberry {
 namespace {
@@ -120,6 +121,11 @@
   const double OutputMs = std::max(0.0, Of.ExpectedOutput_ - Of.OutputTokens_) /
                           decodePerMs(In, Any);
   Of.GiveUp_ = Now + Ask.TimeLeft_ - fromMs(PrefillMs + OutputMs);
+  if (!Ask.NeedsPrefill_) {
+    Items_.emplace(Ask.Request_, std::move(Of));
+    In.Moved_.push_back(Ask.Request_);
+    return;
+  }
   QueueItem Entry;
   Entry.Request_ = Ask.Request_;
   Entry.Organisation_ = Ask.Organisation_;
@@ -181,10 +187,12 @@
   const auto Found = Items_.find(Request);
   if (Found == Items_.end())
     return;
+  Pool &In = poolOf(Found->second.Ask_.Service_);
   if (Found->second.IsGranted_)
     release(Found->second, Now);
   else
-    poolOf(Found->second.Ask_.Service_).Queue_.erase(Request);
+    In.Queue_.erase(Request);
+  std::erase(In.Moved_, Request);
   Items_.erase(Found);
 }
 
@@ -412,10 +420,33 @@
   }
 }
 
+// A caller waits in the middle of its answer; nobody new is served before.
+void GenerationPlacer::decideMoved(Pool &In, const EngineTraits &Traits,
+                                   TimePoint Now,
+                                   std::vector<PlacedFor> &Out) {
+  const std::vector<RequestId> Waiting = std::exchange(In.Moved_, {});
+  for (const RequestId &Request : Waiting) {
+    Item &Of = Items_.at(Request);
+    if (Of.GiveUp_ < Now) {
+      Out.push_back({Of.Instance_,
+                     PlacementDenial{
+                         Request, RefusalReason::DeadlineUnreachable, {}},
+                     Now - Of.Arrival_});
+      Items_.erase(Request);
+    } else if (const auto Chosen = choose(In, Of, Traits, Now)) {
+      grant(In, Of, *Chosen, Now, Out);
+    } else {
+      In.Moved_.push_back(Request);
+    }
+  }
+}
+
 void GenerationPlacer::decidePool(const ServiceId &Service, Pool &In,
                                   TimePoint Now, std::vector<PlacedFor> &Out) {
   refuseHopeless(In, Now, Out);
   const RelayService *Known = Configuration_->findService(Service);
+  if (Known && Known->Engine_)
+    decideMoved(In, *Known->Engine_, Now, Out);
   while (const auto Next = In.Queue_.peek(Now)) {
     Item &Of = Items_.at(*Next);
     if (!Known || !Known->Engine_) {
@@ -446,7 +477,7 @@
 std::size_t GenerationPlacer::waiting() const {
   std::size_t Count = 0;
   for (const auto &[Service, In] : Pools_)
-    Count += In.Queue_.size();
+    Count += In.Queue_.size() + In.Moved_.size();
   return Count;
 }
 
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -192,6 +192,17 @@
          readBootClock() - EngineEventAt_);
 }
 
+void GenerationCall::logBroken(const ChosenServer &Engine,
+                               std::string_view Why) const {
+  logLine(LogPart::Engine, LogLevel::Info, "Engine broke off.",
+          {{"request", Request_.Exchange_.id().Value_},
+           {"server", Engine.Id_.Value_},
+           {"why", Why},
+           {"events", std::to_string(Events_)},
+           {"may_move", Request_.Route_.mayRepeat() ? "true" : "false"},
+           {"elapsed_ms", elapsedMs(Request_.Exchange_)}});
+}
+
 Task<GenerationCall::StepEnd>
 GenerationCall::relayEvents(const ChosenServer &Engine, ServerAnswer Answer) {
   CallerExchange &Exchange = Request_.Exchange_;
@@ -216,8 +227,11 @@
                                                       Exchange.scope());
     if (Exchange.scope().isCancelled())
       co_return StepEnd::Stopped;
-    if (!isOk(Read) || Events.held() > MaxEvent)
+    if (!isOk(Read) || Events.held() > MaxEvent) {
+      logBroken(Engine, isOk(Read) ? "event too large"
+                                   : asCode(errorOf(Read).Failure_));
       co_return StepEnd::Broken;
+    }
     if (valueOf(Read) == 0)
       break;
     Events.append({Buffer.data(), valueOf(Read)});
@@ -228,8 +242,10 @@
     if (EngineEvents_ != Before)
       noteProgress(Engine, false);
   }
-  if (Events.hasRest())
+  if (Events.hasRest()) {
+    logBroken(Engine, "ended inside an event");
     co_return StepEnd::Broken;
+  }
   noteProgress(Engine, true);
   Context_.Pool_.release(Engine.Address_, std::move(Answer.Connection_));
   IsWhole_ = true;
@@ -275,6 +291,7 @@
     Sent_ += errorOf(Called).MayHaveStarted_ ? 1 : 0;
     if (Exchange.scope().isCancelled())
       co_return StepEnd::Stopped;
+    logBroken(Engine, asCode(errorOf(Called).Failure_));
     report(GenerationStep::ServerFailed, Engine);
     co_return StepEnd::Broken;
   }
--- a/tests/GenerationPlacerTest.cpp
+++ b/tests/GenerationPlacerTest.cpp
@@ -294,3 +294,20 @@
   CHECK(World.grantOf(World.place(World.makeAsk("r1"))).Decode_.Id_.Value_ ==
         "d1");
 }
+
+TEST_CASE("A stream whose engine failed goes before new ones", "[relay]") {
+  PoolWorld World;
+  World.fill("r");
+  // New ones wait already when the stream loses its engine.
+  for (const char *Name : {"n1", "n2", "n3"})
+    World.Placer_.ask(Edge, World.makeAsk(Name), World.Now_);
+  PlacementAsk Moved = World.makeAsk("moved");
+  Moved.NeedsPrefill_ = false;
+  CHECK_FALSE(World.place(Moved));
+  World.Now_ += 1200ms;
+  World.tell("r0", GenerationStep::Ended, {}, 4000, 4s);
+  const auto Answers = World.Placer_.decide(World.Now_);
+  REQUIRE_FALSE(Answers.empty());
+  CHECK(std::get<PlacementGrant>(Answers.front().Answer_).Request_.Value_ ==
+        "moved");
+}
