--- a/include/gooseberrybeam/relay/GenerationPlacer.h
+++ b/include/gooseberrybeam/relay/GenerationPlacer.h
@@ -98,7 +98,7 @@
   struct Pool {
     FairQueue Queue_;
     std::vector<RequestId> Moved_; ///< Streams whose engine failed, in order.
-    double OutputTokens_ = 0; ///< Mean length; 0 before any.
+    double OutputTokens_ = 0;      ///< Mean length; 0 before any.
     double PrefillPerMs_ = 0;
     double DecodePerMs_ = 0;
   };
@@ -118,7 +118,8 @@
   bool isUsable(const BackendEntry &Entry, const Engine &Engine,
                 const PlacementAsk &Ask, TimePoint Now) const;
   const BackendEntry *choosePrefill(const Pool &In, const PlacementAsk &Ask,
-                                    TimePoint Now, bool &IsAnyKnown);
+                                    const DataCentreId &Near, TimePoint Now,
+                                    bool &IsAnyKnown);
   const BackendEntry *chooseDecode(const Pool &In, const Item &For,
                                    const EngineTraits &Traits, TimePoint Now);
   std::optional<Choice> choose(const Pool &In, const Item &For,
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -28,7 +28,7 @@
   /// What the link needs of the rest of the instance.
   struct Callbacks {
     /// Takes a configuration that a peer has handed over.
-    std::function<void(std::string Source)> OnConfiguration_;
+    std::function<void(std::string_view Source)> OnConfiguration_;
     /// Takes backend servers that a peer has handed over.
     std::function<void(const ServersCopy &)> OnServers_;
     /// \returns the version of the known backend servers.
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -3,7 +3,6 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-
 #include <netinet/tcp.h>
 
 #include <cassert>
@@ -37,14 +36,14 @@
 
 /// \returns the timeout that a `Keep-Alive` field states in whole seconds.
 std::optional<Duration> findIdleLimit(const HttpFields &Fields) {
-  const std::string_view Text =
-      asStd(Fields[beast::http::field::keep_alive]);
+  const std::string_view Text = asStd(Fields[beast::http::field::keep_alive]);
   const std::size_t At = Text.find(TimeoutParameter);
   if (At == std::string_view::npos)
     return std::nullopt;
   const char *Begin = Text.data() + At + TimeoutParameter.size();
   std::int64_t Seconds = 0;
-  const auto Parsed = std::from_chars(Begin, Text.data() + Text.size(), Seconds);
+  const auto Parsed =
+      std::from_chars(Begin, Text.data() + Text.size(), Seconds);
   if (Parsed.ec != std::errc())
     return std::nullopt;
   return std::chrono::seconds(Seconds);
--- a/src/relay/GenerationPlacer.cpp
+++ b/src/relay/GenerationPlacer.cpp
@@ -300,6 +300,7 @@
 
 const BackendEntry *GenerationPlacer::choosePrefill(const Pool &In,
                                                     const PlacementAsk &Ask,
+                                                    const DataCentreId &Near,
                                                     TimePoint Now,
                                                     bool &IsAnyKnown) {
   const BackendEntry *Best = nullptr;
@@ -318,6 +319,8 @@
       continue;
     Ready += fromMs(Ask.PromptTokens_ / prefillPerMs(In, Of) -
                     Ask.PromptTokens_ / PoolPace);
+    if (Entry.DataCentre_ != Near)
+      Ready += RemoteMove;
     if (Ready < BestReady) {
       Best = &Entry;
       BestReady = Ready;
@@ -370,7 +373,8 @@
   if (!For.Ask_.NeedsPrefill_)
     return Of;
   bool IsAnyKnown = false;
-  Of.Prefill_ = choosePrefill(In, For.Ask_, Now, IsAnyKnown);
+  Of.Prefill_ =
+      choosePrefill(In, For.Ask_, Of.Decode_->DataCentre_, Now, IsAnyKnown);
   if (!Of.Prefill_ && IsAnyKnown)
     return std::nullopt;
   return Of;
@@ -422,16 +426,15 @@
 
 // A caller waits in the middle of its answer; nobody new is served before.
 void GenerationPlacer::decideMoved(Pool &In, const EngineTraits &Traits,
-                                   TimePoint Now,
-                                   std::vector<PlacedFor> &Out) {
+                                   TimePoint Now, std::vector<PlacedFor> &Out) {
   const std::vector<RequestId> Waiting = std::exchange(In.Moved_, {});
   for (const RequestId &Request : Waiting) {
     Item &Of = Items_.at(Request);
     if (Of.GiveUp_ < Now) {
-      Out.push_back({Of.Instance_,
-                     PlacementDenial{
-                         Request, RefusalReason::DeadlineUnreachable, {}},
-                     Now - Of.Arrival_});
+      Out.push_back(
+          {Of.Instance_,
+           PlacementDenial{Request, RefusalReason::DeadlineUnreachable, {}},
+           Now - Of.Arrival_});
       Items_.erase(Request);
     } else if (const auto Chosen = choose(In, Of, Traits, Now)) {
       grant(In, Of, *Chosen, Now, Out);
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr int Ok = 200;
-constexpr int FirstServerError = 500;
 constexpr std::uint32_t MaxPlacements = 4;
 /// Events between two reports of progress to the home.
 constexpr std::uint32_t EventsPerReport = 12;
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -23,9 +23,9 @@
 HomeLink::HomeLink(asio::io_context &Context, InstanceId Self,
                    const BackendDirectory &Directory, Duration LimitWindow,
                    Callbacks Handlers)
-    : Context_(Context), Self_(Self), Callbacks_(std::move(Handlers)),
-      Desk_(Directory, LimitWindow), Homes_(Self, "pools"), Home_(Self),
-      LimitWindow_(LimitWindow) {}
+    : Context_(Context), Self_(std::move(Self)),
+      Callbacks_(std::move(Handlers)), Desk_(Directory, LimitWindow),
+      Homes_(Self_, "pools"), Home_(Self_), LimitWindow_(LimitWindow) {}
 
 void HomeLink::open(std::unique_ptr<PeerTransport> Transport) {
   Transport_ = std::move(Transport);
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -94,7 +94,7 @@
 
 HomeLink::Callbacks RelayDaemon::makeCallbacks() {
   HomeLink::Callbacks Out;
-  Out.OnConfiguration_ = [this](std::string Source) {
+  Out.OnConfiguration_ = [this](std::string_view Source) {
     useConfiguration(Source, "peer");
   };
   Out.OnServers_ = [this](const ServersCopy &Copy) { useServersCopy(Copy); };
--- a/tests/GenerationPlacerTest.cpp
+++ b/tests/GenerationPlacerTest.cpp
@@ -311,3 +311,22 @@
   CHECK(std::get<PlacementGrant>(Answers.front().Answer_).Request_.Value_ ==
         "moved");
 }
+
+TEST_CASE("Prompts are read near the engine that takes them", "[relay]") {
+  PoolWorld World;
+  const auto Place = [&World](const char *Id, EngineRole Role, const char *At) {
+    BackendEntry Entry = *World.Directory_.find({Id});
+    Entry.Role_ = Role;
+    Entry.DataCentre_ = {At};
+    World.Directory_.put(Entry);
+  };
+  Place("p1", EngineRole::Prefill, "east");
+  Place("p2", EngineRole::Prefill, "west");
+  Place("d1", EngineRole::Decode, "east");
+  Place("d2", EngineRole::Decode, "west");
+  for (const char *Name : {"r1", "r2"}) {
+    const auto Grant = World.grantOf(World.place(World.makeAsk(Name)));
+    CHECK(World.Directory_.find(Grant.Prefill_->Id_)->DataCentre_ ==
+          World.Directory_.find(Grant.Decode_.Id_)->DataCentre_);
+  }
+}
--- a/tools/standin_platform/StoreFace.cpp
+++ b/tools/standin_platform/StoreFace.cpp
@@ -58,8 +58,7 @@
 } // namespace
 
 StoreFace::StoreFace(asio::io_context &Context)
-    : Context_(Context),
-      Face_(Context, [this](FaceCall &Call) { return serve(Call); }) {}
+    : Face_(Context, [this](FaceCall &Call) { return serve(Call); }) {}
 
 asio::awaitable<void> StoreFace::serve(FaceCall &Call) {
   if (IsDown_) {
--- a/tools/standin_platform/StoreFace.h
+++ b/tools/standin_platform/StoreFace.h
@@ -29,7 +29,6 @@
   asio::awaitable<void> feed(FaceCall &Call);
   std::string transact(const std::string &Body, unsigned &Status);
 
-  asio::io_context &Context_;
   RowTable Rows_;
   bool IsDown_ = false;
   HttpFace Face_;
