--- a/tests/GenerationPlacerTest.cpp
+++ b/tests/GenerationPlacerTest.cpp
@@ -31,7 +31,8 @@
     addEngine("d2", EngineRole::Decode);
   }
 
-  void addEngine(std::string Id, EngineRole Role, bool IsLeaving = false) {
+  void addEngine(const std::string &Id, EngineRole Role,
+                 bool IsLeaving = false) {
     BackendEntry Entry;
     Entry.Id_ = {Id};
     Entry.Address_ = {Id + ":80"};
