--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -59,8 +59,9 @@
   RelayRequest &Request_;
   const EngineTraits &Engine_;
   std::vector<ServerId> Avoid_;
-  std::uint32_t Sent_ = 0;     ///< Decode engines that it was sent to.
-  std::uint32_t Prefills_ = 0; ///< Prefill calls made.
+  std::uint32_t Sent_ = 0;        ///< Decode engines that it was sent to.
+  std::uint32_t DecodeCalls_ = 0; ///< Calls to decode engines, also rejected.
+  std::uint32_t Prefills_ = 0;    ///< Prefill calls made.
   std::uint32_t Placements_ = 0;
   std::uint32_t Events_ = 0; ///< Passed on to the caller.
   std::optional<std::uint64_t> LastEvent_;
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -278,6 +278,7 @@
 GenerationCall::decode(const ChosenServer &Engine,
                        const std::string &KvSource) {
   CallerExchange &Exchange = Request_.Exchange_;
+  ++DecodeCalls_;
   ServerTarget Target = targetOf(Engine);
   Target.Order_.KvSource_ = KvSource;
   const bool MayMove =
@@ -396,7 +397,8 @@
   Context_.repeatsOf(Request_.Service_).onRequest(readBootClock());
   StepEnd End = StepEnd::Rejected;
   while (mayGoOn(End)) {
-    if (Sent_ > 0 && !payRepeat())
+    // A call that an engine rejects is an arrival like any other.
+    if (DecodeCalls_ > 0 && !payRepeat())
       break;
     ++Placements_;
     auto Placed =
