Bring to another home only what was not lent of a limit's part

Homes now tell how much of each limit is granted, and an instance that loses its home tells the next one. Test: a part that was lent before a cut is not brought again.

--- a/include/gooseberrybeam/relay/HomeDesk.h
+++ b/include/gooseberrybeam/relay/HomeDesk.h
@@ -36,6 +36,11 @@
   std::vector<OrganisationId> onHeartbeat(const InstanceId &From,
                                           const HomeHeartbeat &Message,
                                           TimePoint Now);
+  /// \param Now the clock.
+  /// \returns how much is granted of the limits that are in use.
+  std::vector<LimitFill> fills(TimePoint Now) const {
+    return Limits_.fills(Now);
+  }
   /// Handles an ask; the answer comes from `decide`.
   /// \param From the instance.
   /// \param Ask what is asked.
--- a/include/gooseberrybeam/relay/HomeDirectory.h
+++ b/include/gooseberrybeam/relay/HomeDirectory.h
@@ -36,6 +36,9 @@
   /// \param Who the instance.
   void onLeaving(const InstanceId &Who);
 
+  /// \param Who an instance.
+  /// \returns whether it has said that it shuts down.
+  bool isLeaving(const InstanceId &Who) const;
   /// \param Now the clock.
   /// \returns the instance that is home now.
   const InstanceId &home(TimePoint Now) const;
--- a/include/gooseberrybeam/relay/HomeMessages.h
+++ b/include/gooseberrybeam/relay/HomeMessages.h
@@ -20,6 +20,14 @@
   friend bool operator==(const TokenUse &, const TokenUse &) = default;
 };
 
+/// How much of an organisation's limit a home had granted.
+struct LimitFill {
+  OrganisationId Organisation_;
+  double Part_ = 0; ///< Of what the home may grant, in [0, 1].
+
+  friend bool operator==(const LimitFill &, const LimitFill &) = default;
+};
+
 /// Tells a home that an instance is alive and asks it.
 struct HomeHeartbeat {
   std::uint64_t Sequence_ = 0;
@@ -31,6 +39,8 @@
   /// Since the last heartbeat; when it attaches, of the whole window.
   std::vector<TokenUse> Used_;
   std::vector<RunningGeneration> Running_; ///< All, when it attaches.
+  /// When it attaches: what the last home had granted, if that fell silent.
+  std::vector<LimitFill> Fills_;
 
   friend bool operator==(const HomeHeartbeat &,
                          const HomeHeartbeat &) = default;
@@ -42,7 +52,8 @@
   std::uint64_t ConfigurationVersion_ = 0;
   std::uint64_t ServersVersion_ = 0;
   bool IsLeaving_ = false;                ///< Ask another home.
-  std::vector<OrganisationId> Exhausted_; ///< Their buckets are empty.
+  std::vector<OrganisationId> Exhausted_; ///< They may use no more now.
+  std::vector<LimitFill> Fills_;          ///< Of limits that are in use.
 
   friend bool operator==(const HomeReply &, const HomeReply &) = default;
 };
--- a/include/gooseberrybeam/relay/LimitBook.h
+++ b/include/gooseberrybeam/relay/LimitBook.h
@@ -4,6 +4,7 @@
 #define GOOSEBERRYBEAM_RELAY_LIMITBOOK_H
 
 #include "gooseberrybeam/base/Time.h"
+#include "gooseberrybeam/relay/HomeMessages.h"
 #include "gooseberrybeam/relay/RelayConfiguration.h"
 #include "gooseberrybeam/relay/UsageWindow.h"
 
@@ -11,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace gooseberry {
 
@@ -61,6 +63,15 @@
   /// \param At when they were used.
   void note(const InstanceId &Instance, const OrganisationId &Organisation,
             double Tokens, TimePoint At);
+  /// Counts what an instance's part was lent to others at its last home.
+  /// \param Instance an attached instance whose own use has been noted.
+  /// \param Fill how much of the limit its last home had granted.
+  /// \param Now the clock.
+  void noteLent(const InstanceId &Instance, const LimitFill &Fill,
+                TimePoint Now);
+  /// \param Now the clock.
+  /// \returns how much is granted of the limits that are in use.
+  std::vector<LimitFill> fills(TimePoint Now) const;
   /// \param Organisation an organisation.
   /// \param Now the clock.
   /// \returns whether it can use no more tokens now.
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -144,6 +144,7 @@
   std::unordered_map<OrganisationId, double> Used_; ///< Not yet told.
   std::deque<TimedUse> Uses_; ///< Of the last window, oldest first.
   std::unordered_set<OrganisationId> Exhausted_;
+  std::vector<LimitFill> Fills_; ///< As the home last told.
   std::uint64_t Sequence_ = 0;
   TimePoint StartedAt_ = readBootClock();
   TimePoint HeartbeatAt_{Duration::zero()};
--- a/src/relay/HomeDesk.cpp
+++ b/src/relay/HomeDesk.cpp
@@ -48,6 +48,8 @@
     if (Limits_.isExhausted(Each.Organisation_, Now))
       Exhausted.push_back(Each.Organisation_);
   }
+  for (const auto &Each : Message.Fills_)
+    Limits_.noteLent(From, Each, Now);
   return Exhausted;
 }
 
--- a/src/relay/HomeDirectory.cpp
+++ b/src/relay/HomeDirectory.cpp
@@ -51,6 +51,11 @@
   Candidates_[Who].IsLeaving_ = true;
 }
 
+bool HomeDirectory::isLeaving(const InstanceId &Who) const {
+  const auto Found = Candidates_.find(Who);
+  return Found != Candidates_.end() && Found->second.IsLeaving_;
+}
+
 bool HomeDirectory::isAlive(const InstanceId &Who, TimePoint Now) const {
   if (Who == Self_)
     return true;
--- a/src/relay/LimitBook.cpp
+++ b/src/relay/LimitBook.cpp
@@ -11,6 +11,9 @@
 /// silence after which an instance takes another home.
 constexpr Duration LendingTime = std::chrono::milliseconds(400);
 
+/// Limits that are used less are not told; their parts are hardly lent.
+constexpr double ToldFill = 0.5;
+
 double sumOf(const std::unordered_map<OrganisationId, UsageWindow> &Uses,
              const OrganisationId &Organisation, TimePoint Now) {
   const auto Found = Uses.find(Organisation);
@@ -157,6 +160,41 @@
       .first->second.add(Tokens, At);
 }
 
+// When the lent part was used is not known: it is spread over the window.
+void LimitBook::noteLent(const InstanceId &Instance, const LimitFill &Fill,
+                         TimePoint Now) {
+  const auto Found = Members_.find(Instance);
+  const TokenLimit *Limit = limitOf(Fill.Organisation_);
+  if (Found == Members_.end() || !Limit)
+    return;
+  const Member &Of = Found->second;
+  const double Granted = std::clamp(Fill.Part_, 0.0, 1.0) *
+                         partOf(Of, *Limit, pastOf(Fill.Organisation_), Now) /
+                         instanceCount();
+  const double Lent = Granted - sumOf(Of.Uses_, Fill.Organisation_, Now);
+  if (Lent <= 0)
+    return;
+  const Duration Step = Window_ / UsageWindow::CellsPerWindow;
+  for (std::size_t I = UsageWindow::CellsPerWindow; I-- != 0;)
+    note(Instance, Fill.Organisation_, Lent / UsageWindow::CellsPerWindow,
+         Now - Step * I);
+}
+
+std::vector<LimitFill> LimitBook::fills(TimePoint Now) const {
+  std::vector<LimitFill> Out;
+  if (!Configuration_)
+    return Out;
+  for (const auto &Each : Configuration_->parts().Organisations_) {
+    if (!Each.Limit_)
+      continue;
+    const double Allowed = allowed(Each.Name_, *Each.Limit_, Now);
+    const double Used = used(Each.Name_, Now);
+    if (Allowed > 0 && Used >= ToldFill * Allowed)
+      Out.push_back({Each.Name_, std::min(1.0, Used / Allowed)});
+  }
+  return Out;
+}
+
 bool LimitBook::isExhausted(const OrganisationId &Organisation,
                             TimePoint Now) const {
   const TokenLimit *Limit = limitOf(Organisation);
--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -8,6 +8,22 @@
 constexpr auto LastStep =
     static_cast<std::uint32_t>(GenerationStep::ServerMissing);
 
+template <typename T>
+void writeFills(T &To, const std::vector<LimitFill> &From) {
+  for (const auto &Each : From) {
+    auto &Fill = *To.add_fills();
+    Fill.set_organisation(Each.Organisation_.Value_);
+    Fill.set_part(static_cast<float>(Each.Part_));
+  }
+}
+
+template <typename T> std::vector<LimitFill> readFills(const T &From) {
+  std::vector<LimitFill> Out;
+  for (const auto &Each : From.fills())
+    Out.push_back({{Each.organisation()}, Each.part()});
+  return Out;
+}
+
 void write(wire::Home &To, const HomeHeartbeat &From) {
   auto &Out = *To.mutable_heartbeat();
   Out.set_sequence(From.Sequence_);
@@ -15,6 +31,7 @@
   Out.set_servers_version(From.ServersVersion_);
   Out.set_uptime_us(From.Uptime_.count());
   Out.set_is_attached(From.IsAttached_);
+  writeFills(Out, From.Fills_);
   Out.set_is_leaving(From.IsLeaving_);
   for (const auto &Each : From.Used_) {
     auto &Use = *Out.add_used();
@@ -42,6 +59,7 @@
   Out.set_is_leaving(From.IsLeaving_);
   for (const auto &Each : From.Exhausted_)
     Out.add_exhausted(Each.Value_);
+  writeFills(Out, From.Fills_);
 }
 
 void write(wire::Home &To, const PlacementAsk &From) {
@@ -122,6 +140,7 @@
   Out.ServersVersion_ = From.servers_version();
   Out.Uptime_ = Duration(From.uptime_us());
   Out.IsAttached_ = From.is_attached();
+  Out.Fills_ = readFills(From);
   Out.IsLeaving_ = From.is_leaving();
   for (const auto &Each : From.used())
     Out.Used_.push_back(
@@ -145,6 +164,7 @@
   Out.IsLeaving_ = From.is_leaving();
   for (const auto &Each : From.exhausted())
     Out.Exhausted_.push_back({Each});
+  Out.Fills_ = readFills(From);
   return Out;
 }
 
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -150,6 +150,10 @@
   HomeHeartbeat Attach = makeHeartbeat();
   Attach.IsAttached_ = true;
   Attach.Used_ = recentUses();
+  // A home that shuts down is left by all, so its grants are in their uses.
+  if (!Homes_.isLeaving(Last))
+    Attach.Fills_ = Fills_;
+  Fills_.clear();
   Used_.clear();
   for (const auto &[Request, Each] : Running_)
     Attach.Running_.push_back(Each);
@@ -252,6 +256,8 @@
   Reply.ServersVersion_ = Callbacks_.ServersVersion_();
   Reply.IsLeaving_ = IsLeaving_;
   Reply.Exhausted_ = Desk_.onHeartbeat(From, Message, Now);
+  if (Message.IsAttached_)
+    Reply.Fills_ = Desk_.fills(Now);
   if (From == Self_) {
     handleReply(Self_, Reply);
     return;
@@ -271,6 +277,7 @@
   }
   if (From != Home_)
     return;
+  Fills_ = Message.Fills_;
   Exhausted_.clear();
   Exhausted_.insert(Message.Exhausted_.begin(), Message.Exhausted_.end());
 }
--- a/tests/HomeCodecTest.cpp
+++ b/tests/HomeCodecTest.cpp
@@ -26,7 +26,7 @@
     Message.Used_ = {{{"acme"}, 250.5, 3s}};
     Message.Running_ = {{{"r"}, {"acme"}, {"svc"}, {"d1"}, 5000, 630, 4400}};
     checkRoundTrip(Message);
-    checkRoundTrip(HomeReply{4, 17, 99, true, {{"acme"}}});
+    checkRoundTrip(HomeReply{4, 17, 99, true, {{"acme"}}, {{{"acme"}, 0.5}}});
   }
   SECTION("asks and their answers") {
     PlacementAsk Ask;
--- a/tests/HomeDeskTest.cpp
+++ b/tests/HomeDeskTest.cpp
@@ -101,8 +101,10 @@
     return std::uniform_int_distribution<std::size_t>(0, Below - 1)(Random_);
   }
 
-  void heartbeat(std::size_t Who, bool IsFirst) {
+  void heartbeat(std::size_t Who, bool IsFirst,
+                 std::vector<LimitFill> Fills = {}) {
     HomeHeartbeat Message;
+    Message.Fills_ = std::move(Fills);
     Message.IsAttached_ = true;
     Message.Uptime_ = 100s;
     if (IsFirst)
@@ -118,6 +120,7 @@
     // Half of the time the instance is cut off from its home, and takes another
     // one when it has not heard of it for a while.
     if (draw(2) == 0) {
+      CutAt_[Who] = Now_;
       Cut_[Who] = {Now_ + SilenceLimit, To};
       return;
     }
@@ -132,8 +135,9 @@
         ++It;
         continue;
       }
+      const auto Fills = Desks_[HomeOf_[It->first]]->fills(CutAt_[It->first]);
       HomeOf_[It->first] = It->second.second;
-      heartbeat(It->first, true);
+      heartbeat(It->first, true, Fills);
       It = Cut_.erase(It);
     }
   }
@@ -163,6 +167,7 @@
   std::vector<InstanceId> Names_;
   std::vector<std::size_t> HomeOf_;
   std::map<std::size_t, std::pair<TimePoint, std::size_t>> Cut_;
+  std::map<std::size_t, TimePoint> CutAt_;
   std::vector<std::vector<std::pair<TimePoint, double>>> Uses_;
   std::vector<std::pair<TimePoint, double>> Granted_;
   TimePoint Now_{1000s};
--- a/tests/LimitBookTest.cpp
+++ b/tests/LimitBookTest.cpp
@@ -80,6 +80,18 @@
     Book.detach(One, TimePoint(2s));
     CHECK(play(Book, Two, TimePoint(2s), 1s) == 0);
   }
+  SECTION("a part that was lent before a cut is not brought again") {
+    CHECK(play(Book, One, TimePoint(101s), 1s) == 9000);
+    const auto Fills = Book.fills(TimePoint(102s));
+    REQUIRE(Fills.size() == 1);
+    LimitBook Other(Window);
+    Other.configure(makeLimits(1000, 1000), TimePoint(0s));
+    Other.setInstanceCount(2);
+    Other.attach(Two, TimePoint(-100s), Forever);
+    Other.noteLent(Two, Fills.front(), TimePoint(102s));
+    CHECK(play(Other, Two, TimePoint(102s), 400ms) == 0);
+    CHECK(play(Other, Two, TimePoint(111s), 1s) > 4000);
+  }
   SECTION("a new home counts what an instance used before") {
     LimitBook Next(Window);
     Next.configure(makeLimits(1000, 1000), TimePoint(0s));
