--- a/include/gooseberrybeam/relayd/RelaySettings.h
+++ b/include/gooseberrybeam/relayd/RelaySettings.h
@@ -22,11 +22,9 @@
   std::string ReadyPath_ = "/readyz";
   BackendId Store_; ///< The platform's store.
   Duration ShutdownTime_ =
-      std::chrono::seconds(8);                     ///< From SIGTERM to the end.
-  Duration LeavingTime_ = std::chrono::seconds(2); ///< To stop using a server.
+      std::chrono::seconds(8); ///< From SIGTERM to the end.
   RepeatBounds Repeats_;
   Duration LimitWindow_ = std::chrono::seconds(8); ///< Use is added up over it.
-  std::string LogLevel_ = "info";
 };
 
 } // namespace gooseberry
--- a/src/relayd/RelayHandler.cpp
+++ b/src/relayd/RelayHandler.cpp
@@ -90,9 +90,8 @@
   if (Facts.TimeLeft_)
     Bound = std::min(Bound, *Facts.TimeLeft_);
   Exchange.setDeadline(Exchange.arrival() + Bound);
-  const std::uniform_real_distribution<double> Even(0, 1);
-  auto Draw = Even;
-  const ServiceId Service = chooseTarget(*Route, Draw(Context_.Random_));
+  std::uniform_real_distribution<double> Even(0, 1);
+  const ServiceId Service = chooseTarget(*Route, Even(Context_.Random_));
   RelayRequest Request = {Exchange,
                           Configuration,
                           *Route,
