--- a/include/gooseberrybeam/relay/HomeDesk.h
+++ b/include/gooseberrybeam/relay/HomeDesk.h
@@ -38,9 +38,7 @@
                                           TimePoint Now);
   /// \param Now the clock.
   /// \returns how much is granted of the limits that are in use.
-  std::vector<LimitFill> fills(TimePoint Now) const {
-    return Limits_.fills(Now);
-  }
+  const std::vector<LimitFill> &fills(TimePoint Now);
   /// Handles an ask; the answer comes from `decide`.
   /// \param From the instance.
   /// \param Ask what is asked.
@@ -70,6 +68,8 @@
   LimitBook Limits_;
   std::map<InstanceId, TimePoint> Attached_; ///< Last heartbeat of each.
   std::vector<PlacedFor> Denied_;
+  std::vector<LimitFill> Fills_;
+  TimePoint FilledAt_{Duration::zero()}; ///< When `Fills_` was taken.
 };
 
 } // namespace gooseberry
--- a/src/relay/HomeDesk.cpp
+++ b/src/relay/HomeDesk.cpp
@@ -7,6 +7,8 @@
 
 /// An instance that was not heard for so long has another home, or is gone.
 constexpr Duration AttachedFor = std::chrono::milliseconds(800);
+/// Fills are summed over all instances, and told with every heartbeat.
+constexpr Duration FillsKept = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -53,6 +55,14 @@
   return Exhausted;
 }
 
+const std::vector<LimitFill> &HomeDesk::fills(TimePoint Now) {
+  if (Now >= FilledAt_ + FillsKept) {
+    FilledAt_ = Now;
+    Fills_ = Limits_.fills(Now);
+  }
+  return Fills_;
+}
+
 void HomeDesk::onAsk(const InstanceId &From, const PlacementAsk &Ask,
                      TimePoint Now) {
   // Its uptime is known from its first heartbeat on.
