Say once what an instance's own part, a denial and a weight are

One function serves each. State that nothing read is gone: when a generation was granted, the width of a cell, whether a follower is current.

--- a/include/gooseberrybeam/base/Time.h
+++ b/include/gooseberrybeam/base/Time.h
@@ -35,6 +35,18 @@
   return std::chrono::duration<double>(Value).count();
 }
 
+/// \param Value a duration of the core.
+/// \returns \p Value in milliseconds.
+constexpr double asMilliseconds(Duration Value) {
+  return std::chrono::duration<double, std::milli>(Value).count();
+}
+
+/// \param Value a duration of the core.
+/// \returns \p Value in whole milliseconds, rounded down.
+constexpr std::int64_t wholeMilliseconds(Duration Value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+}
+
 } // namespace gooseberry
 
 #endif // GOOSEBERRYBEAM_BASE_TIME_H
--- a/include/gooseberrybeam/relay/GenerationPlacer.h
+++ b/include/gooseberrybeam/relay/GenerationPlacer.h
@@ -76,7 +76,6 @@
     bool IsSolePrefill_ = false; ///< Nothing was ahead of it.
     ServerId Prefill_;
     ServerId Decode_;
-    TimePoint GrantedAt_;
     TimePoint OutputAt_; ///< When `OutputTokens_` was known.
     double OutputTokens_ = 0;
     double ExpectedOutput_ = 0;
@@ -126,6 +125,10 @@
                                const EngineTraits &Traits, TimePoint Now);
   void decideMoved(Pool &In, const EngineTraits &Traits, TimePoint Now,
                    std::vector<PlacedFor> &Out);
+  double weightOf(const OrganisationId &Organisation) const;
+  void deny(const RequestId &Request, RefusalReason Reason,
+            std::optional<Duration> RetryAfter, TimePoint Now,
+            std::vector<PlacedFor> &Out);
   void grant(Pool &In, Item &To, const Choice &Of, TimePoint Now,
              std::vector<PlacedFor> &Out);
   void refuseHopeless(Pool &In, TimePoint Now, std::vector<PlacedFor> &Out);
--- a/include/gooseberrybeam/relay/LimitBook.h
+++ b/include/gooseberrybeam/relay/LimitBook.h
@@ -101,9 +101,8 @@
                    double Allowed, TimePoint Now) const;
   double allowedBy(const Member &Of, const OrganisationId &Organisation,
                    const TokenLimit &Limit, TimePoint Now) const;
-  const Past *pastOf(const OrganisationId &Organisation) const;
-  double partOf(const Member &Of, const TokenLimit &Limit, const Past *Before,
-                TimePoint Now) const;
+  double ownPart(const Member &Of, const OrganisationId &Organisation,
+                 const TokenLimit &Limit, TimePoint Now) const;
   double instanceCount() const;
 
   Duration Window_;
--- a/include/gooseberrybeam/relay/UsageWindow.h
+++ b/include/gooseberrybeam/relay/UsageWindow.h
@@ -28,8 +28,6 @@
   double sum(TimePoint Now) const;
   /// \param Factor what to multiply all amounts by.
   void scale(double Factor);
-  /// \returns the width of a cell.
-  Duration cellWidth() const { return Width_; }
 
 private:
   struct Cell {
--- a/include/gooseberrybeam/relayd/TableFollower.h
+++ b/include/gooseberrybeam/relayd/TableFollower.h
@@ -34,10 +34,6 @@
 
   /// Starts to follow, until the context stops.
   void start();
-  /// \returns whether the last call succeeded.
-  bool isCurrent() const { return IsCurrent_; }
-  /// \returns the version of the store that is known.
-  std::uint64_t version() const { return Version_; }
 
 private:
   Task<void> run();
@@ -55,7 +51,6 @@
   CancelScope Scope_;
   std::uint64_t Version_ = 0;
   std::uint32_t Failures_ = 0; ///< In a row.
-  bool IsCurrent_ = false;
   bool IsLost_ = false;
 };
 
--- a/src/daemon/ServiceProxy.cpp
+++ b/src/daemon/ServiceProxy.cpp
@@ -47,8 +47,7 @@
   Request.version(HttpVersion);
   removeHopByHop(Request.base());
   const Duration Left = Exchange.deadline() - readBootClock();
-  const auto Milliseconds =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Left).count();
+  const auto Milliseconds = wholeMilliseconds(Left);
   Request.set(asBeast(DeadlineField),
               std::to_string(std::max<std::int64_t>(Milliseconds, 1)));
   Request.set(asBeast(IdField), Exchange.id().Value_);
--- a/src/engine/EngineJson.cpp
+++ b/src/engine/EngineJson.cpp
@@ -16,10 +16,6 @@
   return {Text.data(), Text.size()};
 }
 
-std::int64_t asMilliseconds(Duration Value) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
-}
-
 std::optional<ReportedRole> parseRole(std::string_view Text) {
   if (Text == "prefill")
     return ReportedRole::Prefill;
@@ -67,7 +63,7 @@
     Body["generated_tokens"] = Call.GeneratedTokens_;
   Body["priority"] = Call.Priority_;
   if (Call.Deadline_)
-    Body["deadline_ms"] = asMilliseconds(*Call.Deadline_);
+    Body["deadline_ms"] = wholeMilliseconds(*Call.Deadline_);
   return json::serialize(Body);
 }
 
--- a/src/relay/GenerationPlacer.cpp
+++ b/src/relay/GenerationPlacer.cpp
@@ -1,7 +1,6 @@
 #include "gooseberrybeam/relay/GenerationPlacer.h"
 
 #include <algorithm>
-#include <cassert>
 #include <limits>
 #include <utility>
 
@@ -52,8 +51,6 @@
   return Duration(static_cast<Duration::rep>(Milliseconds * 1000));
 }
 
-double asMs(Duration Value) { return asSeconds(Value) * 1000; }
-
 } // namespace
 
 GenerationPlacer::GenerationPlacer(const BackendDirectory &Directory)
@@ -132,11 +129,7 @@
   Entry.LatestStart_ =
       Now + Ask.TargetLeft_ - fromMs(PrefillMs) - FirstEventTime;
   Entry.GiveUp_ = Of.GiveUp_;
-  const RelayOrganisation *Organisation =
-      Configuration_ ? Configuration_->findOrganisation(Ask.Organisation_)
-                     : nullptr;
-  if (Organisation && Organisation->Limit_)
-    Entry.Weight_ = std::max(1.0, Organisation->Limit_->RatePerSecond_);
+  Entry.Weight_ = weightOf(Ask.Organisation_);
   Items_.emplace(Ask.Request_, std::move(Of));
   In.Queue_.push(Entry);
 }
@@ -156,7 +149,6 @@
   Of.Ask_.LengthHint_ = Running.LengthHint_;
   Of.IsGranted_ = true;
   Of.Decode_ = Running.Decode_;
-  Of.GrantedAt_ = Now;
   Of.OutputAt_ = Now;
   Of.OutputTokens_ = Running.OutputTokens_;
   Of.ExpectedOutput_ = std::max<double>(
@@ -227,8 +219,8 @@
   const double Usual =
       In.PrefillPerMs_ > 0 ? In.PrefillPerMs_ : InitialPrefillPerMs;
   // A prompt that the engine had kept is read in no time, and says nothing.
-  const double PerMs =
-      std::min(Report.Tokens_ / asMs(Report.Took_), Usual * MostPaceRise);
+  const double PerMs = std::min(Report.Tokens_ / asMilliseconds(Report.Took_),
+                                Usual * MostPaceRise);
   smooth(Of.PrefillPerMs_, PerMs, EngineWeight);
   smooth(In.PrefillPerMs_, PerMs, PoolWeight);
 }
@@ -241,7 +233,7 @@
     return;
   Engine &At = Engines_[Report.Server_];
   At.Failures_ = 0;
-  const double PerMs = Report.Tokens_ / asMs(Report.Took_);
+  const double PerMs = Report.Tokens_ / asMilliseconds(Report.Took_);
   smooth(At.DecodePerMs_, PerMs, EngineWeight);
   smooth(poolOf(Of.Ask_.Service_).DecodePerMs_, PerMs, PoolWeight);
 }
@@ -282,7 +274,7 @@
                                     const Engine &On, TimePoint Now) const {
   double Output = Of.OutputTokens_;
   if (!Of.IsPrefilling_ && Of.IsGranted_)
-    Output += asMs(Now - Of.OutputAt_) * decodePerMs(In, On);
+    Output += asMilliseconds(Now - Of.OutputAt_) * decodePerMs(In, On);
   const double Mean =
       In.OutputTokens_ > 0 ? In.OutputTokens_ : Of.ExpectedOutput_;
   const double Left =
@@ -383,15 +375,9 @@
 void GenerationPlacer::grant(Pool &In, Item &To, const Choice &Of,
                              TimePoint Now, std::vector<PlacedFor> &Out) {
   In.Queue_.erase(To.Ask_.Request_);
-  double Weight = 1;
-  if (const auto *Organisation =
-          Configuration_->findOrganisation(To.Ask_.Organisation_);
-      Organisation && Organisation->Limit_)
-    Weight = std::max(1.0, Organisation->Limit_->RatePerSecond_);
-  In.Queue_.charge(To.Ask_.Organisation_, Weight,
+  In.Queue_.charge(To.Ask_.Organisation_, weightOf(To.Ask_.Organisation_),
                    To.Ask_.PromptTokens_ + To.ExpectedOutput_);
   To.IsGranted_ = true;
-  To.GrantedAt_ = Now;
   To.OutputAt_ = Now;
   To.Decode_ = Of.Decode_->Id_;
   Engines_[To.Decode_].Streams_.push_back(To.Ask_.Request_);
@@ -411,17 +397,26 @@
   Out.push_back({To.Instance_, std::move(Answer), Now - To.Arrival_});
 }
 
+double GenerationPlacer::weightOf(const OrganisationId &Organisation) const {
+  const RelayOrganisation *Known =
+      Configuration_ ? Configuration_->findOrganisation(Organisation) : nullptr;
+  return Known && Known->Limit_ ? std::max(1.0, Known->Limit_->RatePerSecond_)
+                                : 1;
+}
+
+void GenerationPlacer::deny(const RequestId &Request, RefusalReason Reason,
+                            std::optional<Duration> RetryAfter, TimePoint Now,
+                            std::vector<PlacedFor> &Out) {
+  const Item &Of = Items_.at(Request);
+  Out.push_back({Of.Instance_, PlacementDenial{Request, Reason, RetryAfter},
+                 Now - Of.Arrival_});
+  erase(Request, Now);
+}
+
 void GenerationPlacer::refuseHopeless(Pool &In, TimePoint Now,
                                       std::vector<PlacedFor> &Out) {
-  for (const auto &Request : In.Queue_.takeExpired(Now)) {
-    const auto Found = Items_.find(Request);
-    assert(Found != Items_.end());
-    Out.push_back(
-        {Found->second.Instance_,
-         PlacementDenial{Request, RefusalReason::DeadlineUnreachable, {}},
-         Now - Found->second.Arrival_});
-    Items_.erase(Found);
-  }
+  for (const RequestId &Request : In.Queue_.takeExpired(Now))
+    deny(Request, RefusalReason::DeadlineUnreachable, {}, Now, Out);
 }
 
 // A caller waits in the middle of its answer; nobody new is served before.
@@ -431,11 +426,7 @@
   for (const RequestId &Request : Waiting) {
     Item &Of = Items_.at(Request);
     if (Of.GiveUp_ < Now) {
-      Out.push_back(
-          {Of.Instance_,
-           PlacementDenial{Request, RefusalReason::DeadlineUnreachable, {}},
-           Now - Of.Arrival_});
-      Items_.erase(Request);
+      deny(Request, RefusalReason::DeadlineUnreachable, {}, Now, Out);
     } else if (const auto Chosen = choose(In, Of, Traits, Now)) {
       grant(In, Of, *Chosen, Now, Out);
     } else {
@@ -451,16 +442,11 @@
   if (Known && Known->Engine_)
     decideMoved(In, *Known->Engine_, Now, Out);
   while (const auto Next = In.Queue_.peek(Now)) {
-    Item &Of = Items_.at(*Next);
     if (!Known || !Known->Engine_) {
-      In.Queue_.erase(*Next);
-      Out.push_back({Of.Instance_,
-                     PlacementDenial{*Next, RefusalReason::NoBackendServer,
-                                     RetryWithoutServer},
-                     Now - Of.Arrival_});
-      Items_.erase(*Next);
+      deny(*Next, RefusalReason::NoBackendServer, RetryWithoutServer, Now, Out);
       continue;
     }
+    Item &Of = Items_.at(*Next);
     const auto Chosen = choose(In, Of, *Known->Engine_, Now);
     if (!Chosen)
       return;
--- a/src/relay/LimitBook.cpp
+++ b/src/relay/LimitBook.cpp
@@ -42,23 +42,21 @@
 }
 
 // What flowed in at the rate of each moment since the instance's start.
-double LimitBook::partOf(const Member &Of, const TokenLimit &Limit,
-                         const Past *Before, TimePoint Now) const {
+double LimitBook::ownPart(const Member &Of, const OrganisationId &Organisation,
+                          const TokenLimit &Limit, TimePoint Now) const {
   const Duration Known =
       std::clamp(Now - Of.StartedAt_, Duration::zero(), Window_);
   Duration AtPastRate = Duration::zero();
-  if (Before)
-    AtPastRate =
-        std::clamp(Known - (Now - Before->ChangedAt_), Duration::zero(), Known);
-  const double PastRate = Before ? Before->RatePerSecond_ : 0;
-  return asSeconds(AtPastRate) * PastRate +
-         asSeconds(Known - AtPastRate) * Limit.RatePerSecond_ + Limit.Burst_;
-}
-
-const LimitBook::Past *
-LimitBook::pastOf(const OrganisationId &Organisation) const {
-  const auto Found = Pasts_.find(Organisation);
-  return Found == Pasts_.end() ? nullptr : &Found->second;
+  double PastRate = 0;
+  if (const auto Past = Pasts_.find(Organisation); Past != Pasts_.end()) {
+    AtPastRate = std::clamp(Known - (Now - Past->second.ChangedAt_),
+                            Duration::zero(), Known);
+    PastRate = Past->second.RatePerSecond_;
+  }
+  const double Whole = asSeconds(AtPastRate) * PastRate +
+                       asSeconds(Known - AtPastRate) * Limit.RatePerSecond_ +
+                       Limit.Burst_;
+  return Whole / instanceCount();
 }
 
 double LimitBook::instanceCount() const {
@@ -85,9 +83,7 @@
     const double Used = Of.sum(Now);
     if (!Limit || Used <= 0)
       continue;
-    const double Own =
-        partOf(Found->second, *Limit, pastOf(Organisation), Now) /
-        instanceCount();
+    const double Own = ownPart(Found->second, Organisation, *Limit, Now);
     if (Used <= Own)
       continue;
     Of.scale((Used - Own) / Used);
@@ -101,8 +97,7 @@
 double LimitBook::allowedBy(const Member &Of,
                             const OrganisationId &Organisation,
                             const TokenLimit &Limit, TimePoint Now) const {
-  const double Own =
-      partOf(Of, Limit, pastOf(Organisation), Now) / instanceCount();
+  const double Own = ownPart(Of, Organisation, Limit, Now);
   if (Now <= Of.HeardAt_ + LendingTime)
     return Own;
   return std::min(Own, sumOf(Of.Uses_, Organisation, Now));
@@ -169,8 +164,7 @@
     return;
   const Member &Of = Found->second;
   const double Granted = std::clamp(Fill.Part_, 0.0, 1.0) *
-                         partOf(Of, *Limit, pastOf(Fill.Organisation_), Now) /
-                         instanceCount();
+                         ownPart(Of, Fill.Organisation_, *Limit, Now);
   const double Lent = Granted - sumOf(Of.Uses_, Fill.Organisation_, Now);
   if (Lent <= 0)
     return;
--- a/src/relay/ServiceBalancer.cpp
+++ b/src/relay/ServiceBalancer.cpp
@@ -21,8 +21,6 @@
 /// A server that refused a connection or is full is left alone for so long.
 constexpr Duration AvoidTime = std::chrono::milliseconds(400);
 
-double asMs(Duration Value) { return asSeconds(Value) * 1000; }
-
 /// \returns the part of a judgement that has not faded, in (0, 1].
 double keptPart(TimePoint JudgedAt, TimePoint Now) {
   return std::exp2(-asSeconds(Now - JudgedAt) / JudgementHalfLifeS);
@@ -57,7 +55,7 @@
     Failed = Of.FailedShare_ * Kept;
     Waiting = static_cast<double>(Of.Started_.size());
     if (!Of.Started_.empty())
-      Answer = std::max(Answer, asMs(Now - *Of.Started_.begin()));
+      Answer = std::max(Answer, asMilliseconds(Now - *Of.Started_.begin()));
     if (Now < Of.AvoidUntil_)
       Factor *= AvoidedCost;
   }
@@ -100,7 +98,7 @@
   const double Failure = End == AttemptEnd::Answered ? 0 : 1;
   Of.FailedShare_ +=
       (1 - (1 - FailureWeight) * Kept) * (Failure - Of.FailedShare_);
-  const double Took = asMs(Now - Started);
+  const double Took = asMilliseconds(Now - Started);
   // A fast failure says nothing of the time to an answer.
   if (End == AttemptEnd::Answered ||
       Took > std::max(Of.AnswerMs_, InitialAnswerMs))
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -137,7 +137,7 @@
   if (!isOk(Body))
     co_return Scope.isCancelled() ? StepEnd::Stopped : StepEnd::Broken;
   Context_.Pool_.release(Engine.Address_, std::move(Answer.Connection_));
-  if (Answer.Facts_.IsNotRun_ || Answer.Facts_.IsOtherServer_)
+  if (Answer.Facts_.IsNotRun_)
     co_return StepEnd::Rejected;
   const auto Prompt = Context_.Wire_.parsePrefilled(valueOf(Body));
   if (Answer.Head_.Status_ != Ok || !Prompt)
@@ -261,7 +261,7 @@
     co_return Exchange.scope().isCancelled() ? StepEnd::Stopped
                                              : StepEnd::Broken;
   Context_.Pool_.release(Engine.Address_, std::move(Answer.Connection_));
-  if (Answer.Facts_.IsNotRun_ || Answer.Facts_.IsOtherServer_)
+  if (Answer.Facts_.IsNotRun_)
     co_return StepEnd::Rejected;
   MayHaveRun_ = true;
   const bool IsOwnFailure = Answer.Facts_.IsSigned_ &&
@@ -344,9 +344,7 @@
 std::string GenerationCall::sinceArrival(TimePoint At) const {
   if (At == TimePoint())
     return "";
-  const Duration Passed = At - Request_.Exchange_.arrival();
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(Passed).count());
+  return std::to_string(wholeMilliseconds(At - Request_.Exchange_.arrival()));
 }
 
 Task<void> GenerationCall::finish(StepEnd End) {
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -320,8 +320,7 @@
            {"prefill", Prefill},
            {"decode", Grant ? Grant->Decode_.Id_.Value_ : ""},
            {"reason", Denial ? asCode(Denial->Reason_) : ""},
-           {"waited_ms",
-            text(static_cast<std::uint64_t>(asSeconds(Placed.Waited_) * 1000))},
+           {"waited_ms", std::to_string(wholeMilliseconds(Placed.Waited_))},
            {"waiting", text(Desk_.placer().waiting())},
            {"booked", text(Desk_.placer().booked())},
            {"attached", text(Desk_.attached())}});
--- a/src/relayd/RelayAnswer.cpp
+++ b/src/relayd/RelayAnswer.cpp
@@ -12,9 +12,8 @@
 }
 
 std::string elapsedMs(const CallerExchange &Exchange) {
-  const Duration Elapsed = readBootClock() - Exchange.arrival();
   return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(Elapsed).count());
+      wholeMilliseconds(readBootClock() - Exchange.arrival()));
 }
 
 Task<void> refuse(RelayContext &Context, CallerExchange &Exchange, Refusal Why,
--- a/src/relayd/TableFollower.cpp
+++ b/src/relayd/TableFollower.cpp
@@ -77,7 +77,6 @@
 
 void TableFollower::noteSuccess() {
   Failures_ = 0;
-  IsCurrent_ = true;
   if (!std::exchange(IsLost_, false))
     return;
   logLine(LogPart::Table, LogLevel::Info, "Store is reached again.",
@@ -86,7 +85,6 @@
 }
 
 Task<void> TableFollower::noteFailure(StoreFailure Failure) {
-  IsCurrent_ = false;
   // One broken connection is no outage: the next call tells.
   const bool IsOutage = ++Failures_ > 1;
   if (IsOutage && !std::exchange(IsLost_, true)) {
--- a/tests/support/FaultRun.cpp
+++ b/tests/support/FaultRun.cpp
@@ -23,7 +23,7 @@
           {"third", 1500, 1500, 120, 30, 30}};
 }
 
-std::string asMilliseconds(Duration Value) {
+std::string writeMilliseconds(Duration Value) {
   return std::to_string(Value.count() / 1000) + " ms";
 }
 
@@ -98,7 +98,8 @@
 }
 
 void FaultRun::killForAWhile(std::size_t At, Duration Lasts) {
-  note("instance " + std::to_string(At) + " dies for " + asMilliseconds(Lasts));
+  note("instance " + std::to_string(At) + " dies for " +
+       writeMilliseconds(Lasts));
   World_->kill(At);
   run(Lasts);
   World_->start(At);
@@ -112,13 +113,13 @@
 
 void FaultRun::pause(std::size_t At, Duration Lasts) {
   note("instance " + std::to_string(At) + " pauses for " +
-       asMilliseconds(Lasts));
+       writeMilliseconds(Lasts));
   World_->pause(At, Lasts);
 }
 
 void FaultRun::cutOffPeers(std::size_t At, Duration Lasts) {
   note("instance " + std::to_string(At) + " loses its peers for " +
-       asMilliseconds(Lasts));
+       writeMilliseconds(Lasts));
   World_->setCutOff(At, true);
   run(Lasts);
   World_->setCutOff(At, false);
@@ -126,7 +127,7 @@
 
 void FaultRun::cutOffAll(std::size_t At, Duration Lasts) {
   note("instance " + std::to_string(At) + " loses peers and table for " +
-       asMilliseconds(Lasts));
+       writeMilliseconds(Lasts));
   World_->setCutOff(At, true);
   World_->wayOf(At).IsDown_ = true;
   run(Lasts);
@@ -152,13 +153,13 @@
 
 void FaultRun::slowTable(std::size_t /*At*/, Duration /*Lasts*/) {
   const auto Latency = milliseconds(Random_() % 400);
-  note("the table answers after " + asMilliseconds(Latency));
+  note("the table answers after " + writeMilliseconds(Latency));
   World_->table().faults().Latency_ = Latency;
 }
 
 void FaultRun::note(const std::string &What) {
   const Duration Since = World_->now().time_since_epoch();
-  History_.push_back("at " + asMilliseconds(Since) + ": " + What);
+  History_.push_back("at " + writeMilliseconds(Since) + ": " + What);
 }
 
 FaultRunOutcome FaultRun::outcome() const {
