Open ports, decode base64 and write platform texts in one place each

Cause: acceptors were opened in the same words at five places, base64 was coded in the adapter and in the stand-in, and the soak spelled the platform's rows beside its stand-in. Two parameters were passed that nothing read. Change: openAcceptor, Base64 and PlatformTexts are the one copy of each.

--- a/include/gooseberrybeam/relay/BackendDirectory.h
+++ b/include/gooseberrybeam/relay/BackendDirectory.h
@@ -18,8 +18,7 @@
 class BackendDirectory {
 public:
   /// Notes that the store could not be read.
-  /// \param Now the clock.
-  void onStoreLost(TimePoint Now);
+  void onStoreLost();
   /// Notes that the store can be read again after a loss.
   /// \param Now the clock.
   void onStoreBack(TimePoint Now);
--- a/include/gooseberrybeam/relay/HomeDirectory.h
+++ b/include/gooseberrybeam/relay/HomeDirectory.h
@@ -23,8 +23,7 @@
   HomeDirectory(InstanceId Self, std::string Key);
 
   /// \param Instances all instances that are registered.
-  /// \param Now the clock.
-  void setInstances(std::span<const InstanceId> Instances, TimePoint Now);
+  void setInstances(std::span<const InstanceId> Instances);
   /// Notes that a heartbeat was sent.
   /// \param To the instance.
   /// \param Now the clock.
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrybeam/daemon/Incarnation.h"
 #include "gooseberrybeam/http/Endpoint.h"
+#include "gooseberrybeam/http/OpenAcceptor.h"
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/peers/PlacementCodec.h"
 
@@ -84,15 +85,7 @@
 
 std::optional<SettingsError> Daemon::open() {
   const auto Endpoint = parseEndpoint(Settings_.Listen_);
-  boost::system::error_code Error;
-  Acceptor_.open(Endpoint->protocol(), Error);
-  if (!Error)
-    Acceptor_.set_option(tcp::acceptor::reuse_address(true), Error);
-  if (!Error)
-    Acceptor_.bind(*Endpoint, Error);
-  if (!Error)
-    Acceptor_.listen(tcp::acceptor::max_listen_connections, Error);
-  if (!Error)
+  if (!openAcceptor(Acceptor_, *Endpoint))
     return openPeers();
   return SettingsError{"--listen", Settings_.Listen_,
                        "an address of this machine that is free"};
--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -1,5 +1,7 @@
 #include "gooseberrybeam/operator/OperatorServer.h"
 
+#include "gooseberrybeam/http/OpenAcceptor.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -14,7 +16,6 @@
 namespace http = boost::beast::http;
 namespace {
 
-constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint64_t MaxBodyBytes = 64ULL << 20U;
 constexpr std::uint32_t MaxHeaderBytes = 16U << 10U;
 constexpr std::size_t MaxConnections = 64;
@@ -61,14 +62,7 @@
 
 std::optional<boost::system::error_code>
 OperatorServer::listen(const asio::ip::tcp::endpoint &Endpoint) {
-  boost::system::error_code Error;
-  Acceptor_.open(Endpoint.protocol(), Error);
-  if (!Error)
-    Acceptor_.set_option(asio::socket_base::reuse_address(true), Error);
-  if (!Error)
-    Acceptor_.bind(Endpoint, Error);
-  if (!Error)
-    Acceptor_.listen(asio::socket_base::max_listen_connections, Error);
+  const auto Error = openAcceptor(Acceptor_, Endpoint);
   if (Error)
     return Error;
   asio::co_spawn(Context_, accept(), asio::detached);
--- a/src/peers/TcpPeerTransport.cpp
+++ b/src/peers/TcpPeerTransport.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrybeam/peers/TcpPeerTransport.h"
 
+#include "gooseberrybeam/http/OpenAcceptor.h"
 #include "peers/PeerSession.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -47,17 +48,7 @@
       : Context_(Context), Acceptor_(Context), Timer_(Context),
         Settings_(std::move(Settings)) {}
 
-  bool listen(const tcp::endpoint &At) {
-    boost::system::error_code Error;
-    Acceptor_.open(At.protocol(), Error);
-    if (!Error)
-      Acceptor_.set_option(tcp::acceptor::reuse_address(true), Error);
-    if (!Error)
-      Acceptor_.bind(At, Error);
-    if (!Error)
-      Acceptor_.listen(asio::socket_base::max_listen_connections, Error);
-    return !Error;
-  }
+  bool listen(const tcp::endpoint &At) { return !openAcceptor(Acceptor_, At); }
 
   void start() {
     accept();
--- a/src/relay/BackendDirectory.cpp
+++ b/src/relay/BackendDirectory.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-void BackendDirectory::onStoreLost(TimePoint) { IsLost_ = true; }
+void BackendDirectory::onStoreLost() { IsLost_ = true; }
 
 void BackendDirectory::onStoreBack(TimePoint Now) {
   if (!IsLost_)
--- a/src/relay/HomeDirectory.cpp
+++ b/src/relay/HomeDirectory.cpp
@@ -20,8 +20,7 @@
 HomeDirectory::HomeDirectory(InstanceId Self, std::string Key)
     : Self_(std::move(Self)), Key_(std::move(Key)), Ranked_{Self_} {}
 
-void HomeDirectory::setInstances(std::span<const InstanceId> Instances,
-                                 TimePoint) {
+void HomeDirectory::setInstances(std::span<const InstanceId> Instances) {
   Ranked_.assign(Instances.begin(), Instances.end());
   if (std::find(Ranked_.begin(), Ranked_.end(), Self_) == Ranked_.end())
     Ranked_.push_back(Self_);
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -52,7 +52,7 @@
   std::erase_if(HeardAt_, [&Names](const auto &Each) {
     return std::find(Names.begin(), Names.end(), Each.first) == Names.end();
   });
-  Homes_.setInstances(Names, Now);
+  Homes_.setInstances(Names);
   Desk_.setInstanceCount(instanceCount());
   if (Transport_)
     Transport_->setMembers(Members_);
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrybeam/daemon/Incarnation.h"
 #include "gooseberrybeam/http/Endpoint.h"
+#include "gooseberrybeam/http/OpenAcceptor.h"
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/peers/PeerAuth.h"
 
@@ -57,17 +58,7 @@
 
   bool open() {
     const auto Endpoint = parseEndpoint(Address_);
-    boost::system::error_code Error;
-    if (!Endpoint)
-      return false;
-    Acceptor_.open(Endpoint->protocol(), Error);
-    if (!Error)
-      Acceptor_.set_option(tcp::acceptor::reuse_address(true), Error);
-    if (!Error)
-      Acceptor_.bind(*Endpoint, Error);
-    if (!Error)
-      Acceptor_.listen(tcp::acceptor::max_listen_connections, Error);
-    return !Error;
+    return Endpoint && !openAcceptor(Acceptor_, *Endpoint);
   }
 
   tcp::acceptor Acceptor_;
@@ -205,7 +196,7 @@
           [this](const auto &Rows) { useServers(Rows, false); },
           [this] {
             HasStore_ = false;
-            Directory_.onStoreLost(readBootClock());
+            Directory_.onStoreLost();
           },
           [this] {
             HasStore_ = true;
--- a/src/relayd/RelayHandler.cpp
+++ b/src/relayd/RelayHandler.cpp
@@ -1,6 +1,5 @@
 #include "gooseberrybeam/relayd/RelayHandler.h"
 
-#include "gooseberrybeam/http/CallerKey.h"
 #include "gooseberrybeam/http/HopByHop.h"
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/relayd/GenerationCall.h"
--- a/tests/BackendDirectoryTest.cpp
+++ b/tests/BackendDirectoryTest.cpp
@@ -51,7 +51,7 @@
     CHECK(Directory.changeCount() == Before);
   }
   SECTION("an outage of the store") {
-    Directory.onStoreLost(TimePoint(10s));
+    Directory.onStoreLost();
     SECTION("keeps what lapses meanwhile") {
       Directory.remove({"a"}, TimePoint(12s));
       CHECK(Directory.find({"a"}) != nullptr);
--- a/tests/HomeDirectoryTest.cpp
+++ b/tests/HomeDirectoryTest.cpp
@@ -23,7 +23,7 @@
   std::vector<HomeDirectory> All;
   for (const auto &Each : Names) {
     All.emplace_back(Each, "pools");
-    All.back().setInstances(Names, TimePoint(1s));
+    All.back().setInstances(Names);
   }
   const InstanceId First = All[0].home(TimePoint(1s));
 
@@ -35,7 +35,7 @@
     std::set<InstanceId> Homes;
     for (int I = 0; I != 40; ++I) {
       HomeDirectory Other(Names[0], "key-" + std::to_string(I));
-      Other.setInstances(Names, TimePoint(1s));
+      Other.setInstances(Names);
       Homes.insert(Other.home(TimePoint(1s)));
     }
     CHECK(Homes.size() > 4);
--- a/tools/common/StandinServer.cpp
+++ b/tools/common/StandinServer.cpp
@@ -1,6 +1,7 @@
 #include "common/StandinServer.h"
 
 #include "common/JsonFields.h"
+#include "gooseberrybeam/http/OpenAcceptor.h"
 
 #include <cstdio>
 #include <cstdlib>
@@ -22,13 +23,7 @@
 } // namespace
 
 bool StandinServer::open() {
-  boost::system::error_code Error;
-  Acceptor_.open(Endpoint_.protocol(), Error);
-  Acceptor_.set_option(Tcp::acceptor::reuse_address(true), Error);
-  if (Acceptor_.bind(Endpoint_, Error))
-    return false;
-  Acceptor_.listen(asio::socket_base::max_listen_connections, Error);
-  if (Error)
+  if (openAcceptor(Acceptor_, Endpoint_))
     return false;
   asio::co_spawn(Context_, acceptAll(), asio::detached);
   return true;
--- a/tools/gbsoak/RelayProcess.cpp
+++ b/tools/gbsoak/RelayProcess.cpp
@@ -1,5 +1,7 @@
 #include "gbsoak/RelayProcess.h"
 
+#include "standin_platform/PlatformTexts.h"
+
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
@@ -37,13 +39,15 @@
 }
 
 void RelayProcess::writeSettings() const {
-  const std::uint16_t Inner = Place_.Port_ + 2;
+  NodePlace Node;
+  Node.Name_ = Place_.Name_;
+  Node.Callers_ = callers();
+  Node.Readiness_ = readiness();
+  Node.Store_ = Place_.Store_;
+  Node.FirstInnerPort_ = Place_.Port_ + 2;
+  Node.LastInnerPort_ = Node.FirstInnerPort_ + 7;
   std::ofstream File(Place_.Folder_ + "/" + Place_.Name_ + ".json");
-  File << R"({"node_name":")" << Place_.Name_ << R"(","zone":"dc-a",)"
-       << R"("ip":"127.0.0.1","listen":{"front":")" << callers()
-       << R"(","ready":")" << readiness() << R"("},"port_range":[)" << Inner
-       << "," << Inner + 7 << R"(],"provider":{"address":")" << Place_.Store_
-       << R"("},"bounds":{"grace_s":8,"budget_slack":1000}})";
+  File << writeNodeSettings(Node);
 }
 
 void RelayProcess::start() {
--- a/tools/gbsoak/SoakClient.cpp
+++ b/tools/gbsoak/SoakClient.cpp
@@ -1,6 +1,6 @@
 #include "gbsoak/SoakClient.h"
 
-#include "standin_platform/BackendFace.h"
+#include "standin_platform/PlatformTexts.h"
 
 namespace gooseberry {
 namespace {
@@ -17,23 +17,20 @@
   return Text;
 }
 
-http::request<http::string_body>
-makeSoakRequest(const std::string &Id, SoakKind Kind, const std::string &Key) {
+CallerOrder makeOrder(const std::string &Id, SoakKind Kind,
+                      const std::string &Key) {
   constexpr const char *Paths[] = {"/check/1", "/book/1", "/stream/1"};
-  const auto Verb =
-      Kind == SoakKind::Check ? http::verb::get : http::verb::post;
-  http::request<http::string_body> Out(Verb, Paths[static_cast<int>(Kind)], 11);
-  Out.set("Host", "soak.example");
-  Out.set("Request-Id", Id);
-  Out.set("Deadline-Ms", DeadlineMs);
-  Out.set("Authorization", "Token " + Key);
-  Out.set("Kv-Hold", "not yours");
+  CallerOrder Order;
+  Order.Verb_ = Kind == SoakKind::Check ? http::verb::get : http::verb::post;
+  Order.Path_ = Paths[static_cast<int>(Kind)];
+  Order.Id_ = Id;
+  Order.Key_ = Key;
+  Order.DeadlineMs_ = DeadlineMs;
   if (Kind == SoakKind::Stream)
-    Out.set("Token-Count", "100,200");
+    Order.Tokens_ = "100,200";
   if (Kind != SoakKind::Check)
-    Out.body() = "{}";
-  Out.prepare_payload();
-  return Out;
+    Order.Body_ = "{}";
+  return Order;
 }
 
 } // namespace
@@ -64,7 +61,7 @@
     co_return 0;
   SoakRecord::Answer &Told = Record_.Answers_[Id];
   Told.Kind_ = Kind;
-  const auto Request = makeSoakRequest(Id, Kind, Key);
+  const auto Request = makeCallerRequest(makeOrder(Id, Kind, Key));
   Stream_->expires_after(AnswerTimeout);
   auto [SendError, Sent] =
       co_await http::async_write(*Stream_, Request, Awaiting);
--- a/tools/gbsoak/SoakWorld.cpp
+++ b/tools/gbsoak/SoakWorld.cpp
@@ -1,5 +1,7 @@
 #include "gbsoak/SoakWorld.h"
 
+#include "standin_platform/PlatformTexts.h"
+
 #include <signal.h>
 
 #include <array>
@@ -37,7 +39,7 @@
     addBackend(Id, BackendPart::Prefill);
   for (const char *Id : {"decode-1", "decode-2", "decode-3"})
     addBackend(Id, BackendPart::Decode);
-  writeConfiguration();
+  putConfiguration();
   for (std::size_t I = 0; I != Settings_.Relays_; ++I) {
     StoreLinks_.push_back(
         std::make_unique<TcpProxy>(Context_, Store_.address()));
@@ -70,41 +72,16 @@
 }
 
 void SoakWorld::writeBackend(const Backend &Of) {
-  const BackendPart Part = Of.Face_->part();
-  const bool IsPlain = Part == BackendPart::Plain;
-  const char *Stage = Part == BackendPart::Prefill ? "prefill" : "decode";
-  std::string Row = R"({"service":")";
-  Row += IsPlain ? "booking" : "writer";
-  Row += R"(","address":")" + Of.Proxy_->address() + R"(","zone":"dc-a",)";
-  Row += R"("slots":8,"born":1,"state":")";
-  Row += Of.IsLeaving_ ? "draining" : "ready";
-  Row += R"(")";
-  if (!IsPlain)
-    Row += std::string(R"(,"stage":")") + Stage + R"(")";
-  Store_.rows().put("servers", Of.Face_->id(), Row + "}");
+  RegisteredBackend Row;
+  Row.Part_ = Of.Face_->part();
+  Row.Service_ = Row.Part_ == BackendPart::Plain ? "booking" : "writer";
+  Row.Address_ = Of.Proxy_->address();
+  Row.IsLeaving_ = Of.IsLeaving_;
+  Store_.putServer(Of.Face_->id(), writeRegistration(Row));
 }
 
-void SoakWorld::writeConfiguration() {
-  ++ConfigurationVersion_;
-  const auto Route = [](const char *Name, const char *Kind, const char *Service,
-                        const char *More) {
-    return std::string(R"({"name":")") + Name +
-           R"(","host":"soak.example","path_prefix":"/)" + Name +
-           R"(/","kind":")" + Kind + R"(","service":")" + Service +
-           R"(","timeout_ms":5000,"target_latency_ms":500)" + More + "}";
-  };
-  const std::string Text =
-      R"({"version":)" + std::to_string(ConfigurationVersion_) +
-      R"(,"routes":[)" +
-      Route("check", "idempotent", "booking", R"(,"max_attempts":2)") + "," +
-      Route("book", "non_idempotent", "booking", R"(,"max_attempts":1)") + "," +
-      Route("stream", "streaming", "writer",
-            R"(,"max_attempts":2,"sticky":true,"resumable":true)") +
-      R"(],"services":[{"name":"booking"},{"name":"writer","engine":)"
-      R"({"slots":8,"kv_tokens":100000,"stride":4,"kv_hold_s":0.5}}],)"
-      R"("tenants":[{"name":"one","api_keys":["key-one"]},)"
-      R"({"name":"two","api_keys":["key-two"]}]})";
-  Store_.rows().put("op", "config", Text);
+void SoakWorld::putConfiguration() {
+  Store_.putConfiguration(writeConfiguration(++ConfigurationVersion_));
 }
 
 std::vector<std::string> SoakWorld::run() {
@@ -258,7 +235,7 @@
 }
 
 asio::awaitable<void> SoakWorld::changeConfiguration() {
-  writeConfiguration();
+  putConfiguration();
   co_return;
 }
 
--- a/tools/gbsoak/SoakWorld.h
+++ b/tools/gbsoak/SoakWorld.h
@@ -68,7 +68,7 @@
 
   void addBackend(const char *Id, BackendPart Part);
   void writeBackend(const Backend &Of);
-  void writeConfiguration();
+  void putConfiguration();
   void checkRuns();
   std::size_t draw(std::size_t Below);
   std::chrono::milliseconds drawMs(int From, int To);
--- a/tools/standin_platform/StoreFace.cpp
+++ b/tools/standin_platform/StoreFace.cpp
@@ -1,7 +1,8 @@
 #include "standin_platform/StoreFace.h"
 
+#include "gooseberrybeam/base/Base64.h"
+
 #include <boost/json.hpp>
-#include <openssl/evp.h>
 
 namespace gooseberry {
 namespace {
@@ -10,27 +11,6 @@
 
 constexpr std::chrono::milliseconds FeedStep(20);
 
-std::string encode(const std::string &Bytes) {
-  std::string Text(4 * ((Bytes.size() + 2) / 3) + 1, '\0');
-  Text.resize(static_cast<std::size_t>(
-      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Text.data()),
-                      reinterpret_cast<const unsigned char *>(Bytes.data()),
-                      static_cast<int>(Bytes.size()))));
-  return Text;
-}
-
-std::string decode(const std::string &Text) {
-  std::string Bytes(Text.size() + 3, '\0');
-  const int Size =
-      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Bytes.data()),
-                      reinterpret_cast<const unsigned char *>(Text.data()),
-                      static_cast<int>(Text.size()));
-  Bytes.resize(static_cast<std::size_t>(std::max(0, Size)));
-  for (auto It = Text.rbegin(); It != Text.rend() && *It == '='; ++It)
-    Bytes.pop_back();
-  return Bytes;
-}
-
 std::string writeRows(const std::vector<PlatformRow> &Rows,
                       std::uint64_t Version) {
   json::array List;
@@ -42,7 +22,7 @@
     if (Each.IsRemoved_)
       Row["removed"] = true;
     else
-      Row["value"] = encode(Each.Value_);
+      Row["value"] = encodeBase64(Each.Value_);
     List.push_back(std::move(Row));
   }
   return json::serialize(json::object{{"rows", std::move(List)},
@@ -111,7 +91,7 @@
   }
   for (const auto &Each : From.at("puts").as_array())
     Rows_.put(textOf(Each, "table"), textOf(Each, "key"),
-              decode(textOf(Each, "value")));
+              decodeBase64(textOf(Each, "value")).value_or(""));
   for (const auto &Each : From.at("remove").as_array())
     Rows_.remove(textOf(Each, "table"), textOf(Each, "key"));
   return json::serialize(json::object{{"ver", Rows_.version()}});
--- a/tools/standin_platform/StoreFace.h
+++ b/tools/standin_platform/StoreFace.h
@@ -21,6 +21,16 @@
   std::string address() const { return Face_.address(); }
   /// \returns the rows.
   RowTable &rows() { return Rows_; }
+  /// Registers a backend server, or changes its registration.
+  /// \param Id the registration.
+  /// \param Row the row's value.
+  void putServer(const std::string &Id, std::string Row) {
+    Rows_.put("servers", Id, std::move(Row));
+  }
+  /// \param Text the operator's newest configuration.
+  void putConfiguration(std::string Text) {
+    Rows_.put("op", "config", std::move(Text));
+  }
   /// \param IsDown whether calls are turned away with 503.
   void setDown(bool IsDown) { IsDown_ = IsDown; }
 
