--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -264,7 +264,9 @@
   }
   handleVersions(From, Message.ConfigurationVersion_, Message.ServersVersion_);
   send(From, Reply);
-  decide();
+  // An instance that detaches frees engines; all else waits for the next tick.
+  if (!Message.IsAttached_)
+    decide();
 }
 
 void HomeLink::handleReply(const InstanceId &From, const HomeReply &Message) {
