Keep uses of ended processes counted, and tell a restarted home everything

Instances had told the dead process their use and their asks; its successor answered their next heartbeats and was taken for the same home, so it knew neither use nor asks. Besides, an instance that attached after a restart wiped what its last process had borrowed of others' parts. Change: heartbeats tell the whole state until the home's process answers, and again if another process answers; asks go along and are counted once. A process that follows one whose use the home knows brings the whole part.

--- a/include/gooseberrybeam/relay/GenerationPlacer.h
+++ b/include/gooseberrybeam/relay/GenerationPlacer.h
@@ -61,6 +61,10 @@
   /// \returns the answers, in order.
   std::vector<PlacedFor> decide(TimePoint Now);
 
+  /// \param From an instance.
+  /// \param Request a request.
+  /// \returns whether the request waits for engines on behalf of the instance.
+  bool isWaiting(const InstanceId &From, const RequestId &Request) const;
   /// \returns the number of generations that wait.
   std::size_t waiting() const;
   /// \returns the number of generations that hold engines.
--- a/include/gooseberrybeam/relay/HomeDesk.h
+++ b/include/gooseberrybeam/relay/HomeDesk.h
@@ -60,13 +60,23 @@
   const GenerationPlacer &placer() const { return Placer_; }
 
 private:
-  void attach(const InstanceId &Instance, TimePoint StartedAt, TimePoint Now);
+  /// An attached instance.
+  struct Attached {
+    TimePoint HeardAt_;
+    std::uint64_t Attachment_ = 0;       ///< The last that told its whole use.
+    TimePoint ToldAt_{Duration::zero()}; ///< When it did.
+  };
+
+  void noteUses(const InstanceId &From, const HomeHeartbeat &Message,
+                TimePoint Now);
+  void attach(const InstanceId &Instance, std::optional<TimePoint> StartedAt,
+              TimePoint Now);
   void detach(const InstanceId &Instance, TimePoint Now);
   void dropSilent(TimePoint Now);
 
   GenerationPlacer Placer_;
   LimitBook Limits_;
-  std::map<InstanceId, TimePoint> Attached_; ///< Last heartbeat of each.
+  std::map<InstanceId, Attached> Attached_;
   std::vector<PlacedFor> Denied_;
   std::vector<LimitFill> Fills_;
   TimePoint FilledAt_{Duration::zero()}; ///< When `Fills_` was taken.
--- a/include/gooseberrybeam/relay/HomeMessages.h
+++ b/include/gooseberrybeam/relay/HomeMessages.h
@@ -35,8 +35,12 @@
   std::uint64_t ServersVersion_ = 0; ///< Of the known backend servers.
   Duration Uptime_{0};               ///< Of the sender's process.
   bool IsAttached_ = false; ///< False: only asks whether the home is alive.
-  bool IsLeaving_ = false;  ///< The sender shuts down and can be home no more.
-  /// Since the last heartbeat; when it attaches, of the whole window.
+  /// Counts the homes that the sender's process has taken. All heartbeats of
+  /// one attachment up to the first that is answered tell the whole state.
+  std::uint64_t Attachment_ = 0;
+  bool IsLeaving_ = false; ///< The sender shuts down and can be home no more.
+  /// Since the last heartbeat, with no age; when it attaches, of the whole
+  /// window.
   std::vector<TokenUse> Used_;
   std::vector<RunningGeneration> Running_; ///< All, when it attaches.
   /// When it attaches: what the last home had granted, if that fell silent.
--- a/include/gooseberrybeam/relay/LimitBook.h
+++ b/include/gooseberrybeam/relay/LimitBook.h
@@ -34,18 +34,27 @@
   /// Sets how many instances share the limits.
   /// \param Count all instances; at least 1.
   void setInstanceCount(std::size_t Count) { InstanceCount_ = Count; }
-  /// Adds an instance and the part of the limits that it brings: its burst and
-  /// what has flowed in since its start, as what a process granted before its
-  /// end is forgotten.
-  /// \param Instance the instance.
-  /// \param StartedAt when its process started; a later call may correct it.
-  /// \param Now the clock; the instance was heard.
-  void attach(const InstanceId &Instance, TimePoint StartedAt, TimePoint Now);
-  /// Removes an instance, its part and its use. What it used beyond its part
-  /// came from the parts of others, and stays counted here.
+  /// Adds an instance, or notes that it was heard, with the part of the limits
+  /// that it brings: its burst and what has flowed in since its start. A
+  /// process that follows one whose use is known here brings the whole part,
+  /// with that use counted. \param Instance the instance. \param StartedAt when
+  /// its process started, if that is known. \param Now the clock.
+  void attach(const InstanceId &Instance, std::optional<TimePoint> StartedAt,
+              TimePoint Now);
+  /// Removes an instance that has taken another home, its part and its use.
+  /// What it used beyond its part came from the parts of others, and stays
+  /// counted here.
   /// \param Instance the instance.
   /// \param Now the clock.
   void detach(const InstanceId &Instance, TimePoint Now);
+  /// Removes an instance that is not heard, like `detach`; its process may have
+  /// ended, so its use is kept for the next one.
+  /// \param Instance the instance.
+  /// \param Now the clock.
+  void onSilent(const InstanceId &Instance, TimePoint Now);
+  /// Forgets what the instance's process used, as it tells its whole use again.
+  /// \param Instance the instance.
+  void forgetUse(const InstanceId &Instance);
 
   /// Takes tokens if the limit covers them.
   /// \param Instance who asks.
@@ -82,9 +91,17 @@
 
   /// An attached instance.
   struct Member {
-    TimePoint StartedAt_;
+    TimePoint PartSince_; ///< Since when its part has flowed in.
     TimePoint HeardAt_;
-    Uses Uses_;
+    Uses Uses_;    ///< Of its process.
+    Uses Earlier_; ///< Of its processes before, which nobody tells again.
+  };
+
+  /// An instance that has left.
+  struct Departed {
+    TimePoint HeardAt_;          ///< The last time.
+    Uses Borrowed_;              ///< Beyond its own part.
+    std::optional<Member> Last_; ///< As it was when it fell silent.
   };
 
   /// The rate that was in force before a change.
@@ -93,6 +110,9 @@
     TimePoint ChangedAt_;
   };
 
+  void restore(const InstanceId &Instance, std::optional<TimePoint> StartedAt,
+               Member &Into);
+  Uses borrowedBy(const Member &Of, TimePoint Now) const;
   const TokenLimit *limitOf(const OrganisationId &Organisation) const;
   double allowed(const OrganisationId &Organisation, const TokenLimit &Limit,
                  TimePoint Now) const;
@@ -107,8 +127,8 @@
 
   Duration Window_;
   std::shared_ptr<const RelayConfiguration> Configuration_;
-  std::map<InstanceId, Member> Members_; ///< The attached instances.
-  std::map<InstanceId, Uses> Borrowed_;  ///< By instances that have left.
+  std::map<InstanceId, Member> Members_;    ///< The attached instances.
+  std::map<InstanceId, Departed> Departed_; ///< Instances that have left.
   std::unordered_map<OrganisationId, Past> Pasts_;
   std::size_t InstanceCount_ = 1;
 };
--- a/include/gooseberrybeam/relay/UsageWindow.h
+++ b/include/gooseberrybeam/relay/UsageWindow.h
@@ -23,6 +23,9 @@
   /// \param Amount what was used.
   /// \param At when.
   void add(double Amount, TimePoint At);
+  /// Adds what another window of the same length holds.
+  /// \param Other the other window.
+  void add(const UsageWindow &Other);
   /// \param Now the clock.
   /// \returns the sum over the window before \p Now.
   double sum(TimePoint Now) const;
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -112,6 +112,9 @@
   void tick();
   void sendHeartbeats(TimePoint Now);
   void followHome(TimePoint Now);
+  void beginAttachment(std::vector<LimitFill> Fills);
+  void sendAttachment(TimePoint Now);
+  void confirmAttachment(const InstanceId &From, std::uint64_t Sequence);
   void send(const InstanceId &To, const HomeMessage &Message);
   void handle(const InstanceId &From, const HomeMessage &Message);
   void handleHeartbeat(const InstanceId &From, const HomeHeartbeat &Message);
@@ -145,6 +148,12 @@
   std::deque<TimedUse> Uses_; ///< Of the last window, oldest first.
   std::unordered_set<OrganisationId> Exhausted_;
   std::vector<LimitFill> Fills_; ///< As the home last told.
+  std::uint64_t Attachment_ = 0; ///< Counts the homes taken.
+  /// The first heartbeat that told the present home the whole state.
+  std::uint64_t AttachSequence_ = 0;
+  std::vector<LimitFill> AttachFills_; ///< What the last home had granted.
+  /// The home's process that knows the whole state; none until it answered.
+  std::optional<std::uint64_t> AttachedTo_;
   std::uint64_t Sequence_ = 0;
   TimePoint StartedAt_ = readBootClock();
   TimePoint HeartbeatAt_{Duration::zero()};
--- a/src/relay/GenerationPlacer.cpp
+++ b/src/relay/GenerationPlacer.cpp
@@ -463,6 +463,13 @@
   return Out;
 }
 
+bool GenerationPlacer::isWaiting(const InstanceId &From,
+                                 const RequestId &Request) const {
+  const auto Found = Items_.find(Request);
+  return Found != Items_.end() && !Found->second.IsGranted_ &&
+         Found->second.Instance_ == From;
+}
+
 std::size_t GenerationPlacer::waiting() const {
   std::size_t Count = 0;
   for (const auto &[Service, In] : Pools_)
--- a/src/relay/HomeDesk.cpp
+++ b/src/relay/HomeDesk.cpp
@@ -21,9 +21,9 @@
   Placer_.configure(std::move(Configuration));
 }
 
-void HomeDesk::attach(const InstanceId &Instance, TimePoint StartedAt,
-                      TimePoint Now) {
-  Attached_[Instance] = Now;
+void HomeDesk::attach(const InstanceId &Instance,
+                      std::optional<TimePoint> StartedAt, TimePoint Now) {
+  Attached_[Instance].HeardAt_ = Now;
   Limits_.attach(Instance, StartedAt, Now);
 }
 
@@ -45,16 +45,34 @@
   attach(From, Now - Message.Uptime_, Now);
   for (const auto &Each : Message.Running_)
     Placer_.adopt(From, Each, Now);
-  for (const auto &Each : Message.Used_) {
-    Limits_.note(From, Each.Organisation_, Each.Tokens_, Now - Each.Age_);
+  noteUses(From, Message, Now);
+  for (const auto &Each : Message.Used_)
     if (Limits_.isExhausted(Each.Organisation_, Now))
       Exhausted.push_back(Each.Organisation_);
-  }
   for (const auto &Each : Message.Fills_)
     Limits_.noteLent(From, Each, Now);
   return Exhausted;
 }
 
+// The whole use may be told several times, until the sender has an answer.
+void HomeDesk::noteUses(const InstanceId &From, const HomeHeartbeat &Message,
+                        TimePoint Now) {
+  Attached &Of = Attached_[From];
+  const bool IsToldBefore = Message.Attachment_ == Of.Attachment_;
+  if (!IsToldBefore)
+    Limits_.forgetUse(From);
+  for (const auto &Each : Message.Used_) {
+    const TimePoint At = Now - Each.Age_;
+    if (IsToldBefore && Each.Age_ > Duration::zero() && At <= Of.ToldAt_)
+      continue;
+    Limits_.note(From, Each.Organisation_, Each.Tokens_, At);
+  }
+  if (IsToldBefore)
+    return;
+  Of.Attachment_ = Message.Attachment_;
+  Of.ToldAt_ = Now;
+}
+
 const std::vector<LimitFill> &HomeDesk::fills(TimePoint Now) {
   if (Now >= FilledAt_ + FillsKept) {
     FilledAt_ = Now;
@@ -67,7 +85,10 @@
                      TimePoint Now) {
   // Its uptime is known from its first heartbeat on.
   if (!Attached_.contains(From))
-    attach(From, Now, Now);
+    attach(From, std::nullopt, Now);
+  // An ask is sent again when its home may have missed it.
+  if (!Ask.IsCharged_ && Placer_.isWaiting(From, Ask.Request_))
+    return;
   if (!Ask.IsCharged_) {
     const double Tokens = Ask.PromptTokens_ + Ask.MaxOutputTokens_;
     const auto Wait = Limits_.tryTake(From, Ask.Organisation_, Tokens, Now);
@@ -88,11 +109,14 @@
 
 void HomeDesk::dropSilent(TimePoint Now) {
   std::vector<InstanceId> Silent;
-  for (const auto &[Instance, HeardAt] : Attached_)
-    if (HeardAt + AttachedFor < Now)
+  for (const auto &[Instance, Of] : Attached_)
+    if (Of.HeardAt_ + AttachedFor < Now)
       Silent.push_back(Instance);
-  for (const auto &Each : Silent)
-    detach(Each, Now);
+  for (const auto &Each : Silent) {
+    Attached_.erase(Each);
+    Limits_.onSilent(Each, Now);
+    Placer_.drop(Each);
+  }
 }
 
 std::vector<PlacedFor> HomeDesk::decide(TimePoint Now) {
--- a/src/relay/LimitBook.cpp
+++ b/src/relay/LimitBook.cpp
@@ -20,6 +20,16 @@
   return Found == Uses.end() ? 0 : Found->second.sum(Now);
 }
 
+using Uses = std::unordered_map<OrganisationId, UsageWindow>;
+
+void addUses(Uses &To, const Uses &From) {
+  for (const auto &[Organisation, Of] : From) {
+    const auto [At, IsAdded] = To.try_emplace(Organisation, Of);
+    if (!IsAdded)
+      At->second.add(Of);
+  }
+}
+
 } // namespace
 
 void LimitBook::configure(
@@ -41,11 +51,11 @@
   return Found && Found->Limit_ ? &*Found->Limit_ : nullptr;
 }
 
-// What flowed in at the rate of each moment since the instance's start.
+// What flowed in at the rate of each moment since the part was begun.
 double LimitBook::ownPart(const Member &Of, const OrganisationId &Organisation,
                           const TokenLimit &Limit, TimePoint Now) const {
   const Duration Known =
-      std::clamp(Now - Of.StartedAt_, Duration::zero(), Window_);
+      std::clamp(Now - Of.PartSince_, Duration::zero(), Window_);
   Duration AtPastRate = Duration::zero();
   double PastRate = 0;
   if (const auto Past = Pasts_.find(Organisation); Past != Pasts_.end()) {
@@ -64,34 +74,82 @@
       std::max<std::size_t>({1, InstanceCount_, Members_.size()}));
 }
 
-void LimitBook::attach(const InstanceId &Instance, TimePoint StartedAt,
-                       TimePoint Now) {
-  Member &Of = Members_[Instance];
-  Of.StartedAt_ = StartedAt;
+void LimitBook::attach(const InstanceId &Instance,
+                       std::optional<TimePoint> StartedAt, TimePoint Now) {
+  const auto [At, IsAdded] = Members_.try_emplace(Instance);
+  Member &Of = At->second;
+  if (IsAdded) {
+    Of.PartSince_ = StartedAt.value_or(Now);
+    restore(Instance, StartedAt, Of);
+  } else if (StartedAt && *StartedAt > Of.HeardAt_) {
+    // Another process, before the silence of the last one was noticed.
+    addUses(Of.Earlier_, std::exchange(Of.Uses_, {}));
+  } else if (StartedAt) {
+    Of.PartSince_ = std::min(Of.PartSince_, *StartedAt);
+  }
   Of.HeardAt_ = Now;
-  // It tells its whole use again.
-  Borrowed_.erase(Instance);
+}
+
+void LimitBook::restore(const InstanceId &Instance,
+                        std::optional<TimePoint> StartedAt, Member &Into) {
+  const auto Found = Departed_.find(Instance);
+  if (Found == Departed_.end())
+    return;
+  const Departed Left = std::move(Found->second);
+  Departed_.erase(Found);
+  Uses Known = Left.Borrowed_;
+  if (Left.Last_) {
+    Into.PartSince_ = std::min(Into.PartSince_, Left.Last_->PartSince_);
+    Into.Earlier_ = Left.Last_->Earlier_;
+    Known = Left.Last_->Uses_;
+  }
+  const bool IsNewProcess = StartedAt && *StartedAt > Left.HeardAt_;
+  addUses(IsNewProcess ? Into.Earlier_ : Into.Uses_, Known);
 }
 
 void LimitBook::detach(const InstanceId &Instance, TimePoint Now) {
   const auto Found = Members_.find(Instance);
   if (Found == Members_.end())
     return;
+  Departed_[Instance] = {
+      Found->second.HeardAt_, borrowedBy(Found->second, Now), {}};
+  Members_.erase(Found);
+  std::erase_if(Departed_, [this, Now](const auto &Each) {
+    return Each.second.HeardAt_ + Window_ + Window_ < Now;
+  });
+}
+
+void LimitBook::onSilent(const InstanceId &Instance, TimePoint Now) {
+  const auto Found = Members_.find(Instance);
+  if (Found == Members_.end())
+    return;
+  Member Last = Found->second;
+  detach(Instance, Now);
+  Departed_[Instance].Last_ = std::move(Last);
+}
+
+void LimitBook::forgetUse(const InstanceId &Instance) {
+  const auto Found = Members_.find(Instance);
+  if (Found != Members_.end())
+    Found->second.Uses_.clear();
+}
+
+LimitBook::Uses LimitBook::borrowedBy(const Member &Of, TimePoint Now) const {
+  Uses All = Of.Uses_;
+  addUses(All, Of.Earlier_);
   Uses Borrowed;
-  for (auto &[Organisation, Of] : Found->second.Uses_) {
+  for (auto &[Organisation, Each] : All) {
     const TokenLimit *Limit = limitOf(Organisation);
-    const double Used = Of.sum(Now);
+    const double Used = Each.sum(Now);
     if (!Limit || Used <= 0)
       continue;
-    const double Own = ownPart(Found->second, Organisation, *Limit, Now);
+    const double Own = ownPart(Of, Organisation, *Limit, Now);
     if (Used <= Own)
       continue;
-    Of.scale((Used - Own) / Used);
-    Borrowed.emplace(Organisation, Of);
+    Each.scale((Used - Own) / Used);
+    Borrowed.emplace(Organisation, Each);
   }
-  Members_.erase(Found);
-  if (!Borrowed.empty())
-    Borrowed_[Instance] = std::move(Borrowed);
+  return Borrowed;
 }
 
 double LimitBook::allowedBy(const Member &Of,
@@ -100,7 +158,8 @@
   const double Own = ownPart(Of, Organisation, Limit, Now);
   if (Now <= Of.HeardAt_ + LendingTime)
     return Own;
-  return std::min(Own, sumOf(Of.Uses_, Organisation, Now));
+  return std::min(Own, sumOf(Of.Uses_, Organisation, Now) +
+                           sumOf(Of.Earlier_, Organisation, Now));
 }
 
 double LimitBook::allowed(const OrganisationId &Organisation,
@@ -115,9 +174,10 @@
                        TimePoint Now) const {
   double Sum = 0;
   for (const auto &[Instance, Of] : Members_)
-    Sum += sumOf(Of.Uses_, Organisation, Now);
-  for (const auto &[Instance, Of] : Borrowed_)
-    Sum += sumOf(Of, Organisation, Now);
+    Sum += sumOf(Of.Uses_, Organisation, Now) +
+           sumOf(Of.Earlier_, Organisation, Now);
+  for (const auto &[Instance, Of] : Departed_)
+    Sum += sumOf(Of.Borrowed_, Organisation, Now);
   return Sum;
 }
 
--- a/src/relay/UsageWindow.cpp
+++ b/src/relay/UsageWindow.cpp
@@ -14,6 +14,12 @@
   Of.Amount_ += Amount;
 }
 
+void UsageWindow::add(const UsageWindow &Other) {
+  for (const Cell &Each : Other.Cells_)
+    if (Each.Number_ >= 0)
+      add(Each.Amount_, TimePoint(Width_ * Each.Number_));
+}
+
 void UsageWindow::scale(double Factor) {
   for (Cell &Each : Cells_)
     Each.Amount_ *= Factor;
--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -31,6 +31,7 @@
   Out.set_servers_version(From.ServersVersion_);
   Out.set_uptime_us(From.Uptime_.count());
   Out.set_is_attached(From.IsAttached_);
+  Out.set_attachment(From.Attachment_);
   writeFills(Out, From.Fills_);
   Out.set_is_leaving(From.IsLeaving_);
   for (const auto &Each : From.Used_) {
@@ -140,6 +141,7 @@
   Out.ServersVersion_ = From.servers_version();
   Out.Uptime_ = Duration(From.uptime_us());
   Out.IsAttached_ = From.is_attached();
+  Out.Attachment_ = From.attachment();
   Out.Fills_ = readFills(From);
   Out.IsLeaving_ = From.is_leaving();
   for (const auto &Each : From.used())
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -116,6 +116,7 @@
   Message.ConfigurationVersion_ = version();
   Message.ServersVersion_ = Callbacks_.ServersVersion_();
   Message.Uptime_ = readBootClock() - StartedAt_;
+  Message.Attachment_ = Attachment_;
   Message.IsLeaving_ = IsLeaving_;
   return Message;
 }
@@ -147,25 +148,61 @@
            {"running", text(Running_.size())}});
   const InstanceId Last = std::exchange(Home_, Next);
   send(Last, makeHeartbeat());
+  // A home that shuts down is left by all, so its grants are in their uses.
+  beginAttachment(Homes_.isLeaving(Last) ? std::vector<LimitFill>() : Fills_);
+  sendAttachment(Now);
+}
+
+void HomeLink::beginAttachment(std::vector<LimitFill> Fills) {
+  ++Attachment_;
+  AttachSequence_ = Sequence_ + 1;
+  AttachedTo_.reset();
+  AttachFills_ = std::move(Fills);
+  Fills_.clear();
+}
+
+// Sent until the home answers: its process may have missed it.
+void HomeLink::sendAttachment(TimePoint Now) {
   HomeHeartbeat Attach = makeHeartbeat();
   Attach.IsAttached_ = true;
   Attach.Used_ = recentUses();
-  // A home that shuts down is left by all, so its grants are in their uses.
-  if (!Homes_.isLeaving(Last))
-    Attach.Fills_ = Fills_;
-  Fills_.clear();
+  Attach.Fills_ = AttachFills_;
   Used_.clear();
   for (const auto &[Request, Each] : Running_)
     Attach.Running_.push_back(Each);
+  if (Home_ != Self_)
+    Homes_.onSent(Home_, Now);
+  HeartbeatAt_ = Now;
   send(Home_, Attach);
-  Homes_.onSent(Home_, Now);
   for (auto &[Request, Each] : Pending_)
     if (!Each->Answer_)
       sendAsk(*Each);
 }
 
+void HomeLink::confirmAttachment(const InstanceId &From,
+                                 std::uint64_t Sequence) {
+  if (Sequence < AttachSequence_)
+    return;
+  const std::uint64_t Process = MemberIds_[From].Incarnation_;
+  if (!AttachedTo_)
+    AttachedTo_ = Process;
+  if (*AttachedTo_ == Process)
+    return;
+  logLine(LogPart::Membership, LogLevel::Info, "Home has restarted.",
+          {{"home", From.Value_},
+           {"incarnation", text(Process)},
+           {"waiting", text(Pending_.size())},
+           {"running", text(Running_.size())}});
+  beginAttachment(Fills_);
+  sendAttachment(readBootClock());
+}
+
 void HomeLink::sendHeartbeats(TimePoint Now) {
   for (const auto &Each : Homes_.probed(Now)) {
+    if (Each == Home_ && !AttachedTo_) {
+      sendAttachment(Now);
+      continue;
+    }
     HomeHeartbeat Message = makeHeartbeat();
     Message.IsAttached_ = Each == Home_;
     if (Message.IsAttached_) {
@@ -279,6 +316,9 @@
   }
   if (From != Home_)
     return;
+  confirmAttachment(From, Message.Sequence_);
+  if (!AttachedTo_)
+    return;
   Fills_ = Message.Fills_;
   Exhausted_.clear();
   Exhausted_.insert(Message.Exhausted_.begin(), Message.Exhausted_.end());
--- a/tests/HomeCodecTest.cpp
+++ b/tests/HomeCodecTest.cpp
@@ -23,6 +23,7 @@
     Message.ServersVersion_ = 99;
     Message.Uptime_ = 12s;
     Message.IsAttached_ = true;
+    Message.Attachment_ = 3;
     Message.Used_ = {{{"acme"}, 250.5, 3s}};
     Message.Running_ = {{{"r"}, {"acme"}, {"svc"}, {"d1"}, 5000, 630, 4400}};
     checkRoundTrip(Message);
--- a/tests/HomeDeskTest.cpp
+++ b/tests/HomeDeskTest.cpp
@@ -36,7 +36,9 @@
 /// Instances that ask one of several desks, and change it at any time.
 class Deployment {
 public:
-  explicit Deployment(std::uint32_t Seed) : Random_(Seed) {
+  /// \param Seed decides who moves, is cut off or is killed, and when.
+  /// \param Kills whether processes are killed and start again.
+  Deployment(std::uint32_t Seed, bool Kills) : Random_(Seed), Kills_(Kills) {
     BackendEntry Engine;
     Engine.Id_ = {"d"};
     Engine.Service_ = {"writer"};
@@ -49,6 +51,7 @@
       Names_.push_back({"edge-" + std::to_string(I)});
       HomeOf_.push_back(0);
       Uses_.emplace_back();
+      StartedAt_.push_back(Now_ - 100s);
     }
   }
 
@@ -61,11 +64,14 @@
       finishMoves();
       if (draw(400) == 0)
         move(Who, draw(InstanceCount));
+      restartKilled();
+      if (Kills_ && draw(300) == 0)
+        kill(Who);
       if (Step % 20 == 0)
         for (std::size_t I = 0; I != InstanceCount; ++I)
-          if (!Cut_.contains(I))
+          if (isUp(I))
             heartbeat(I, false);
-      if (!Cut_.contains(Who))
+      if (isUp(Who))
         ask(Who, "r" + std::to_string(Step));
     }
   }
@@ -106,7 +112,8 @@
     HomeHeartbeat Message;
     Message.Fills_ = std::move(Fills);
     Message.IsAttached_ = true;
-    Message.Uptime_ = 100s;
+    Message.Uptime_ = Now_ - StartedAt_[Who];
+    Message.Attachment_ = IsFirst ? ++Attachments_[Who] : Attachments_[Who];
     if (IsFirst)
       for (const auto &[At, Tokens] : Uses_[Who])
         if (At + Window > Now_)
@@ -115,7 +122,7 @@
   }
 
   void move(std::size_t Who, std::size_t To) {
-    if (HomeOf_[Who] == To || Cut_.contains(Who))
+    if (HomeOf_[Who] == To || !isUp(Who))
       return;
     // Half of the time the instance is cut off from its home, and takes another
     // one when it has not heard of it for a while.
@@ -129,6 +136,30 @@
     heartbeat(Who, true);
   }
 
+  bool isUp(std::size_t Who) const {
+    return !Cut_.contains(Who) && !DownUntil_.contains(Who);
+  }
+
+  // Its successor knows nothing of what was used, and asks the same home.
+  void kill(std::size_t Who) {
+    if (!isUp(Who))
+      return;
+    Uses_[Who].clear();
+    DownUntil_[Who] = Now_ + std::chrono::milliseconds(draw(3000));
+  }
+
+  void restartKilled() {
+    for (auto It = DownUntil_.begin(); It != DownUntil_.end();) {
+      if (It->second > Now_) {
+        ++It;
+        continue;
+      }
+      StartedAt_[It->first] = Now_;
+      heartbeat(It->first, true);
+      It = DownUntil_.erase(It);
+    }
+  }
+
   void finishMoves() {
     for (auto It = Cut_.begin(); It != Cut_.end();) {
       if (It->second.first > Now_) {
@@ -162,6 +193,10 @@
   }
 
   std::mt19937 Random_;
+  bool Kills_;
+  std::vector<TimePoint> StartedAt_;
+  std::map<std::size_t, std::uint64_t> Attachments_;
+  std::map<std::size_t, TimePoint> DownUntil_;
   BackendDirectory Directory_;
   std::vector<std::unique_ptr<HomeDesk>> Desks_;
   std::vector<InstanceId> Names_;
@@ -175,11 +210,13 @@
 
 } // namespace
 
-TEST_CASE("Limits hold while instances change their homes",
+TEST_CASE("Limits hold while instances change homes or are killed",
           "[relay][limits][history]") {
+  const bool Kills = GENERATE(false, true);
+  CAPTURE(Kills);
   for (std::uint32_t Seed = 1; Seed != 40; ++Seed) {
     CAPTURE(Seed);
-    Deployment World(Seed);
+    Deployment World(Seed, Kills);
     World.play();
     CHECK(World.worstWindow() <= (Rate * 8 + Burst) * (1 + Tolerance) + Slack);
     CHECK(World.granted() > 0.5 * Rate * 40);
@@ -222,3 +259,36 @@
     CHECK(Desk.onHeartbeat({"one"}, Message, TimePoint(1011s)).empty());
   }
 }
+
+TEST_CASE("A home is told the same twice", "[relay][limits]") {
+  BackendDirectory Directory;
+  HomeDesk Desk(Directory, Window);
+  Desk.configure(makeConfiguration(), TimePoint(1000s));
+  HomeHeartbeat Message;
+  Message.IsAttached_ = true;
+  Message.Uptime_ = 100s;
+  Message.Attachment_ = 1;
+  Message.Used_ = {{Acme, 800'000, 1s}};
+  CHECK(Desk.onHeartbeat({"one"}, Message, TimePoint(1000s)).empty());
+  SECTION("and counts it once") {
+    Message.Used_ = {{Acme, 800'000, 1150ms}};
+    CHECK(Desk.onHeartbeat({"one"}, Message, TimePoint(1000150ms)).empty());
+  }
+  SECTION("and counts what was used meanwhile") {
+    Message.Used_ = {{Acme, 800'000, 1150ms}, {Acme, 800'000, 50ms}};
+    CHECK(Desk.onHeartbeat({"one"}, Message, TimePoint(1000150ms)).size() == 2);
+  }
+  SECTION("and takes the tokens of an ask once") {
+    PlacementAsk Ask;
+    Ask.Request_ = {"r"};
+    Ask.Organisation_ = Acme;
+    Ask.Service_ = {"writer"};
+    Ask.PromptTokens_ = 400'000;
+    Ask.TargetLeft_ = 1s;
+    Ask.TimeLeft_ = 10s;
+    Desk.onAsk({"one"}, Ask, TimePoint(1000s));
+    Desk.onAsk({"one"}, Ask, TimePoint(1000s));
+    Message.Used_ = {{Acme, 0, {}}};
+    CHECK(Desk.onHeartbeat({"one"}, Message, TimePoint(1000150ms)).empty());
+  }
+}
--- a/tests/LimitBookTest.cpp
+++ b/tests/LimitBookTest.cpp
@@ -106,6 +106,51 @@
     Next.attach(One, TimePoint(10s), Forever);
     CHECK(play(Next, One, TimePoint(10s), 1s) <= 2000);
   }
+  SECTION("a process that ends") {
+    const TimePoint Started(104s);
+    Book.attach(One, TimePoint(-100s), TimePoint(102s));
+    SECTION("leaves what it borrowed to the count when the next one comes") {
+      CHECK(play(Book, One, TimePoint(101s), 1s) == 9000);
+      Book.onSilent(One, TimePoint(103s));
+      Book.attach(One, Started, Started);
+      CHECK(play(Book, One, Started, 400ms) == 0);
+      CHECK(play(Book, Two, Started, 4s) == 0);
+    }
+    SECTION("leaves the part that it did not use to the next one") {
+      Book.onSilent(One, TimePoint(103s));
+      Book.attach(One, Started, Started);
+      CHECK(play(Book, One, Started, 400ms) == 4000);
+      CHECK(play(Book, Two, Started + 400ms, 1s) == 4500);
+    }
+    SECTION("is followed before its silence was noticed") {
+      CHECK(play(Book, One, TimePoint(101s), 1s) == 9000);
+      Book.attach(One, TimePoint(102500ms), TimePoint(103s));
+      Book.forgetUse(One);
+      CHECK(play(Book, Two, TimePoint(103s), 4s) == 0);
+    }
+    SECTION("after it took another home brings no more than its burst") {
+      Book.detach(One, TimePoint(102s));
+      Book.attach(One, Started, Started);
+      CHECK(play(Book, One, Started, 400ms) == 4000);
+      // Two's part, and of One its burst and what flowed in for 1.4 s.
+      CHECK(play(Book, Two, Started + 400ms, 1s) <= 4500 + 500 + 700 - 4000);
+    }
+  }
+  SECTION("the same process that was not heard for a while") {
+    CHECK(play(Book, One, TimePoint(101s), 1s) == 9000);
+    Book.onSilent(One, TimePoint(103s));
+    SECTION("is counted as before when it tells nothing new") {
+      Book.attach(One, std::nullopt, TimePoint(103s));
+      Book.attach(One, TimePoint(-100s), Forever);
+      CHECK(play(Book, One, TimePoint(103s), 4s) == 0);
+    }
+    SECTION("is not counted twice when it tells its whole use again") {
+      Book.attach(One, TimePoint(-100s), Forever);
+      Book.forgetUse(One);
+      Book.note(One, Acme, 8000, TimePoint(102s));
+      CHECK(play(Book, One, TimePoint(103s), 1s) == 1000);
+    }
+  }
   SECTION("a lowered limit takes over within one window") {
     CHECK(play(Book, One, TimePoint(1s), 8s) > 8500);
     Book.configure(makeLimits(100, 100), TimePoint(9s));
