Try failed engines with one request, notice lost handles, decide less often

A prefill engine that loses handles was never noticed, since each prompt that it read cleared the count. At 16.4 s the home of 82 instances, a machine of 0.12 cores, answered no heartbeat for 450 ms: every report made it forecast all engines anew for every stream that waited to be moved. Ruled out: the moves of memory that were slow then; 92 MB take some ms. Change: EngineHealth is a circuit breaker of each engine: after its pause one request tries it. The first event of a stream is told, as the proof. Handles are counted until one is fetched. Engines are forecast once a decision, and messages within 10 ms of a decision wait for the next.

--- a/include/gooseberrybeam/relay/GenerationPlacer.h
+++ b/include/gooseberrybeam/relay/GenerationPlacer.h
@@ -5,6 +5,7 @@
 
 #include "gooseberrybeam/fairness/FairQueue.h"
 #include "gooseberrybeam/relay/BackendDirectory.h"
+#include "gooseberrybeam/relay/EngineHealth.h"
 #include "gooseberrybeam/relay/KvForecast.h"
 #include "gooseberrybeam/relay/PlacementTypes.h"
 #include "gooseberrybeam/relay/RelayConfiguration.h"
@@ -92,11 +93,17 @@
     std::vector<RequestId> Streams_;
     double PrefillPerMs_ = 0; ///< Learned; 0 before.
     double DecodePerMs_ = 0;  ///< Learned; 0 before.
-    TimePoint AvoidUntil_{Duration::zero()};
-    std::uint32_t Failures_ = 0; ///< In a row.
+    EngineHealth Health_;
     std::int64_t BornMs_ = 0;
   };
 
+  /// A decode engine as one round of decisions sees it.
+  struct DecodeEngine {
+    const BackendEntry *Entry_ = nullptr;
+    Engine *State_ = nullptr;
+    std::vector<KvStream> Streams_; ///< What it runs.
+  };
+
   /// What is learned of a service's generations.
   struct Pool {
     FairQueue Queue_;
@@ -108,7 +115,7 @@
 
   struct Choice {
     const BackendEntry *Prefill_ = nullptr;
-    const BackendEntry *Decode_ = nullptr;
+    DecodeEngine *Decode_ = nullptr;
   };
 
   Pool &poolOf(const ServiceId &Service);
@@ -120,15 +127,23 @@
                     TimePoint Now) const;
   bool isUsable(const BackendEntry &Entry, const Engine &Engine,
                 const PlacementAsk &Ask, TimePoint Now) const;
+  std::vector<DecodeEngine> decodeEngines(const ServiceId &Service,
+                                          const Pool &In, TimePoint Now);
   const BackendEntry *choosePrefill(const Pool &In, const PlacementAsk &Ask,
                                     const DataCentreId &Near, TimePoint Now,
                                     bool &IsAnyKnown);
-  const BackendEntry *chooseDecode(const Pool &In, const Item &For,
-                                   const EngineTraits &Traits, TimePoint Now);
-  std::optional<Choice> choose(const Pool &In, const Item &For,
+  DecodeEngine *chooseDecode(std::vector<DecodeEngine> &Engines, const Pool &In,
+                             const Item &For, const EngineTraits &Traits,
+                             TimePoint Now);
+  std::optional<Choice> choose(std::vector<DecodeEngine> &Engines,
+                               const Pool &In, const Item &For,
                                const EngineTraits &Traits, TimePoint Now);
-  void decideMoved(Pool &In, const EngineTraits &Traits, TimePoint Now,
+  void decideMoved(std::vector<DecodeEngine> &Engines, Pool &In,
+                   const EngineTraits &Traits, TimePoint Now,
                    std::vector<PlacedFor> &Out);
+  void decideNew(std::vector<DecodeEngine> &Engines, Pool &In,
+                 const EngineTraits &Traits, TimePoint Now,
+                 std::vector<PlacedFor> &Out);
   double weightOf(const OrganisationId &Organisation) const;
   void deny(const RequestId &Request, RefusalReason Reason,
             std::optional<Duration> RetryAfter, TimePoint Now,
@@ -143,7 +158,6 @@
   void erase(const RequestId &Request, TimePoint Now);
   void learnPrefill(const GenerationReport &Report);
   void learnDecode(Item &Of, const GenerationReport &Report, TimePoint Now);
-  void suspect(const ServerId &Server, TimePoint Now);
 
   const BackendDirectory &Directory_;
   std::shared_ptr<const RelayConfiguration> Configuration_;
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -127,6 +127,7 @@
   std::vector<TokenUse> recentUses() const;
   void logAnswer(const PlacedFor &Placed) const;
   void decide();
+  void decideSoon();
   void sendAsk(Pending &Of);
   std::uint64_t version() const;
 
@@ -157,6 +158,7 @@
   std::uint64_t Sequence_ = 0;
   TimePoint StartedAt_ = readBootClock();
   TimePoint HeartbeatAt_{Duration::zero()};
+  TimePoint DecidedAt_{Duration::zero()};
   TimePoint CopyAskedAt_{Duration::zero()};
   TimePoint ServersAskedAt_{Duration::zero()};
   bool IsLeaving_ = false;
--- a/src/relay/GenerationPlacer.cpp
+++ b/src/relay/GenerationPlacer.cpp
@@ -36,11 +36,6 @@
 /// A decode engine below this part of its pool's pace is used last.
 constexpr double SlowPart = 0.6;
 
-constexpr Duration FullPause = std::chrono::milliseconds(150);
-constexpr Duration FirstFailurePause = std::chrono::milliseconds(1000);
-constexpr std::uint32_t MostPauseDoublings = 3;
-/// An engine's handles are lost now and then; so many in a row are a fault.
-constexpr std::uint32_t LostHandlesOfFault = 2;
 constexpr Duration RetryWithoutServer = std::chrono::seconds(1);
 
 void smooth(double &Value, double Sample, double Weight) {
@@ -162,6 +157,7 @@
     return;
   Of.IsPrefilling_ = false;
   Engine &At = Engines_[Of.Prefill_];
+  At.Health_.onReleased(Of.Ask_.Request_);
   if (At.Prefills_ > 0)
     --At.Prefills_;
   if (At.Prefills_ == 0)
@@ -171,8 +167,10 @@
 void GenerationPlacer::release(Item &Of, TimePoint Now) {
   releasePrefill(Of, Now);
   const auto At = Engines_.find(Of.Decode_);
-  if (At != Engines_.end())
-    std::erase(At->second.Streams_, Of.Ask_.Request_);
+  if (At == Engines_.end())
+    return;
+  std::erase(At->second.Streams_, Of.Ask_.Request_);
+  At->second.Health_.onReleased(Of.Ask_.Request_);
 }
 
 void GenerationPlacer::erase(const RequestId &Request, TimePoint Now) {
@@ -197,22 +195,12 @@
     erase(Request, TimePoint(Duration::zero()));
 }
 
-void GenerationPlacer::suspect(const ServerId &Server, TimePoint Now) {
-  Engine &Of = Engines_[Server];
-  // Requests that fail together are one failure.
-  if (Now < Of.AvoidUntil_)
-    return;
-  const std::uint32_t Doublings = std::min(Of.Failures_, MostPauseDoublings);
-  Of.AvoidUntil_ = Now + FirstFailurePause * (1U << Doublings);
-  ++Of.Failures_;
-}
-
 void GenerationPlacer::learnPrefill(const GenerationReport &Report) {
   const auto Found = Items_.find(Report.Request_);
   if (Found == Items_.end() || Report.Took_ <= Duration::zero())
     return;
   Engine &Of = Engines_[Report.Server_];
-  Of.Failures_ = 0;
+  Of.Health_.onSuccess();
   if (!Found->second.IsSolePrefill_)
     return;
   Pool &In = poolOf(Found->second.Ask_.Service_);
@@ -229,10 +217,12 @@
                                    TimePoint Now) {
   Of.OutputTokens_ = std::max<double>(Of.OutputTokens_, Report.Tokens_);
   Of.OutputAt_ = Now;
+  Engine &At = Engines_[Report.Server_];
+  At.Health_.onSuccess();
+  if (!Of.Prefill_.Value_.empty())
+    Engines_[Of.Prefill_].Health_.onHandleTaken();
   if (Report.Took_ <= Duration::zero())
     return;
-  Engine &At = Engines_[Report.Server_];
-  At.Failures_ = 0;
   const double PerMs = Report.Tokens_ / asMilliseconds(Report.Took_);
   smooth(At.DecodePerMs_, PerMs, EngineWeight);
   smooth(poolOf(Of.Ask_.Service_).DecodePerMs_, PerMs, PoolWeight);
@@ -257,15 +247,16 @@
     erase(Report.Request_, Now);
     return;
   case GenerationStep::HandleLost:
-    if (++Engines_[Report.Server_].Failures_ >= LostHandlesOfFault)
-      Engines_[Report.Server_].AvoidUntil_ = Now + FirstFailurePause;
+    Engines_[Report.Server_].Health_.onHandleLost(Now);
+    if (Found != Items_.end())
+      Found->second.Prefill_ = ServerId();
     return;
   case GenerationStep::ServerFull:
-    Engines_[Report.Server_].AvoidUntil_ = Now + FullPause;
+    Engines_[Report.Server_].Health_.onFull(Now);
     return;
   case GenerationStep::ServerFailed:
   case GenerationStep::ServerMissing:
-    suspect(Report.Server_, Now);
+    Engines_[Report.Server_].Health_.onFailure(Now);
     return;
   }
 }
@@ -284,7 +275,7 @@
 
 bool GenerationPlacer::isUsable(const BackendEntry &Entry, const Engine &Engine,
                                 const PlacementAsk &Ask, TimePoint Now) const {
-  if (Entry.IsLeaving_ || Now < Engine.AvoidUntil_)
+  if (Entry.IsLeaving_ || !Engine.Health_.isUsable(Now))
     return false;
   return std::find(Ask.Avoid_.begin(), Ask.Avoid_.end(), Entry.Id_) ==
          Ask.Avoid_.end();
@@ -321,34 +312,45 @@
   return Best;
 }
 
-const BackendEntry *GenerationPlacer::chooseDecode(const Pool &In,
-                                                   const Item &For,
-                                                   const EngineTraits &Traits,
-                                                   TimePoint Now) {
-  const BackendEntry *Best = nullptr;
-  double BestCost = std::numeric_limits<double>::infinity();
-  const double PoolPace = decodePerMs(In, Engine());
+std::vector<GenerationPlacer::DecodeEngine>
+GenerationPlacer::decodeEngines(const ServiceId &Service, const Pool &In,
+                                TimePoint Now) {
+  std::vector<DecodeEngine> Out;
   for (const auto &[Id, Entry] : Directory_.entries()) {
-    if (Entry.Service_ != For.Ask_.Service_ ||
-        Entry.Role_ != EngineRole::Decode)
+    if (Entry.Service_ != Service || Entry.Role_ != EngineRole::Decode)
       continue;
-    Engine &Of = engineOf(Entry);
-    if (!isUsable(Entry, Of, For.Ask_, Now))
+    DecodeEngine Of{&Entry, &engineOf(Entry), {}};
+    for (const auto &Request : Of.State_->Streams_)
+      Of.Streams_.push_back(streamOf(Items_.at(Request), In, *Of.State_, Now));
+    Out.push_back(std::move(Of));
+  }
+  return Out;
+}
+
+GenerationPlacer::DecodeEngine *
+GenerationPlacer::chooseDecode(std::vector<DecodeEngine> &Engines,
+                               const Pool &In, const Item &For,
+                               const EngineTraits &Traits, TimePoint Now) {
+  DecodeEngine *Best = nullptr;
+  double BestCost = std::numeric_limits<double>::infinity();
+  const double PoolPace = decodePerMs(In, Engine());
+  const double Room = BookedMemory * static_cast<double>(Traits.KvTokens_);
+  for (DecodeEngine &Each : Engines) {
+    const Engine &Of = *Each.State_;
+    if (!isUsable(*Each.Entry_, Of, For.Ask_, Now))
       continue;
-    if (Of.Streams_.size() >= Traits.Slots_)
+    if (Each.Streams_.size() >= Traits.Slots_)
       continue;
-    std::vector<KvStream> Streams = {streamOf(For, In, Of, Now)};
-    for (const auto &Request : Of.Streams_)
-      Streams.push_back(streamOf(Items_.at(Request), In, Of, Now));
+    std::vector<KvStream> Streams = Each.Streams_;
+    Streams.push_back(streamOf(For, In, Of, Now));
     const double Peak = forecastPeak(std::move(Streams));
-    const double Room = BookedMemory * static_cast<double>(Traits.KvTokens_);
-    if (Peak > Room && !Of.Streams_.empty())
+    if (Peak > Room && !Each.Streams_.empty())
       continue;
     const double Pace = decodePerMs(In, Of);
     const double Slowness = Pace < SlowPart * PoolPace ? PoolPace / Pace : 0;
     const double Cost = Peak / Room + Slowness;
     if (Cost < BestCost) {
-      Best = &Entry;
+      Best = &Each;
       BestCost = Cost;
     }
   }
@@ -356,17 +358,18 @@
 }
 
 std::optional<GenerationPlacer::Choice>
-GenerationPlacer::choose(const Pool &In, const Item &For,
-                         const EngineTraits &Traits, TimePoint Now) {
+GenerationPlacer::choose(std::vector<DecodeEngine> &Engines, const Pool &In,
+                         const Item &For, const EngineTraits &Traits,
+                         TimePoint Now) {
   Choice Of;
-  Of.Decode_ = chooseDecode(In, For, Traits, Now);
+  Of.Decode_ = chooseDecode(Engines, In, For, Traits, Now);
   if (!Of.Decode_)
     return std::nullopt;
   if (!For.Ask_.NeedsPrefill_)
     return Of;
   bool IsAnyKnown = false;
-  Of.Prefill_ =
-      choosePrefill(In, For.Ask_, Of.Decode_->DataCentre_, Now, IsAnyKnown);
+  Of.Prefill_ = choosePrefill(In, For.Ask_, Of.Decode_->Entry_->DataCentre_,
+                              Now, IsAnyKnown);
   if (!Of.Prefill_ && IsAnyKnown)
     return std::nullopt;
   return Of;
@@ -379,17 +382,22 @@
                    To.Ask_.PromptTokens_ + To.ExpectedOutput_);
   To.IsGranted_ = true;
   To.OutputAt_ = Now;
-  To.Decode_ = Of.Decode_->Id_;
-  Engines_[To.Decode_].Streams_.push_back(To.Ask_.Request_);
+  const BackendEntry &Decode = *Of.Decode_->Entry_;
+  Engine &On = *Of.Decode_->State_;
+  To.Decode_ = Decode.Id_;
+  On.Streams_.push_back(To.Ask_.Request_);
+  On.Health_.onGranted(To.Ask_.Request_);
+  Of.Decode_->Streams_.push_back(streamOf(To, In, On, Now));
   PlacementGrant Answer;
   Answer.Request_ = To.Ask_.Request_;
-  Answer.Decode_ = {Of.Decode_->Id_, Of.Decode_->Address_};
+  Answer.Decode_ = {Decode.Id_, Decode.Address_};
   if (Of.Prefill_) {
     Engine &At = Engines_[Of.Prefill_->Id_];
     To.Prefill_ = Of.Prefill_->Id_;
     To.IsPrefilling_ = true;
     To.IsSolePrefill_ = At.Prefills_ == 0;
     ++At.Prefills_;
+    At.Health_.onGranted(To.Ask_.Request_);
     At.ReadyAt_ = std::max(Now, At.ReadyAt_) +
                   fromMs(To.Ask_.PromptTokens_ / prefillPerMs(In, At));
     Answer.Prefill_ = ChosenServer{Of.Prefill_->Id_, Of.Prefill_->Address_};
@@ -420,14 +428,15 @@
 }
 
 // A caller waits in the middle of its answer; nobody new is served before.
-void GenerationPlacer::decideMoved(Pool &In, const EngineTraits &Traits,
-                                   TimePoint Now, std::vector<PlacedFor> &Out) {
+void GenerationPlacer::decideMoved(std::vector<DecodeEngine> &Engines, Pool &In,
+                                   const EngineTraits &Traits, TimePoint Now,
+                                   std::vector<PlacedFor> &Out) {
   const std::vector<RequestId> Waiting = std::exchange(In.Moved_, {});
   for (const RequestId &Request : Waiting) {
     Item &Of = Items_.at(Request);
     if (Of.GiveUp_ < Now) {
       deny(Request, RefusalReason::DeadlineUnreachable, {}, Now, Out);
-    } else if (const auto Chosen = choose(In, Of, Traits, Now)) {
+    } else if (const auto Chosen = choose(Engines, In, Of, Traits, Now)) {
       grant(In, Of, *Chosen, Now, Out);
     } else {
       In.Moved_.push_back(Request);
@@ -435,25 +444,34 @@
   }
 }
 
-void GenerationPlacer::decidePool(const ServiceId &Service, Pool &In,
-                                  TimePoint Now, std::vector<PlacedFor> &Out) {
-  refuseHopeless(In, Now, Out);
-  const RelayService *Known = Configuration_->findService(Service);
-  if (Known && Known->Engine_)
-    decideMoved(In, *Known->Engine_, Now, Out);
+void GenerationPlacer::decideNew(std::vector<DecodeEngine> &Engines, Pool &In,
+                                 const EngineTraits &Traits, TimePoint Now,
+                                 std::vector<PlacedFor> &Out) {
   while (const auto Next = In.Queue_.peek(Now)) {
-    if (!Known || !Known->Engine_) {
-      deny(*Next, RefusalReason::NoBackendServer, RetryWithoutServer, Now, Out);
-      continue;
-    }
     Item &Of = Items_.at(*Next);
-    const auto Chosen = choose(In, Of, *Known->Engine_, Now);
+    const auto Chosen = choose(Engines, In, Of, Traits, Now);
     if (!Chosen)
       return;
     grant(In, Of, *Chosen, Now, Out);
   }
 }
 
+void GenerationPlacer::decidePool(const ServiceId &Service, Pool &In,
+                                  TimePoint Now, std::vector<PlacedFor> &Out) {
+  refuseHopeless(In, Now, Out);
+  if (In.Queue_.size() + In.Moved_.size() == 0)
+    return;
+  const RelayService *Known = Configuration_->findService(Service);
+  if (!Known || !Known->Engine_) {
+    while (const auto Next = In.Queue_.peek(Now))
+      deny(*Next, RefusalReason::NoBackendServer, RetryWithoutServer, Now, Out);
+    return;
+  }
+  std::vector<DecodeEngine> Engines = decodeEngines(Service, In, Now);
+  decideMoved(Engines, In, *Known->Engine_, Now, Out);
+  decideNew(Engines, In, *Known->Engine_, Now, Out);
+}
+
 std::vector<PlacedFor> GenerationPlacer::decide(TimePoint Now) {
   std::vector<PlacedFor> Out;
   if (!Configuration_)
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -238,7 +238,10 @@
     const bool IsTaken = co_await writeEvents(Events);
     if (!IsTaken)
       co_return StepEnd::Stopped;
-    if (EngineEvents_ != Before)
+    // The engine works; how fast is told later.
+    if (Before == 0 && EngineEvents_ != 0)
+      report(GenerationStep::Progressed, Engine);
+    else if (EngineEvents_ != Before)
       noteProgress(Engine, false);
   }
   if (Events.hasRest()) {
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -13,6 +13,9 @@
 
 constexpr Duration TickInterval = std::chrono::milliseconds(25);
 constexpr Duration HeartbeatInterval = std::chrono::milliseconds(150);
+/// Messages that come sooner after a decision wait for the next one, so that
+/// the work of a home does not grow with the messages of its instances.
+constexpr Duration DecisionInterval = std::chrono::milliseconds(10);
 /// A configuration is asked for again if it has not come by then.
 constexpr Duration CopyTimeout = std::chrono::milliseconds(500);
 
@@ -243,13 +246,13 @@
           [this, &From](const HomeReply &Each) { handleReply(From, Each); },
           [this, &From](const PlacementAsk &Each) {
             Desk_.onAsk(From, Each, readBootClock());
-            decide();
+            decideSoon();
           },
           [&Answered](const PlacementGrant &Each) { Answered(Each); },
           [&Answered](const PlacementDenial &Each) { Answered(Each); },
           [this](const GenerationReport &Each) {
             Desk_.onReport(Each, readBootClock());
-            decide();
+            decideSoon();
           },
           [this, &From](const ConfigurationRequest &Each) {
             if (version() > Each.Version_)
@@ -340,8 +343,14 @@
     send(From, GenerationReport{Request, GenerationStep::Ended, {}, 0, {}});
 }
 
+void HomeLink::decideSoon() {
+  if (readBootClock() >= DecidedAt_ + DecisionInterval)
+    decide();
+}
+
 void HomeLink::decide() {
-  for (const auto &Each : Desk_.decide(readBootClock())) {
+  DecidedAt_ = readBootClock();
+  for (const auto &Each : Desk_.decide(DecidedAt_)) {
     logAnswer(Each);
     std::visit(
         [this, &Each](const auto &Answer) { send(Each.Instance_, Answer); },
--- a/tests/GenerationPlacerTest.cpp
+++ b/tests/GenerationPlacerTest.cpp
@@ -296,6 +296,64 @@
         "d1");
 }
 
+TEST_CASE("An engine that is silent for seconds costs few callers", "[relay]") {
+  PoolWorld World;
+  for (const char *Id : {"d3", "d4", "d5"})
+    World.addEngine(Id, EngineRole::Decode);
+  // 40 callers a second, whose streams take 600 ms. d1 is silent for 4 s, which
+  // each of its callers notices after 500 ms.
+  const TimePoint BackAt = World.Now_ + 4s;
+  std::multimap<TimePoint, std::pair<std::string, bool>> Streams;
+  int Lost = 0;
+  int Regained = 0;
+  for (int I = 0; I != 320; ++I, World.Now_ += 25ms) {
+    while (!Streams.empty() && Streams.begin()->first <= World.Now_) {
+      const auto [Name, IsLost] = Streams.begin()->second;
+      if (IsLost)
+        World.tell(Name.c_str(), GenerationStep::ServerFailed, {"d1"});
+      World.tell(Name.c_str(), GenerationStep::Ended, {});
+      Streams.erase(Streams.begin());
+    }
+    const std::string Name = "r" + std::to_string(I);
+    const auto Grant = World.grantOf(World.place(World.makeAsk(Name)));
+    if (Grant.Prefill_)
+      World.tell(Name.c_str(), GenerationStep::Prefilled, Grant.Prefill_->Id_,
+                 5000, 40ms);
+    const bool IsBad = Grant.Decode_.Id_.Value_ == "d1";
+    const bool IsLost = IsBad && World.Now_ < BackAt;
+    Lost += IsLost ? 1 : 0;
+    Regained += IsBad && !IsLost ? 1 : 0;
+    if (!IsLost)
+      World.tell(Name.c_str(), GenerationStep::Progressed, Grant.Decode_.Id_);
+    Streams.emplace(World.Now_ + (IsLost ? 500ms : 600ms),
+                    std::pair(Name, IsLost));
+  }
+  // A fifth of the 20 callers of the first 500 ms, and one in each of at most
+  // three trials.
+  CHECK(Lost <= 4 + 3);
+  CHECK(Regained >= 20);
+}
+
+TEST_CASE("Handles that one prefill engine loses are noticed", "[relay]") {
+  PoolWorld World;
+  // p1 loses every handle; a caller comes each 100 ms.
+  int Lost = 0;
+  for (int I = 0; I != 60; ++I) {
+    const std::string Name = "r" + std::to_string(I);
+    const auto Grant = World.grantOf(World.place(World.makeAsk(Name)));
+    World.tell(Name.c_str(), GenerationStep::Prefilled, Grant.Prefill_->Id_,
+               5000, 40ms);
+    if (Grant.Prefill_->Id_.Value_ == "p1") {
+      ++Lost;
+      World.tell(Name.c_str(), GenerationStep::HandleLost, {"p1"});
+    }
+    World.tell(Name.c_str(), GenerationStep::Progressed, Grant.Decode_.Id_);
+    World.tell(Name.c_str(), GenerationStep::Ended, {});
+    World.Now_ += 100ms;
+  }
+  CHECK(Lost <= 8);
+}
+
 TEST_CASE("A stream whose engine failed goes before new ones", "[relay]") {
   PoolWorld World;
   World.fill("r");
