Refuse what would wait longer than its caller does, and say when to return

A caller that left does not come back, one that is refused does. Change: routes of streams say how long callers wait for an event. The home refuses, as not run, when the first event can no longer come by then, with the time in which those that wait will have been granted, at most a third of the caller's time; moved streams are bound likewise by their last event. Test: a burst of three times the pool, whose callers leave after 3.6 s.

--- a/include/gooseberrybeam/relay/GenerationPlacer.h
+++ b/include/gooseberrybeam/relay/GenerationPlacer.h
@@ -84,7 +84,9 @@
     TimePoint OutputAt_; ///< When `OutputTokens_` was known.
     double OutputTokens_ = 0;
     double ExpectedOutput_ = 0;
-    TimePoint GiveUp_;
+    TimePoint GiveUp_;   ///< Started later, it is of no use to its caller.
+    TimePoint Deadline_; ///< Ended later, it is given up.
+    Duration Work_{0};   ///< From its start to its end.
   };
 
   struct Engine {
@@ -111,6 +113,8 @@
     double OutputTokens_ = 0;      ///< Mean length; 0 before any.
     double PrefillPerMs_ = 0;
     double DecodePerMs_ = 0;
+    TimePoint GrantedAt_{Duration::zero()}; ///< The last grant.
+    double GrantMs_ = 0; ///< Between grants while others wait; 0 before any.
   };
 
   struct Choice {
@@ -150,6 +154,8 @@
             std::vector<PlacedFor> &Out);
   void grant(Pool &In, Item &To, const Choice &Of, TimePoint Now,
              std::vector<PlacedFor> &Out);
+  std::optional<Duration> retryAfter(const Pool &In, const Item &Of,
+                                     TimePoint Now) const;
   void refuseHopeless(Pool &In, TimePoint Now, std::vector<PlacedFor> &Out);
   void decidePool(const ServiceId &Service, Pool &In, TimePoint Now,
                   std::vector<PlacedFor> &Out);
--- a/include/gooseberrybeam/relay/PlacementTypes.h
+++ b/include/gooseberrybeam/relay/PlacementTypes.h
@@ -26,8 +26,10 @@
   std::uint32_t Priority_ = 0;   ///< 0 is most urgent.
   Duration TargetLeft_{0};       ///< Until the first event is due.
   Duration TimeLeft_{0};         ///< Until the request is given up.
-  bool IsCharged_ = false;       ///< Its tokens are already counted.
-  bool NeedsPrefill_ = true;     ///< False: the decode engine reads the prompt.
+  /// Until the caller leaves for want of an event.
+  Duration PatienceLeft_ = Duration::max();
+  bool IsCharged_ = false;   ///< Its tokens are already counted.
+  bool NeedsPrefill_ = true; ///< False: the decode engine reads the prompt.
   std::uint32_t OutputTokens_ = 0; ///< Already made, of a stream that moves.
   std::vector<ServerId> Avoid_;    ///< Engines that failed this request.
 
--- a/include/gooseberrybeam/relay/RelayRoute.h
+++ b/include/gooseberrybeam/relay/RelayRoute.h
@@ -7,6 +7,7 @@
 #include "gooseberrybeam/base/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,9 @@
   Duration Timeout_ = std::chrono::seconds(30); ///< Bound on the whole answer.
   Duration Target_ = std::chrono::seconds(1); ///< To the answer or first event.
   Duration EventGap_{0}; ///< Longest pause between events that is on time.
+  /// How long callers wait for an event, the first one too, before they leave;
+  /// none if that is not known.
+  std::optional<Duration> EventPatience_;
   std::uint32_t Priority_ = 0;   ///< 0 is most urgent.
   std::uint32_t MaxServers_ = 1; ///< Backend servers that one request may see.
   bool IsPublic_ = false;        ///< Needs no key.
--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -68,6 +68,7 @@
   TimePoint PlacedAt_;    ///< The last grant.
   TimePoint PrefilledAt_; ///< The last prefill.
   TimePoint FirstEventAt_;
+  TimePoint LastEventAt_;
   std::uint32_t EngineEvents_ = 0; ///< Of the present engine.
   TimePoint EngineEventAt_;        ///< Its first event.
   bool MayHaveRun_ = false;
--- a/src/relay/GenerationPlacer.cpp
+++ b/src/relay/GenerationPlacer.cpp
@@ -36,6 +36,8 @@
 /// A decode engine below this part of its pool's pace is used last.
 constexpr double SlowPart = 0.6;
 
+/// A caller is not asked to stay away for more than this part of its time.
+constexpr int LongestReturnPart = 3;
 constexpr Duration RetryWithoutServer = std::chrono::seconds(1);
 
 void smooth(double &Value, double Sample, double Weight) {
@@ -112,7 +114,11 @@
   const double PrefillMs = Ask.PromptTokens_ / prefillPerMs(In, Any);
   const double OutputMs = std::max(0.0, Of.ExpectedOutput_ - Of.OutputTokens_) /
                           decodePerMs(In, Any);
-  Of.GiveUp_ = Now + Ask.TimeLeft_ - fromMs(PrefillMs + OutputMs);
+  const Duration FirstEvent = fromMs(PrefillMs) + FirstEventTime;
+  Of.Deadline_ = Now + Ask.TimeLeft_;
+  Of.Work_ = fromMs(PrefillMs + OutputMs);
+  Of.GiveUp_ =
+      Now + std::min(Ask.TimeLeft_ - Of.Work_, Ask.PatienceLeft_ - FirstEvent);
   if (!Ask.NeedsPrefill_) {
     Items_.emplace(Ask.Request_, std::move(Of));
     In.Moved_.push_back(Ask.Request_);
@@ -121,8 +127,7 @@
   QueueItem Entry;
   Entry.Request_ = Ask.Request_;
   Entry.Organisation_ = Ask.Organisation_;
-  Entry.LatestStart_ =
-      Now + Ask.TargetLeft_ - fromMs(PrefillMs) - FirstEventTime;
+  Entry.LatestStart_ = Now + Ask.TargetLeft_ - FirstEvent;
   Entry.GiveUp_ = Of.GiveUp_;
   Entry.Weight_ = weightOf(Ask.Organisation_);
   Items_.emplace(Ask.Request_, std::move(Of));
@@ -377,6 +382,9 @@
 
 void GenerationPlacer::grant(Pool &In, Item &To, const Choice &Of,
                              TimePoint Now, std::vector<PlacedFor> &Out) {
+  if (To.Arrival_ < In.GrantedAt_)
+    smooth(In.GrantMs_, asMilliseconds(Now - In.GrantedAt_), PoolWeight);
+  In.GrantedAt_ = Now;
   In.Queue_.erase(To.Ask_.Request_);
   In.Queue_.charge(To.Ask_.Organisation_, weightOf(To.Ask_.Organisation_),
                    To.Ask_.PromptTokens_ + To.ExpectedOutput_);
@@ -421,10 +429,25 @@
   erase(Request, Now);
 }
 
+// When those that wait now will have been granted engines. None if the caller
+// has not enough time to come back then.
+std::optional<Duration> GenerationPlacer::retryAfter(const Pool &In,
+                                                     const Item &Of,
+                                                     TimePoint Now) const {
+  const Duration Left = Of.Deadline_ - Now;
+  const auto Waiting = static_cast<double>(In.Queue_.size());
+  const Duration Wait =
+      std::min(fromMs(Waiting * In.GrantMs_), Left / LongestReturnPart);
+  if (Wait <= Duration::zero() || Wait + Of.Work_ > Left)
+    return std::nullopt;
+  return Wait;
+}
+
 void GenerationPlacer::refuseHopeless(Pool &In, TimePoint Now,
                                       std::vector<PlacedFor> &Out) {
   for (const RequestId &Request : In.Queue_.takeExpired(Now))
-    deny(Request, RefusalReason::DeadlineUnreachable, {}, Now, Out);
+    deny(Request, RefusalReason::DeadlineUnreachable,
+         retryAfter(In, Items_.at(Request), Now), Now, Out);
 }
 
 // A caller waits in the middle of its answer; nobody new is served before.
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -64,6 +64,11 @@
   Ask.TimeLeft_ = Request_.timeLeft();
   Ask.TargetLeft_ =
       Request_.Exchange_.arrival() + Request_.Route_.Target_ - readBootClock();
+  if (const auto Patience = Request_.Route_.EventPatience_) {
+    const TimePoint Since =
+        Events_ == 0 ? Request_.Exchange_.arrival() : LastEventAt_;
+    Ask.PatienceLeft_ = Since + *Patience - readBootClock();
+  }
   Ask.IsCharged_ = Placements_ > 1;
   Ask.OutputTokens_ = Events_ * Engine_.EventTokens_;
   Ask.Avoid_ = Avoid_;
@@ -180,6 +185,7 @@
   }
   if (Whole.empty())
     co_return true;
+  LastEventAt_ = Now;
   co_return co_await Request_.Exchange_.write(Whole);
 }
 
--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -74,6 +74,7 @@
   Out.set_priority(From.Priority_);
   Out.set_target_left_us(From.TargetLeft_.count());
   Out.set_time_left_us(From.TimeLeft_.count());
+  Out.set_patience_left_us(From.PatienceLeft_.count());
   Out.set_is_charged(From.IsCharged_);
   Out.set_needs_prefill(From.NeedsPrefill_);
   Out.set_output_tokens(From.OutputTokens_);
@@ -181,6 +182,7 @@
   Out.Priority_ = From.priority();
   Out.TargetLeft_ = Duration(From.target_left_us());
   Out.TimeLeft_ = Duration(From.time_left_us());
+  Out.PatienceLeft_ = Duration(From.patience_left_us());
   Out.IsCharged_ = From.is_charged();
   Out.NeedsPrefill_ = From.needs_prefill();
   Out.OutputTokens_ = From.output_tokens();
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -382,6 +382,7 @@
   const Duration Waited = readBootClock() - Of.AskedAt_;
   Ask.TargetLeft_ -= Waited;
   Ask.TimeLeft_ -= Waited;
+  Ask.PatienceLeft_ -= Waited;
   send(Home_, Ask);
 }
 
--- a/tests/GenerationPlacerTest.cpp
+++ b/tests/GenerationPlacerTest.cpp
@@ -270,6 +270,78 @@
   CHECK(InTime > Late);
 }
 
+TEST_CASE("Callers that leave soon are told in time to come back", "[relay]") {
+  // A burst of about three times what the pool can finish, for eight seconds.
+  // Callers leave after 3.6 s without an event, and come back once if told so.
+  PoolWorld World;
+  struct Caller {
+    TimePoint AskedAt_;
+    TimePoint Deadline_;
+    bool IsBack_ = false;
+  };
+  std::map<RequestId, Caller> Waiting;
+  std::multimap<TimePoint, RequestId> Ends;
+  std::multimap<TimePoint, Caller> Returns;
+  int Number = 0;
+  int Left = 0;
+  int Refused = 0;
+  int Served = 0;
+  int ServedBack = 0;
+  const auto ask = [&](Caller Who) {
+    Who.AskedAt_ = World.Now_;
+    PlacementAsk Ask = World.makeAsk("r" + std::to_string(Number++));
+    Ask.TargetLeft_ = Who.IsBack_ ? 0ms : 900ms;
+    Ask.TimeLeft_ = Who.Deadline_ - World.Now_;
+    Ask.PatienceLeft_ = 3600ms;
+    Waiting[Ask.Request_] = Who;
+    World.Placer_.ask(Edge, Ask, World.Now_);
+  };
+  const TimePoint Start = World.Now_;
+  for (; World.Now_ < Start + 20s; World.Now_ += 10ms) {
+    if (World.Now_ < Start + 8s && (World.Now_ - Start) % 70ms == 0ms)
+      ask({World.Now_, World.Now_ + 14s});
+    for (; !Returns.empty() && Returns.begin()->first <= World.Now_;
+         Returns.erase(Returns.begin()))
+      ask(Returns.begin()->second);
+    for (; !Ends.empty() && Ends.begin()->first <= World.Now_;
+         Ends.erase(Ends.begin()))
+      World.tell(Ends.begin()->second.Value_.c_str(), GenerationStep::Ended, {},
+                 4000, 4s);
+    for (const auto &Each : World.Placer_.decide(World.Now_)) {
+      if (const auto *Grant = std::get_if<PlacementGrant>(&Each.Answer_)) {
+        ++Served;
+        ServedBack += Waiting.at(Grant->Request_).IsBack_ ? 1 : 0;
+        Waiting.erase(Grant->Request_);
+        World.tell(Grant->Request_.Value_.c_str(), GenerationStep::Prefilled,
+                   Grant->Prefill_->Id_, 5000, 100ms);
+        Ends.emplace(World.Now_ + 4s, Grant->Request_);
+        continue;
+      }
+      const auto &Denial = std::get<PlacementDenial>(Each.Answer_);
+      Caller Who = Waiting.at(Denial.Request_);
+      Waiting.erase(Denial.Request_);
+      ++Refused;
+      if (Who.IsBack_ || !Denial.RetryAfter_)
+        continue;
+      Who.IsBack_ = true;
+      Returns.emplace(World.Now_ + *Denial.RetryAfter_, Who);
+    }
+    for (auto It = Waiting.begin(); It != Waiting.end();) {
+      if (World.Now_ < It->second.AskedAt_ + 3600ms) {
+        ++It;
+        continue;
+      }
+      ++Left;
+      World.tell(It->first.Value_.c_str(), GenerationStep::Ended, {});
+      It = Waiting.erase(It);
+    }
+  }
+  CHECK(Left == 0);
+  CHECK(Refused > 0);
+  CHECK(ServedBack >= 10);
+  CHECK(Served > Number / 2);
+}
+
 TEST_CASE("Prefill engines are not handed more than they read", "[relay]") {
   PoolWorld World;
   SECTION("though kept prompts made them look fast") {
--- a/tests/HomeCodecTest.cpp
+++ b/tests/HomeCodecTest.cpp
@@ -37,6 +37,7 @@
     Ask.PromptTokens_ = 5000;
     Ask.TargetLeft_ = -3ms;
     Ask.TimeLeft_ = 13s;
+    Ask.PatienceLeft_ = 3600ms;
     Ask.NeedsPrefill_ = false;
     Ask.Avoid_ = {{"d1"}, {"d2"}};
     checkRoundTrip(Ask);
