Know callers that return, and put none that can return before others

Change: the home keeps the prompt size, estimate and due time of what it refused; what matches is queued as late. Work whose caller has time to return is not rescued.

--- a/include/gooseberrybeam/fairness/FairQueue.h
+++ b/include/gooseberrybeam/fairness/FairQueue.h
@@ -29,6 +29,9 @@
   TimePoint LatestStart_; ///< Started later, it misses its class's target.
   TimePoint GiveUp_;      ///< Started later, it misses its deadline.
   bool MayWait_ = false;
+  /// Refused, its caller has time to come back, so that it is never put before
+  /// work that can still meet its target.
+  bool MayReturn_ = false;
 };
 
 /// Holds the work of one model. Among the organisations that were served least,
--- a/include/gooseberrybeam/relay/GenerationPlacer.h
+++ b/include/gooseberrybeam/relay/GenerationPlacer.h
@@ -9,6 +9,7 @@
 #include "gooseberrybeam/relay/KvForecast.h"
 #include "gooseberrybeam/relay/PlacementTypes.h"
 #include "gooseberrybeam/relay/RelayConfiguration.h"
+#include "gooseberrybeam/relay/ReturnBook.h"
 
 #include <memory>
 #include <string>
@@ -85,6 +86,7 @@
     double OutputTokens_ = 0;
     double ExpectedOutput_ = 0;
     TimePoint GiveUp_;   ///< Started later, it is of no use to its caller.
+    TimePoint DueAt_;    ///< When its first event is due.
     TimePoint Deadline_; ///< Ended later, it is given up.
     Duration Work_{0};   ///< From its start to its end.
   };
@@ -170,6 +172,7 @@
   std::unordered_map<ServiceId, Pool> Pools_;
   std::unordered_map<ServerId, Engine> Engines_;
   std::unordered_map<RequestId, Item> Items_;
+  ReturnBook Returns_;
 };
 
 } // namespace gooseberry
--- /dev/null
+++ b/include/gooseberrybeam/relay/ReturnBook.h
@@ -0,0 +1,50 @@
+/// \file
+/// Recognises callers that come back after they were refused.
+#ifndef GOOSEBERRYBEAM_RELAY_RETURNBOOK_H
+#define GOOSEBERRYBEAM_RELAY_RETURNBOOK_H
+
+#include "gooseberrybeam/relay/PlacementTypes.h"
+
+#include <compare>
+#include <deque>
+#include <map>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+namespace gooseberry {
+
+/// Keeps when the first event of refused generations was due. A caller that
+/// comes back sends another request id, but the same prompt and estimate; its
+/// target still counts from its first attempt. Answers the load after a burst,
+/// when those that return must not push out callers that can be served in time.
+class ReturnBook {
+public:
+  /// Notes that a generation was refused before it ran.
+  /// \param Ask what was asked.
+  /// \param DueAt when its first event was due.
+  /// \param Until when its caller gives up.
+  void onRefused(const PlacementAsk &Ask, TimePoint DueAt, TimePoint Until);
+  /// Takes out the refused generation that an ask repeats.
+  /// \param Ask what is asked.
+  /// \param Now the clock.
+  /// \returns when the first event was due; none if the ask is new.
+  std::optional<TimePoint> take(const PlacementAsk &Ask, TimePoint Now);
+
+private:
+  using Key = std::tuple<OrganisationId, ServiceId, std::uint32_t,
+                         std::uint32_t, std::uint32_t>;
+  struct Refused {
+    TimePoint DueAt_;
+    TimePoint Until_;
+  };
+
+  static Key keyOf(const PlacementAsk &Ask);
+  void forgetOld(TimePoint Now);
+
+  std::multimap<Key, Refused> Refused_;
+};
+
+} // namespace gooseberry
+
+#endif // GOOSEBERRYBEAM_RELAY_RETURNBOOK_H
--- a/src/fairness/FairQueue.cpp
+++ b/src/fairness/FairQueue.cpp
@@ -74,7 +74,7 @@
 bool FairQueue::isBefore(Tier A, const QueueItem &ItemA, Tier B,
                          const QueueItem &ItemB, TimePoint Now) const {
   auto RankOf = [&](Tier Which, const QueueItem &Item) {
-    if (Which == Tier::Late && Late_ <= FewLate &&
+    if (Which == Tier::Late && !Item.MayReturn_ && Late_ <= FewLate &&
         Item.GiveUp_ - Now < RescueWindow)
       return Tier::Urgent;
     const bool IsShort = Item.LatestStart_ - Now < YieldUntil;
--- a/src/relay/GenerationPlacer.cpp
+++ b/src/relay/GenerationPlacer.cpp
@@ -124,11 +124,15 @@
     In.Moved_.push_back(Ask.Request_);
     return;
   }
+  Of.DueAt_ = Now + Ask.TargetLeft_;
+  if (const auto FirstDue = Returns_.take(Ask, Now))
+    Of.DueAt_ = std::min(Of.DueAt_, *FirstDue);
   QueueItem Entry;
   Entry.Request_ = Ask.Request_;
   Entry.Organisation_ = Ask.Organisation_;
-  Entry.LatestStart_ = Now + Ask.TargetLeft_ - FirstEvent;
+  Entry.LatestStart_ = Of.DueAt_ - FirstEvent;
   Entry.GiveUp_ = Of.GiveUp_;
+  Entry.MayReturn_ = Ask.PatienceLeft_ < Ask.TimeLeft_;
   Entry.Weight_ = weightOf(Ask.Organisation_);
   Items_.emplace(Ask.Request_, std::move(Of));
   In.Queue_.push(Entry);
@@ -445,9 +449,13 @@
 
 void GenerationPlacer::refuseHopeless(Pool &In, TimePoint Now,
                                       std::vector<PlacedFor> &Out) {
-  for (const RequestId &Request : In.Queue_.takeExpired(Now))
-    deny(Request, RefusalReason::DeadlineUnreachable,
-         retryAfter(In, Items_.at(Request), Now), Now, Out);
+  for (const RequestId &Request : In.Queue_.takeExpired(Now)) {
+    const Item &Of = Items_.at(Request);
+    const auto RetryAfter = retryAfter(In, Of, Now);
+    if (RetryAfter)
+      Returns_.onRefused(Of.Ask_, Of.DueAt_, Of.Deadline_);
+    deny(Request, RefusalReason::DeadlineUnreachable, RetryAfter, Now, Out);
+  }
 }
 
 // A caller waits in the middle of its answer; nobody new is served before.
--- /dev/null
+++ b/tests/FairQueueTest.cpp
@@ -0,0 +1,47 @@
+#include "gooseberrybeam/fairness/FairQueue.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+QueueItem makeItem(const char *Request, TimePoint LatestStart,
+                   TimePoint GiveUp) {
+  QueueItem Item;
+  Item.Request_ = {Request};
+  Item.Organisation_ = {"acme"};
+  Item.LatestStart_ = LatestStart;
+  Item.GiveUp_ = GiveUp;
+  return Item;
+}
+
+} // namespace
+
+TEST_CASE("Work that is late goes after work that can be in time",
+          "[fairness]") {
+  FairQueue Queue;
+  const TimePoint Now(10s);
+  Queue.push(makeItem("new", Now + 800ms, Now + 9s));
+  QueueItem Late = makeItem("late", Now - 1s, Now + 5s);
+
+  SECTION("as long as it can wait") {
+    Queue.push(Late);
+    CHECK(Queue.peek(Now)->Value_ == "new");
+  }
+  SECTION("but not if it would be given up") {
+    Late.GiveUp_ = Now + 500ms;
+    Queue.push(Late);
+    CHECK(Queue.peek(Now)->Value_ == "late");
+  }
+  SECTION("also if it would be given up, where its caller can come back") {
+    Late.GiveUp_ = Now + 500ms;
+    Late.MayReturn_ = true;
+    Queue.push(Late);
+    CHECK(Queue.peek(Now)->Value_ == "new");
+    SECTION("and it is handed back when its time is over") {
+      CHECK(Queue.takeExpired(Now + 600ms).size() == 1);
+    }
+  }
+}
--- a/tests/GenerationPlacerTest.cpp
+++ b/tests/GenerationPlacerTest.cpp
@@ -277,6 +277,7 @@
   struct Caller {
     TimePoint AskedAt_;
     TimePoint Deadline_;
+    std::uint32_t LengthHint_ = 0;
     bool IsBack_ = false;
   };
   std::map<RequestId, Caller> Waiting;
@@ -287,10 +288,11 @@
   int Refused = 0;
   int Served = 0;
   int ServedBack = 0;
+  int InTime = 0;
   const auto ask = [&](Caller Who) {
     Who.AskedAt_ = World.Now_;
     PlacementAsk Ask = World.makeAsk("r" + std::to_string(Number++));
-    Ask.TargetLeft_ = Who.IsBack_ ? 0ms : 900ms;
+    Ask.LengthHint_ = Who.LengthHint_;
     Ask.TimeLeft_ = Who.Deadline_ - World.Now_;
     Ask.PatienceLeft_ = 3600ms;
     Waiting[Ask.Request_] = Who;
@@ -299,7 +301,8 @@
   const TimePoint Start = World.Now_;
   for (; World.Now_ < Start + 20s; World.Now_ += 10ms) {
     if (World.Now_ < Start + 8s && (World.Now_ - Start) % 70ms == 0ms)
-      ask({World.Now_, World.Now_ + 14s});
+      ask({World.Now_, World.Now_ + 14s,
+           4000 + static_cast<std::uint32_t>(Number)});
     for (; !Returns.empty() && Returns.begin()->first <= World.Now_;
          Returns.erase(Returns.begin()))
       ask(Returns.begin()->second);
@@ -310,7 +313,9 @@
     for (const auto &Each : World.Placer_.decide(World.Now_)) {
       if (const auto *Grant = std::get_if<PlacementGrant>(&Each.Answer_)) {
         ++Served;
-        ServedBack += Waiting.at(Grant->Request_).IsBack_ ? 1 : 0;
+        const Caller Who = Waiting.at(Grant->Request_);
+        ServedBack += Who.IsBack_ ? 1 : 0;
+        InTime += !Who.IsBack_ && World.Now_ - Who.AskedAt_ < 800ms ? 1 : 0;
         Waiting.erase(Grant->Request_);
         World.tell(Grant->Request_.Value_.c_str(), GenerationStep::Prefilled,
                    Grant->Prefill_->Id_, 5000, 100ms);
@@ -339,6 +344,9 @@
   CHECK(Left == 0);
   CHECK(Refused > 0);
   CHECK(ServedBack >= 10);
+  // Two lives of a generation fit into the burst.
+  const int Capacity = PoolWorld().fill("x");
+  CHECK(InTime >= 2 * Capacity * 8 / 10);
   CHECK(Served > Number / 2);
 }
 
