--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -362,6 +362,10 @@
   const auto *Grant = std::get_if<PlacementGrant>(&Placed.Answer_);
   const auto *Denial = std::get_if<PlacementDenial>(&Placed.Answer_);
   const RequestId &Request = Grant ? Grant->Request_ : Denial->Request_;
+  const std::string RetryAfter =
+      Denial && Denial->RetryAfter_
+          ? std::to_string(wholeMilliseconds(*Denial->RetryAfter_))
+          : "";
   const std::string Prefill =
       Grant && Grant->Prefill_ ? Grant->Prefill_->Id_.Value_ : "";
   logLine(LogPart::Routing, LogLevel::Info,
@@ -371,6 +375,7 @@
            {"prefill", Prefill},
            {"decode", Grant ? Grant->Decode_.Id_.Value_ : ""},
            {"reason", Denial ? asCode(Denial->Reason_) : ""},
+           {"retry_after_ms", RetryAfter},
            {"waited_ms", std::to_string(wholeMilliseconds(Placed.Waited_))},
            {"waiting", text(Desk_.placer().waiting())},
            {"booked", text(Desk_.placer().booked())},
--- a/tests/GenerationPlacerTest.cpp
+++ b/tests/GenerationPlacerTest.cpp
@@ -289,7 +289,7 @@
   int Served = 0;
   int ServedBack = 0;
   int InTime = 0;
-  const auto ask = [&](Caller Who) {
+  const auto Enter = [&](Caller Who) {
     Who.AskedAt_ = World.Now_;
     PlacementAsk Ask = World.makeAsk("r" + std::to_string(Number++));
     Ask.LengthHint_ = Who.LengthHint_;
@@ -301,11 +301,11 @@
   const TimePoint Start = World.Now_;
   for (; World.Now_ < Start + 20s; World.Now_ += 10ms) {
     if (World.Now_ < Start + 8s && (World.Now_ - Start) % 70ms == 0ms)
-      ask({World.Now_, World.Now_ + 14s,
-           4000 + static_cast<std::uint32_t>(Number)});
+      Enter({World.Now_, World.Now_ + 14s,
+             4000 + static_cast<std::uint32_t>(Number)});
     for (; !Returns.empty() && Returns.begin()->first <= World.Now_;
          Returns.erase(Returns.begin()))
-      ask(Returns.begin()->second);
+      Enter(Returns.begin()->second);
     for (; !Ends.empty() && Ends.begin()->first <= World.Now_;
          Ends.erase(Ends.begin()))
       World.tell(Ends.begin()->second.Value_.c_str(), GenerationStep::Ended, {},
