--- a/include/gooseberrybeam/relay/LimitBook.h
+++ b/include/gooseberrybeam/relay/LimitBook.h
@@ -34,11 +34,13 @@
   /// Sets how many instances share the limits.
   /// \param Count all instances; at least 1.
   void setInstanceCount(std::size_t Count) { InstanceCount_ = Count; }
-  /// Adds an instance, or notes that it was heard, with the part of the limits
-  /// that it brings: its burst and what has flowed in since its start. A
-  /// process that follows one whose use is known here brings the whole part,
-  /// with that use counted. \param Instance the instance. \param StartedAt when
-  /// its process started, if that is known. \param Now the clock.
+  /// Adds an instance, or notes that it was heard. It brings a part of the
+  /// limits: its burst and what has flowed in since its start. A process that
+  /// follows one whose use is known here brings the whole part, with that use
+  /// counted.
+  /// \param Instance the instance.
+  /// \param StartedAt when its process started, if that is known.
+  /// \param Now the clock.
   void attach(const InstanceId &Instance, std::optional<TimePoint> StartedAt,
               TimePoint Now);
   /// Removes an instance that has taken another home, its part and its use.
