Select homes with much capacity, keep them for a while, await the store's feed

The home was a large instance (0.5 cores, 200 Mbit/s); when it answered late, all instances moved to the next of the hash order, one of 0.12 cores and 10 Mbit/s, and came back with each late answer. Each move sends the whole state of an instance. At the same time each instance asked the home for a copy of every configuration, though the store's feed delivered the same one within 0.4 s; with a large configuration 86 copies fill the home's link.

Change: instances state their capacity in their row and large ones rank first; a skipped home is selected again after 2 s of answers; a copy is requested if the store has not delivered the version within 0.7 s.

Tests failed first with the three constants at 0: 55 changes of home in 20 s where one is right.

--- a/include/gooseberrybeam/relay/HomeSelector.h
+++ b/include/gooseberrybeam/relay/HomeSelector.h
@@ -3,19 +3,27 @@
 #ifndef GOOSEBERRYBEAM_RELAY_HOMESELECTOR_H
 #define GOOSEBERRYBEAM_RELAY_HOMESELECTOR_H
 
-#include "gooseberrybeam/base/Ids.h"
 #include "gooseberrybeam/base/Time.h"
+#include "gooseberrybeam/relay/HomeCandidate.h"
 
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
 
 namespace gooseberry {
 
-/// Ranks the instances by rendezvous hashing, so that all instances agree
-/// without exchanging messages, and selects the first one that answers
-/// heartbeats. An instance that reaches no other is its own home.
+/// Ranks the instances, so that all instances agree without exchanging
+/// messages, and selects the first one that answers heartbeats. Instances with
+/// much capacity rank first, as a home receives messages from all others;
+/// instances of similar capacity rank by rendezvous hashing. An instance that
+/// reaches no other is its own home.
+///
+/// A home that was silent or shut down is selected again only after it has
+/// answered for some time. An overloaded home that answers now and then would
+/// otherwise gain and lose all instances in turn, and each change costs it more
+/// than the heartbeats do.
 class HomeSelector {
 public:
   /// \param Self this instance.
@@ -25,12 +33,13 @@
 
   /// \param Instances all registered instances; this one is added if it is
   /// missing.
-  void setInstances(std::span<const InstanceId> Instances);
+  void setInstances(std::span<const HomeCandidate> Instances);
   /// Records that a heartbeat was sent.
   /// \param Now the current time.
   void onHeartbeatSent(const InstanceId &Instance, TimePoint Now);
-  /// Records that an instance answered; it is no longer silent or leaving.
-  void onHeartbeatReply(const InstanceId &Instance);
+  /// Records that an instance answered.
+  /// \param Now the current time.
+  void onHeartbeatReply(const InstanceId &Instance, TimePoint Now);
   /// Records that an instance is shutting down.
   void onLeaving(const InstanceId &Instance);
 
@@ -47,11 +56,18 @@
 private:
   struct CandidateState {
     TimePoint UnansweredSince_{Duration::max()};
-    bool IsSilent_ = false; ///< Cleared by the next answer.
+    bool IsSilent_ = false;
     bool IsLeaving_ = false;
+    /// First answer since it was silent or leaving; none if neither or if it
+    /// has not answered since.
+    std::optional<TimePoint> AnsweringSince_;
   };
 
-  bool isAlive(const InstanceId &Instance, TimePoint Now) const;
+  enum class Availability { Usable, Recovering, Unavailable };
+
+  static bool isOverdue(const CandidateState &State, TimePoint Now);
+  Availability availabilityOf(const InstanceId &Instance, TimePoint Now) const;
+  const InstanceId *bestRecovering(TimePoint Now) const;
 
   InstanceId Self_;
   std::string Key_;
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -6,8 +6,10 @@
 #include "gooseberrybeam/http/Asio.h"
 #include "gooseberrybeam/http/CancelScope.h"
 #include "gooseberrybeam/peers/TcpPeerTransport.h"
+#include "gooseberrybeam/relay/CopyRequestSchedule.h"
 #include "gooseberrybeam/relay/HomeCoordinator.h"
 #include "gooseberrybeam/relay/HomeSelector.h"
+#include "gooseberrybeam/relayd/RelayMember.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -15,6 +17,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -36,7 +39,7 @@
     /// \returns the version of the known backend servers.
     std::function<std::uint64_t()> ServersVersion_;
     /// \returns whether the store is readable; if so, backend servers are not
-    /// requested from peers.
+    /// requested from peers, and a configuration only after some time.
     std::function<bool()> IsStoreAvailable_;
     /// \returns the known backend servers.
     std::function<ServersCopy()> CopyServers_;
@@ -57,7 +60,7 @@
   /// \returns whether a transport is set.
   bool hasTransport() const { return Transport_ != nullptr; }
   /// \param Members all registered instances, this one included.
-  void setMembers(std::vector<EpochMember> Members);
+  void setMembers(std::span<const RelayMember> Members);
   /// \param Configuration the newest configuration.
   void configure(std::shared_ptr<const RelayConfiguration> Configuration);
   /// Starts the timer that sends heartbeats and decisions.
@@ -171,7 +174,7 @@
   TimePoint StartedAt_ = readBootClock();
   TimePoint LastHeartbeatAt_{Duration::zero()};
   TimePoint LastDecisionAt_{Duration::zero()};
-  TimePoint ConfigurationRequestedAt_{Duration::zero()};
+  CopyRequestSchedule ConfigurationRequests_;
   TimePoint ServersRequestedAt_{Duration::zero()};
   bool IsLeaving_ = false;
 };
--- a/include/gooseberrybeam/relayd/InstanceRows.h
+++ b/include/gooseberrybeam/relayd/InstanceRows.h
@@ -3,7 +3,7 @@
 #ifndef GOOSEBERRYBEAM_RELAYD_INSTANCEROWS_H
 #define GOOSEBERRYBEAM_RELAYD_INSTANCEROWS_H
 
-#include "gooseberrybeam/membership/EpochDocument.h"
+#include "gooseberrybeam/relayd/RelayMember.h"
 #include "gooseberrybeam/relayd/RowStore.h"
 
 #include <optional>
@@ -19,7 +19,7 @@
 
 /// \param Member an instance.
 /// \returns the row that registers it, with a JSON object as value.
-StoreRow makeInstanceRow(const EpochMember &Member);
+StoreRow makeInstanceRow(const RelayMember &Member);
 
 /// \param Name an instance.
 /// \returns the key of the row that registers it.
@@ -27,7 +27,7 @@
 
 /// \param Row a row of `RelayTable`.
 /// \returns the instance, or none if the row registers none or is malformed.
-std::optional<EpochMember> parseInstanceRow(const StoreRow &Row);
+std::optional<RelayMember> parseInstanceRow(const StoreRow &Row);
 
 } // namespace gooseberry
 
--- a/include/gooseberrybeam/relayd/RelayDaemon.h
+++ b/include/gooseberrybeam/relayd/RelayDaemon.h
@@ -70,7 +70,7 @@
   void openPeerTransport();
   void removeUnresponsiveMembers();
   bool isReady() const;
-  EpochMember self() const;
+  RelayMember self() const;
 
   RelaySettings Settings_;
   Adapter Adapter_;
--- a/include/gooseberrybeam/relayd/RelaySettings.h
+++ b/include/gooseberrybeam/relayd/RelaySettings.h
@@ -5,6 +5,7 @@
 
 #include "gooseberrybeam/base/Ids.h"
 #include "gooseberrybeam/base/Time.h"
+#include "gooseberrybeam/relay/InstanceCapacity.h"
 #include "gooseberrybeam/relay/RetryWindow.h"
 
 #include <string>
@@ -20,7 +21,8 @@
   std::string PeerListen_;    ///< `ip:port` for other instances.
   std::string MetricsListen_; ///< `ip:port`; empty for none.
   std::string ReadyPath_ = "/readyz";
-  BackendId StoreAddress_; ///< `ip:port` of the platform's store.
+  InstanceCapacity Capacity_; ///< Of this instance.
+  BackendId StoreAddress_;    ///< `ip:port` of the platform's store.
   Duration ShutdownTimeout_ =
       std::chrono::seconds(8); ///< From SIGTERM to exit.
   RetryWindowLimits RetryBounds_;
--- /dev/null
+++ b/src/relay/CopyRequestSchedule.cpp
@@ -0,0 +1,32 @@
+#include "gooseberrybeam/relay/CopyRequestSchedule.h"
+
+#include <utility>
+
+namespace gooseberry {
+namespace {
+
+/// How long a newer version is awaited from a readable store.
+constexpr Duration StoreFeedTime = std::chrono::milliseconds(700);
+/// A copy that has not arrived after this time is requested again.
+constexpr Duration CopyTimeout = std::chrono::seconds(1);
+
+} // namespace
+
+bool CopyRequestSchedule::tryRequest(std::uint64_t PeerVersion,
+                                     std::uint64_t OwnVersion,
+                                     bool IsStoreReadable, TimePoint Now) {
+  if (std::exchange(OwnVersion_, OwnVersion) != OwnVersion)
+    BehindSince_.reset();
+  if (PeerVersion <= OwnVersion)
+    return false;
+  if (!BehindSince_)
+    BehindSince_ = Now;
+  if (IsStoreReadable && Now < *BehindSince_ + StoreFeedTime)
+    return false;
+  if (RequestedAt_ && Now < *RequestedAt_ + CopyTimeout)
+    return false;
+  RequestedAt_ = Now;
+  return true;
+}
+
+} // namespace gooseberry
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -16,9 +16,8 @@
 /// Messages that arrive within this time of a decision wait for the next one,
 /// so that the load of a home does not grow with the number of messages.
 constexpr Duration DecisionInterval = std::chrono::milliseconds(10);
-/// A configuration or server list is requested again after this time.
-constexpr Duration CopyTimeout = std::chrono::milliseconds(500);
-
+/// A server list is requested again after this time.
+constexpr Duration CopyTimeout = std::chrono::seconds(1);
 std::string text(std::uint64_t Value) { return std::to_string(Value); }
 
 } // namespace
@@ -43,19 +42,23 @@
   Transport_->setMembers(Members_);
 }
 
-void HomeLink::setMembers(std::vector<EpochMember> Members) {
-  Members_ = std::move(Members);
-  std::vector<InstanceId> Names;
+void HomeLink::setMembers(std::span<const RelayMember> Members) {
+  Members_.clear();
+  std::vector<HomeCandidate> Candidates;
+  std::unordered_set<InstanceId> Names;
   const TimePoint Now = readBootClock();
-  for (const auto &Member : Members_) {
-    Names.push_back(Member.Id_.Name_);
-    MemberIds_[Member.Id_.Name_] = Member.Id_;
-    LastHeardAt_.try_emplace(Member.Id_.Name_, Now);
+  for (const auto &Member : Members) {
+    const MemberId &Id = Member.Peer_.Id_;
+    Members_.push_back(Member.Peer_);
+    Candidates.push_back({Id.Name_, Member.Capacity_});
+    Names.insert(Id.Name_);
+    MemberIds_[Id.Name_] = Id;
+    LastHeardAt_.try_emplace(Id.Name_, Now);
   }
   std::erase_if(LastHeardAt_, [&Names](const auto &Entry) {
-    return std::find(Names.begin(), Names.end(), Entry.first) == Names.end();
+    return !Names.contains(Entry.first);
   });
-  Selector_.setInstances(Names);
+  Selector_.setInstances(Candidates);
   Coordinator_.setInstanceCount(instanceCount());
   if (Transport_)
     Transport_->setMembers(Members_);
@@ -280,11 +283,9 @@
                               std::uint64_t Configuration,
                               std::uint64_t Servers) {
   const TimePoint Now = readBootClock();
-  if (Configuration > configurationVersion() &&
-      Now >= ConfigurationRequestedAt_ + CopyTimeout) {
-    ConfigurationRequestedAt_ = Now;
+  if (ConfigurationRequests_.tryRequest(Configuration, configurationVersion(),
+                                        Callbacks_.IsStoreAvailable_(), Now))
     send(Sender, ConfigurationRequest{configurationVersion()});
-  }
   const std::uint64_t KnownVersion = Callbacks_.ServersVersion_();
   const bool IsBehind =
       Servers > KnownVersion && !Callbacks_.IsStoreAvailable_();
@@ -323,7 +324,7 @@
 
 void HomeLink::handleReply(const InstanceId &Sender, const HomeReply &Message) {
   if (Sender != Self_) {
-    Selector_.onHeartbeatReply(Sender);
+    Selector_.onHeartbeatReply(Sender, readBootClock());
     if (Message.IsLeaving_)
       Selector_.onLeaving(Sender);
     handleVersions(Sender, Message.ConfigurationVersion_,
--- a/src/relayd/InstanceRows.cpp
+++ b/src/relayd/InstanceRows.cpp
@@ -18,24 +18,38 @@
   return std::string(Field->get_string().c_str());
 }
 
+// An instance of an earlier release does not state its capacity.
+InstanceCapacity readCapacity(const json::object &Object) {
+  InstanceCapacity Capacity;
+  boost::system::error_code Error;
+  if (const auto *Cores = Object.if_contains("cores"))
+    Capacity.Cores_ = Cores->to_number<double>(Error);
+  if (const auto *LinkMbps = Object.if_contains("link_mbps"))
+    Capacity.LinkMbps_ = LinkMbps->to_number<double>(Error);
+  return Error ? InstanceCapacity() : Capacity;
+}
+
 } // namespace
 
 std::string makeInstanceRowKey(const InstanceId &Name) {
   return std::string(KeyPrefix) + Name.Value_;
 }
 
-StoreRow makeInstanceRow(const EpochMember &Member) {
+StoreRow makeInstanceRow(const RelayMember &Member) {
+  const EpochMember &Peer = Member.Peer_;
   StoreRow Row;
   Row.Table_ = RelayTable;
-  Row.Key_ = makeInstanceRowKey(Member.Id_.Name_);
+  Row.Key_ = makeInstanceRowKey(Peer.Id_.Name_);
   Row.Value_ =
-      json::serialize(json::object{{"address", Member.PeerAddress_},
-                                   {"data_centre", Member.DataCentre_.Value_},
-                                   {"incarnation", Member.Id_.Incarnation_}});
+      json::serialize(json::object{{"address", Peer.PeerAddress_},
+                                   {"data_centre", Peer.DataCentre_.Value_},
+                                   {"incarnation", Peer.Id_.Incarnation_},
+                                   {"cores", Member.Capacity_.Cores_},
+                                   {"link_mbps", Member.Capacity_.LinkMbps_}});
   return Row;
 }
 
-std::optional<EpochMember> parseInstanceRow(const StoreRow &Row) {
+std::optional<RelayMember> parseInstanceRow(const StoreRow &Row) {
   if (!Row.Key_.starts_with(KeyPrefix))
     return std::nullopt;
   boost::system::error_code Error;
@@ -51,10 +65,11 @@
   const auto IncarnationNumber = Incarnation->to_number<std::uint64_t>(Error);
   if (Error)
     return std::nullopt;
-  EpochMember Member;
-  Member.Id_ = {{Row.Key_.substr(KeyPrefix.size())}, IncarnationNumber};
-  Member.PeerAddress_ = *Address;
-  Member.DataCentre_ = {*DataCentre};
+  RelayMember Member;
+  Member.Peer_.Id_ = {{Row.Key_.substr(KeyPrefix.size())}, IncarnationNumber};
+  Member.Peer_.PeerAddress_ = *Address;
+  Member.Peer_.DataCentre_ = {*DataCentre};
+  Member.Capacity_ = readCapacity(Object);
   return Member;
 }
 
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -301,11 +301,12 @@
   return Copy;
 }
 
-EpochMember RelayDaemon::self() const {
-  EpochMember Member;
-  Member.Id_ = {Settings_.Name_, Incarnation_};
-  Member.PeerAddress_ = Settings_.PeerListen_;
-  Member.DataCentre_ = Settings_.DataCentre_;
+RelayMember RelayDaemon::self() const {
+  RelayMember Member;
+  Member.Peer_.Id_ = {Settings_.Name_, Incarnation_};
+  Member.Peer_.PeerAddress_ = Settings_.PeerListen_;
+  Member.Peer_.DataCentre_ = Settings_.DataCentre_;
+  Member.Capacity_ = Settings_.Capacity_;
   return Member;
 }
 
@@ -337,13 +338,13 @@
 }
 
 void RelayDaemon::updateMembers() {
-  std::vector<EpochMember> Members = {self()};
+  std::vector<RelayMember> Members = {self()};
   for (const auto &[Key, Row] : RelayRows_) {
     const auto Member = parseInstanceRow(Row);
-    if (Member && Member->Id_.Name_ != Settings_.Name_)
+    if (Member && Member->Peer_.Id_.Name_ != Settings_.Name_)
       Members.push_back(*Member);
   }
-  Home_.setMembers(std::move(Members));
+  Home_.setMembers(Members);
 }
 
 Task<void> RelayDaemon::writeInstanceRow() {
@@ -392,7 +393,7 @@
 
 void RelayDaemon::openPeerTransport() {
   PeerSettings Settings;
-  Settings.Self_ = self().Id_;
+  Settings.Self_ = self().Peer_.Id_;
   Settings.Listen_ = Settings_.PeerListen_;
   Settings.Key_ = PeerKey_;
   auto Created = TcpPeerTransport::make(Context_, std::move(Settings));
--- a/tests/HomeLinkTest.cpp
+++ b/tests/HomeLinkTest.cpp
@@ -45,8 +45,9 @@
 public:
   AttachedInstance() {
     HomeSelector Selector({"one"}, "pools");
-    const std::vector<InstanceId> Names = {{"one"}, {"two"}};
-    Selector.setInstances(Names);
+    const std::vector<HomeCandidate> Candidates = {{{"one"}, {}},
+                                                   {{"two"}, {}}};
+    Selector.setInstances(Candidates);
     Home_ = Selector.home(readBootClock());
     const InstanceId Self =
         Home_ == InstanceId{"one"} ? InstanceId{"two"} : InstanceId{"one"};
@@ -54,23 +55,28 @@
     Handlers.OnConfiguration_ = [](std::string_view) {};
     Handlers.OnServers_ = [](const ServersCopy &) {};
     Handlers.ServersVersion_ = [] { return std::uint64_t{0}; };
-    Handlers.IsStoreAvailable_ = [] { return true; };
+    Handlers.IsStoreAvailable_ = [this] { return IsStoreAvailable_; };
     Handlers.CopyServers_ = [] { return ServersCopy(); };
     Link_ = std::make_unique<HomeLink>(Context_, Self, Directory_, 8s,
                                        std::move(Handlers));
     auto Transport = std::make_unique<FakeTransport>();
     Transport_ = Transport.get();
     Link_->setTransport(std::move(Transport));
-    Link_->setMembers({{{Self, 1}, "", {}}, {{Home_, 7}, "", {}}});
+    const std::vector<RelayMember> Members = {{{{Self, 1}, "", {}}, {}},
+                                              {{{Home_, 7}, "", {}}, {}}};
+    Link_->setMembers(Members);
     Link_->start();
     Context_.poll();
   }
 
   /// Delivers a reply of the home to the latest heartbeat.
   /// \param Incarnation the incarnation of the home's process.
-  void replyFromHome(std::uint64_t Incarnation) {
+  /// \param ConfigurationVersion the version that the home has.
+  void replyFromHome(std::uint64_t Incarnation,
+                     std::uint64_t ConfigurationVersion = 0) {
     HomeReply Reply;
     Reply.Sequence_ = heartbeats().back().Sequence_;
+    Reply.ConfigurationVersion_ = ConfigurationVersion;
     Transport_->deliver({Home_, Incarnation},
                         PlacementBytes{encodeHomeMessage(Reply)});
   }
@@ -100,6 +106,7 @@
   asio::io_context Context_;
   BackendDirectory Directory_;
   CancelScope Scope_;
+  bool IsStoreAvailable_ = true;
   InstanceId Home_;
   std::unique_ptr<HomeLink> Link_;
   FakeTransport *Transport_ = nullptr;
