Hold requests while an instance starts

Change: a request waits until the configuration and the servers are known, at most 2 s after the process started and a quarter of the caller's time.

--- a/include/gooseberrybeam/relayd/RelayContext.h
+++ b/include/gooseberrybeam/relayd/RelayContext.h
@@ -12,6 +12,7 @@
 #include "gooseberrybeam/relayd/HomeLink.h"
 #include "gooseberrybeam/relayd/RelayProtocol.h"
 #include "gooseberrybeam/relayd/RelaySettings.h"
+#include "gooseberrybeam/relayd/StartupGate.h"
 
 #include <memory>
 #include <random>
@@ -26,6 +27,8 @@
   const RelayProtocol &Protocol_;
   BackendDirectory &Directory_;
   HomeLink &Home_;
+  /// Open once the configuration and the backend servers are known.
+  StartupGate Startup_;
   ConnectionPool Pool_;
   Metrics Metrics_;
   /// Null until known.
--- a/include/gooseberrybeam/relayd/RelayDaemon.h
+++ b/include/gooseberrybeam/relayd/RelayDaemon.h
@@ -60,6 +60,7 @@
   Task<void> createPeerKey();
   Task<void> removeRow(StoreRow Row);
   void startWatchers();
+  void openWhenReady();
   void applyConfiguration(std::string_view Source, std::string_view Origin);
   void applyServers(const std::vector<StoreRow> &Rows, bool IsSnapshot);
   void applyServersCopy(const ServersCopy &Copy);
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -72,9 +72,16 @@
     : Settings_(std::move(Settings)), Adapter_(std::move(AdapterParts)),
       Home_(Context_, Settings_.Name_, Directory_, Settings_.LimitWindow_,
             makeCallbacks()),
-      Relay_{Context_,   Settings_, *Adapter_.Protocol_,
-             Directory_, Home_,     ConnectionPool(PoolLimits()),
-             {},         {},        {},
+      Relay_{Context_,
+             Settings_,
+             *Adapter_.Protocol_,
+             Directory_,
+             Home_,
+             StartupGate(Context_, readBootClock()),
+             ConnectionPool(PoolLimits()),
+             {},
+             {},
+             {},
              {}},
       Handler_(Relay_),
       Callers_(Context_, Handler_, makeCallerLimits(RelayCallerLimits()),
@@ -233,6 +240,12 @@
   Relay_.Configuration_ = Configuration;
   Callers_.setLimits(makeCallerLimits(Configuration->parts().CallerLimits_));
   Home_.configure(std::move(Configuration));
+  openWhenReady();
+}
+
+void RelayDaemon::openWhenReady() {
+  if (Relay_.Configuration_ && HasServers_ && !Relay_.Startup_.isOpen())
+    Relay_.Startup_.open();
 }
 
 void RelayDaemon::applyServers(const std::vector<StoreRow> &Rows,
@@ -274,6 +287,7 @@
              {"version", std::to_string(ServersVersion_)}});
   }
   HasServers_ = true;
+  openWhenReady();
 }
 
 void RelayDaemon::applyServersCopy(const ServersCopy &Copy) {
--- a/src/relayd/RelayHandler.cpp
+++ b/src/relayd/RelayHandler.cpp
@@ -55,6 +55,8 @@
       Context_.Protocol_.parseCallerRequest(Exchange.head());
   if (!CallerInfo.RequestId_.isEmpty())
     Exchange.setId(CallerInfo.RequestId_);
+  if (!Context_.Startup_.isOpen())
+    co_await Context_.Startup_.wait(CallerInfo.TimeLeft_);
   const auto Configuration = Context_.Configuration_;
   if (!Configuration) {
     co_await refuse(
