Let homes read shared tables and hand changes on

Change: the home polls the tables every 0.8 s and hands changes on to attached instances; its heartbeat replies state how current its copies are. An instance follows the store itself as soon as its home is silent, behind, not confirmed by the store for 1.3 s, or knows of an outage. A configuration that would take more than 0.15 s of the home's link is read from the store by all, as before. An instance that the store turns away is fed too. Backoff during outages is 1 s at most. The daemon's caches and watchers moved to TableFeeds.

Ways weighed: a tree of feeders (more hops, and staleness adds up), gossip (staleness not bounded), one home (chosen: one hop, its age is known).

--- a/include/gooseberrybeam/relay/BackendDirectory.h
+++ b/include/gooseberrybeam/relay/BackendDirectory.h
@@ -54,8 +54,11 @@
   /// \returns a counter that increases with each change of the entries.
   std::uint64_t changeCount() const { return ChangeCount_; }
 
-private:
+  /// \param Now the current time.
+  /// \returns whether the store is unavailable, or was until recently.
   bool isNearOutage(TimePoint Now) const;
+
+private:
   void erase(const ServerId &Id);
 
   std::map<ServerId, BackendEntry> Entries_;
--- a/include/gooseberrybeam/relay/HomeCoordinator.h
+++ b/include/gooseberrybeam/relay/HomeCoordinator.h
@@ -57,6 +57,8 @@
   /// \returns the decisions to send to the instances.
   std::vector<PlacementDecision> decide(TimePoint Now);
 
+  /// \returns the attached instances.
+  std::vector<InstanceId> attachedInstances() const;
   /// \returns the number of attached instances.
   std::size_t attachedCount() const { return AttachedInstances_.size(); }
   /// \returns the placer, for its queue and reservation counts.
--- a/include/gooseberrybeam/relay/HomeMessages.h
+++ b/include/gooseberrybeam/relay/HomeMessages.h
@@ -5,7 +5,9 @@
 #define GOOSEBERRYBEAM_RELAY_HOMEMESSAGES_H
 
 #include "gooseberrybeam/relay/PlacementTypes.h"
+#include "gooseberrybeam/relay/TableUpdate.h"
 
+#include <array>
 #include <string>
 #include <variant>
 #include <vector>
@@ -35,7 +37,8 @@
 struct HomeHeartbeat {
   std::uint64_t Sequence_ = 0;
   std::uint64_t ConfigurationVersion_ = 0;
-  std::uint64_t ServersVersion_ = 0; ///< Version of the known backend servers.
+  /// The latest known change of the registered backend servers.
+  std::uint64_t ServersVersion_ = 0;
   Duration Uptime_{0};      ///< Time since the sender's process started.
   bool IsAttached_ = false; ///< False: probes whether the receiver is alive.
   /// The number of times that the sender's process has attached to a home.
@@ -60,7 +63,9 @@
 struct HomeReply {
   std::uint64_t Sequence_ = 0;
   std::uint64_t ConfigurationVersion_ = 0;
-  std::uint64_t ServersVersion_ = 0;
+  std::uint64_t ServersVersion_ = 0; ///< As in the heartbeat.
+  /// The sender's copies of the shared tables, by `SharedTableId`.
+  std::array<FeedState, SharedTableCount> Feeds_;
   bool IsLeaving_ = false; ///< The sender shuts down; select another home.
   std::vector<OrganisationId> ExhaustedOrganisations_; ///< No tokens left.
   std::vector<LimitUtilisation> Utilisation_; ///< Of limits at least half used.
@@ -84,35 +89,11 @@
                          const ConfigurationCopy &) = default;
 };
 
-/// Requests the backend servers if they are newer than `Version_`.
-struct ServersRequest {
-  std::uint64_t Version_ = 0;
-
-  friend bool operator==(const ServersRequest &,
-                         const ServersRequest &) = default;
-};
-
-/// The rows of the backend servers as stored.
-struct ServersCopy {
-  std::uint64_t Version_ = 0;
-  /// A row of the store.
-  struct Row {
-    std::string Key_;
-    std::string Value_;
-    std::uint64_t Version_ = 0;
-
-    friend bool operator==(const Row &, const Row &) = default;
-  };
-  std::vector<Row> Rows_;
-
-  friend bool operator==(const ServersCopy &, const ServersCopy &) = default;
-};
-
 /// Any message between an instance and a home.
 using HomeMessage =
     std::variant<HomeHeartbeat, HomeReply, PlacementRequest, PlacementGrant,
                  PlacementDenial, GenerationReport, ConfigurationRequest,
-                 ConfigurationCopy, ServersRequest, ServersCopy>;
+                 ConfigurationCopy, TableRequest, TableUpdate>;
 
 } // namespace gooseberry
 
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -10,6 +10,7 @@
 #include "gooseberrybeam/relay/HomeCoordinator.h"
 #include "gooseberrybeam/relay/HomeSelector.h"
 #include "gooseberrybeam/relayd/RelayMember.h"
+#include "gooseberrybeam/relayd/TableExchange.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -34,25 +35,20 @@
   struct Callbacks {
     /// Applies a configuration received from a peer.
     std::function<void(std::string_view Source)> OnConfiguration_;
-    /// Applies backend servers received from a peer.
-    std::function<void(const ServersCopy &)> OnServers_;
-    /// \returns the version of the known backend servers.
-    std::function<std::uint64_t()> ServersVersion_;
-    /// \returns whether the store is readable; if so, backend servers are not
-    /// requested from peers, and a configuration only after some time.
+    /// \returns whether the store is readable; if so, a configuration is
+    /// requested from peers only after some time.
     std::function<bool()> IsStoreAvailable_;
-    /// \returns the known backend servers.
-    std::function<ServersCopy()> CopyServers_;
   };
 
   /// \param Context runs the timers and coroutines; outlives the link.
   /// \param Self the name of this instance.
   /// \param Directory the registered backend servers; outlives the link.
   /// \param LimitWindow how long token use counts towards a limit.
+  /// \param Tables the copies of shared tables; outlives the link.
   /// \param Handlers functions of the instance; all must be set.
   HomeLink(asio::io_context &Context, InstanceId Self,
            const BackendDirectory &Directory, Duration LimitWindow,
-           Callbacks Handlers);
+           TableExchange &Tables, Callbacks Handlers);
 
   /// Sets or replaces the transport to other instances.
   /// \param Transport the transport.
@@ -92,6 +88,13 @@
   /// home.
   bool isExhausted(const OrganisationId &Organisation) const;
 
+  /// Sends rows of a shared table to all instances that are attached to this
+  /// one.
+  /// \param Update the rows.
+  void sendToAttached(const TableUpdate &Update);
+  /// \returns how many other instances are attached to this one.
+  std::size_t attachedInstanceCount() const;
+
   /// \returns the number of instances that share limits and retry budgets; at
   /// least 1.
   std::size_t instanceCount() const;
@@ -133,6 +136,7 @@
                     const PlacementAnswer &Answer);
   void handleVersions(const InstanceId &Sender, std::uint64_t Configuration,
                       std::uint64_t Servers);
+  void handleFeeds(const HomeReply &Reply);
   HomeHeartbeat makeHeartbeat();
   std::vector<TokenUsage> recentTokenUsage() const;
   void logAnswer(const PlacementDecision &Decision) const;
@@ -143,6 +147,7 @@
 
   asio::io_context &Context_;
   InstanceId Self_;
+  TableExchange &Tables_;
   Callbacks Callbacks_;
   HomeCoordinator Coordinator_;
   HomeSelector Selector_;
@@ -175,7 +180,6 @@
   TimePoint LastHeartbeatAt_{Duration::zero()};
   TimePoint LastDecisionAt_{Duration::zero()};
   CopyRequestSchedule ConfigurationRequests_;
-  TimePoint ServersRequestedAt_{Duration::zero()};
   bool IsLeaving_ = false;
 };
 
--- a/include/gooseberrybeam/relayd/RelayDaemon.h
+++ b/include/gooseberrybeam/relayd/RelayDaemon.h
@@ -9,7 +9,7 @@
 #include "gooseberrybeam/relayd/RelayHandler.h"
 #include "gooseberrybeam/relayd/RelaySettings.h"
 #include "gooseberrybeam/relayd/StoreSchema.h"
-#include "gooseberrybeam/relayd/TableWatcher.h"
+#include "gooseberrybeam/relayd/TableFeeds.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 
 namespace gooseberry {
@@ -59,14 +60,17 @@
   Task<void> writeInstanceRow();
   Task<void> createPeerKey();
   Task<void> removeRow(StoreRow Row);
-  void startWatchers();
+  Task<void> removeUnresponsive(InstanceId Instance, StoreRow Row);
   void openWhenReady();
   void applyConfiguration(std::string_view Source, std::string_view Origin);
-  void applyServers(const std::vector<StoreRow> &Rows, bool IsSnapshot);
-  void applyServersCopy(const ServersCopy &Copy);
-  ServersCopy copyServers() const;
+  void applyConfigurationRows(std::span<const StoreRow> Changed);
+  void applyServers(std::span<const StoreRow> Changed);
+  void applyInstances();
+  void registerSelf();
+  void adoptPeerKey();
   HomeLink::Callbacks makeCallbacks();
-  void applyRelayRows(const std::vector<StoreRow> &Rows, bool IsSnapshot);
+  TableFeeds::Listener makeFeedListener();
+  const std::map<std::string, StoreRow> &instanceRows() const;
   void updateMembers();
   void openPeerTransport();
   void removeUnresponsiveMembers();
@@ -77,17 +81,15 @@
   Adapter Adapter_;
   asio::io_context Context_;
   BackendDirectory Directory_;
+  TableFeeds Feeds_;
   HomeLink Home_;
   RelayContext Relay_;
   RelayHandler Handler_;
   CallerServer Callers_;
   std::unique_ptr<RowStore> Store_;
-  std::vector<std::unique_ptr<TableWatcher>> Watchers_;
   std::vector<std::unique_ptr<Port>> Ports_;
-  std::map<std::string, StoreRow> RelayRows_; ///< Of `RelayTable`, by key.
-  std::map<std::string, StoreRow> ServerRows_;
-  std::uint64_t ServersVersion_ = 0;
-  bool IsStoreAvailable_ = true;
+  /// Versions of rows of unresponsive instances that are being removed.
+  std::map<InstanceId, std::uint64_t> RowsBeingRemoved_;
   std::string PeerKey_;
   std::uint64_t Incarnation_ = 0;
   TimePoint StartedAt_;
--- a/include/gooseberrybeam/relayd/TableWatcher.h
+++ b/include/gooseberrybeam/relayd/TableWatcher.h
@@ -19,26 +19,46 @@
 public:
   /// Functions that the watcher calls; all must be set.
   struct Listener {
-    std::function<void(const std::vector<StoreRow> &)> OnSnapshot_;
-    std::function<void(const std::vector<StoreRow> &)> OnChanges_;
+    std::function<void(const StoreRows &)> OnSnapshot_;
+    /// Called after each call for changes; without rows if there were none.
+    std::function<void(const StoreRows &)> OnChanges_;
     std::function<void()> OnUnavailable_; ///< An outage began.
     std::function<void()> OnAvailable_;   ///< The outage ended.
   };
 
+  /// How often the store is called.
+  struct Pace {
+    /// Pause after each result with rows; changes during the pause arrive in
+    /// one call.
+    Duration MinInterval_{0};
+    Duration PollTime_{0}; ///< How long the store holds a call for changes.
+  };
+
+  /// Functions that govern the calls; all must be set.
+  struct Control {
+    std::function<Pace()> Pace_;
+    /// \returns whether changes are received from elsewhere.
+    std::function<bool()> IsPaused_;
+    /// \returns the version up to which changes were received.
+    std::function<std::uint64_t()> KnownVersion_;
+  };
+
   /// \param Context runs the watcher; outlives it.
   /// \param Store the store; outlives the watcher.
   /// \param Table the table to watch.
-  /// \param MinInterval pause after each result with rows; changes during the
-  /// pause arrive in one call.
+  /// \param Governor governs the calls.
   /// \param Handlers receives snapshots, changes and outages.
   TableWatcher(asio::io_context &Context, RowStore &Store, std::string Table,
-               Duration MinInterval, Listener Handlers);
+               Control Governor, Listener Handlers);
 
   /// Starts watching; ends when the context stops.
   void start();
+  /// Continues if the watcher waits although it is no longer paused.
+  void resumeIfNeeded();
 
 private:
   Task<void> run();
+  Task<void> waitWhilePaused();
   Task<bool> readAll();
   Task<bool> pollOnce();
   Task<void> wait(Duration Time);
@@ -48,7 +68,8 @@
   asio::io_context &Context_;
   RowStore &Store_;
   std::string Table_;
-  Duration MinInterval_;
+  Control Control_;
+  asio::steady_timer PauseTimer_; ///< Cancelled to continue after a pause.
   Listener Listener_;
   CancelScope Scope_;
   std::uint64_t Version_ = 0;
--- a/src/relay/HomeCoordinator.cpp
+++ b/src/relay/HomeCoordinator.cpp
@@ -117,6 +117,13 @@
   Placer_.onReport(Report, Now);
 }
 
+std::vector<InstanceId> HomeCoordinator::attachedInstances() const {
+  std::vector<InstanceId> Instances;
+  for (const auto &[Instance, State] : AttachedInstances_)
+    Instances.push_back(Instance);
+  return Instances;
+}
+
 void HomeCoordinator::detachSilent(TimePoint Now) {
   std::vector<InstanceId> Silent;
   for (const auto &[Instance, State] : AttachedInstances_)
--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -2,6 +2,8 @@
 
 #include <home.pb.h>
 
+#include <algorithm>
+
 namespace gooseberry {
 namespace {
 
@@ -63,6 +65,13 @@
   for (const auto &Organisation : Message.ExhaustedOrganisations_)
     Body.add_exhausted(Organisation.Value_);
   writeUtilisation(Body, Message.Utilisation_);
+  for (const auto &Source : Message.Feeds_) {
+    auto &Feed = *Body.add_feeds();
+    Feed.set_version(Source.Version_);
+    Feed.set_last_change(Source.LastChange_);
+    Feed.set_age_us(Source.Age_.count());
+    Feed.set_is_store_available(Source.IsStoreAvailable_);
+  }
 }
 
 void write(wire::Home &Envelope, const PlacementRequest &Message) {
@@ -122,13 +131,18 @@
   Envelope.set_configuration(Message.Source_);
 }
 
-void write(wire::Home &Envelope, const ServersRequest &Message) {
-  Envelope.set_servers_request(Message.Version_);
+void write(wire::Home &Envelope, const TableRequest &Message) {
+  auto &Body = *Envelope.mutable_table_request();
+  Body.set_table(static_cast<std::uint32_t>(Message.Table_));
+  Body.set_version(Message.Version_);
 }
 
-void write(wire::Home &Envelope, const ServersCopy &Message) {
-  auto &Body = *Envelope.mutable_servers();
+void write(wire::Home &Envelope, const TableUpdate &Message) {
+  auto &Body = *Envelope.mutable_table_update();
+  Body.set_table(static_cast<std::uint32_t>(Message.Table_));
+  Body.set_base_version(Message.BaseVersion_);
   Body.set_version(Message.Version_);
+  Body.set_is_near_outage(Message.IsNearOutage_);
   for (const auto &Source : Message.Rows_) {
     auto &Row = *Body.add_rows();
     Row.set_key(Source.Key_);
@@ -170,6 +184,15 @@
   for (const auto &Organisation : Body.exhausted())
     Message.ExhaustedOrganisations_.push_back({Organisation});
   Message.Utilisation_ = readUtilisation(Body);
+  // An instance of an earlier release states no feeds: they count as unread.
+  const int FeedCount =
+      std::min(Body.feeds_size(), static_cast<int>(SharedTableCount));
+  for (int I = 0; I != FeedCount; ++I) {
+    const auto &Feed = Body.feeds(I);
+    Message.Feeds_[static_cast<std::size_t>(I)] = {
+        Feed.version(), Feed.last_change(), Duration(Feed.age_us()),
+        Feed.is_store_available()};
+  }
   return Message;
 }
 
@@ -227,9 +250,28 @@
                           Duration(Body.took_us())};
 }
 
-ServersCopy read(const wire::HomeServers &Body) {
-  ServersCopy Message;
+std::optional<SharedTableId> readTable(std::uint32_t Table) {
+  if (Table >= SharedTableCount)
+    return std::nullopt;
+  return static_cast<SharedTableId>(Table);
+}
+
+std::optional<HomeMessage> read(const wire::HomeTableRequest &Body) {
+  const auto Table = readTable(Body.table());
+  if (!Table)
+    return std::nullopt;
+  return TableRequest{*Table, Body.version()};
+}
+
+std::optional<HomeMessage> read(const wire::HomeTableUpdate &Body) {
+  const auto Table = readTable(Body.table());
+  if (!Table)
+    return std::nullopt;
+  TableUpdate Message;
+  Message.Table_ = *Table;
+  Message.BaseVersion_ = Body.base_version();
   Message.Version_ = Body.version();
+  Message.IsNearOutage_ = Body.is_near_outage();
   for (const auto &Row : Body.rows())
     Message.Rows_.push_back({Row.key(), Row.value(), Row.version()});
   return Message;
@@ -265,10 +307,10 @@
     return ConfigurationRequest{Envelope.configuration_request()};
   case wire::Home::kConfiguration:
     return ConfigurationCopy{Envelope.configuration()};
-  case wire::Home::kServersRequest:
-    return ServersRequest{Envelope.servers_request()};
-  case wire::Home::kServers:
-    return read(Envelope.servers());
+  case wire::Home::kTableRequest:
+    return read(Envelope.table_request());
+  case wire::Home::kTableUpdate:
+    return read(Envelope.table_update());
   case wire::Home::BODY_NOT_SET:
     break;
   }
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -16,16 +16,14 @@
 /// Messages that arrive within this time of a decision wait for the next one,
 /// so that the load of a home does not grow with the number of messages.
 constexpr Duration DecisionInterval = std::chrono::milliseconds(10);
-/// A server list is requested again after this time.
-constexpr Duration CopyTimeout = std::chrono::seconds(1);
 std::string text(std::uint64_t Value) { return std::to_string(Value); }
 
 } // namespace
 
 HomeLink::HomeLink(asio::io_context &Context, InstanceId Self,
                    const BackendDirectory &Directory, Duration LimitWindow,
-                   Callbacks Handlers)
-    : Context_(Context), Self_(std::move(Self)),
+                   TableExchange &Tables, Callbacks Handlers)
+    : Context_(Context), Self_(std::move(Self)), Tables_(Tables),
       Callbacks_(std::move(Handlers)), Coordinator_(Directory, LimitWindow),
       Selector_(Self_, "pools"), Home_(Self_), LimitWindow_(LimitWindow) {}
 
@@ -118,7 +116,8 @@
   HomeHeartbeat Message;
   Message.Sequence_ = ++Sequence_;
   Message.ConfigurationVersion_ = configurationVersion();
-  Message.ServersVersion_ = Callbacks_.ServersVersion_();
+  Message.ServersVersion_ =
+      Tables_.feedState(SharedTableId::Servers).LastChange_;
   Message.Uptime_ = readBootClock() - StartedAt_;
   Message.Attachment_ = Attachment_;
   Message.IsLeaving_ = IsLeaving_;
@@ -152,6 +151,7 @@
            {"waiting", text(PendingPlacements_.size())},
            {"running", text(RunningGenerations_.size())}});
   const InstanceId PreviousHome = std::exchange(Home_, NextHome);
+  Tables_.onHomeChanged();
   send(PreviousHome, makeHeartbeat());
   // All instances leave a home that shuts down and report their recent token
   // use to the next one, so what the previous home granted is already included.
@@ -271,11 +271,11 @@
           [this](const ConfigurationCopy &Copy) {
             Callbacks_.OnConfiguration_(Copy.Source_);
           },
-          [this, &Sender](const ServersRequest &Request) {
-            if (Callbacks_.ServersVersion_() > Request.Version_)
-              send(Sender, Callbacks_.CopyServers_());
+          [this, &Sender](const TableRequest &Request) {
+            if (const auto Update = Tables_.answer(Request))
+              send(Sender, *Update);
           },
-          [this](const ServersCopy &Copy) { Callbacks_.OnServers_(Copy); }},
+          [this](const TableUpdate &Update) { Tables_.onUpdate(Update); }},
       Message);
 }
 
@@ -286,15 +286,33 @@
   if (ConfigurationRequests_.tryRequest(Configuration, configurationVersion(),
                                         Callbacks_.IsStoreAvailable_(), Now))
     send(Sender, ConfigurationRequest{configurationVersion()});
-  const std::uint64_t KnownVersion = Callbacks_.ServersVersion_();
-  const bool IsBehind =
-      Servers > KnownVersion && !Callbacks_.IsStoreAvailable_();
-  if (IsBehind && Now >= ServersRequestedAt_ + CopyTimeout) {
-    ServersRequestedAt_ = Now;
-    send(Sender, ServersRequest{KnownVersion});
+  if (const auto Request =
+          Tables_.onPeerVersion(SharedTableId::Servers, Servers))
+    send(Sender, *Request);
+}
+
+void HomeLink::handleFeeds(const HomeReply &Reply) {
+  for (std::size_t I = 0; I != SharedTableCount; ++I) {
+    const auto Table = static_cast<SharedTableId>(I);
+    if (const auto Request = Tables_.onHomeState(Table, Reply.Feeds_[I]))
+      send(Home_, *Request);
   }
 }
 
+void HomeLink::sendToAttached(const TableUpdate &Update) {
+  const PlacementBytes Bytes = {encodeHomeMessage(Update)};
+  for (const InstanceId &Each : Coordinator_.attachedInstances()) {
+    const auto Found = MemberIds_.find(Each);
+    if (Each != Self_ && Transport_ && Found != MemberIds_.end())
+      Transport_->send(Found->second, Bytes);
+  }
+}
+
+std::size_t HomeLink::attachedInstanceCount() const {
+  const std::size_t Own = Home_ == Self_ ? 1 : 0;
+  return std::max(Coordinator_.attachedCount(), Own) - Own;
+}
+
 void HomeLink::handleHeartbeat(const InstanceId &Sender,
                                const HomeHeartbeat &Message) {
   const TimePoint Now = readBootClock();
@@ -303,7 +321,9 @@
   HomeReply Reply;
   Reply.Sequence_ = Message.Sequence_;
   Reply.ConfigurationVersion_ = configurationVersion();
-  Reply.ServersVersion_ = Callbacks_.ServersVersion_();
+  for (std::size_t I = 0; I != SharedTableCount; ++I)
+    Reply.Feeds_[I] = Tables_.feedState(static_cast<SharedTableId>(I));
+  Reply.ServersVersion_ = Tables_.feedState(SharedTableId::Servers).LastChange_;
   Reply.IsLeaving_ = IsLeaving_;
   Reply.ExhaustedOrganisations_ =
       Coordinator_.onHeartbeat(Sender, Message, Now);
@@ -335,6 +355,8 @@
   confirmAttachment(Sender, Message.Sequence_);
   if (!HomeIncarnation_)
     return;
+  if (Sender != Self_)
+    handleFeeds(Message);
   Utilisation_ = Message.Utilisation_;
   ExhaustedOrganisations_.clear();
   ExhaustedOrganisations_.insert(Message.ExhaustedOrganisations_.begin(),
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -19,7 +19,7 @@
 
 namespace http = beast::http;
 
-constexpr Duration TickInterval = std::chrono::milliseconds(250);
+constexpr Duration TickInterval = std::chrono::milliseconds(100);
 constexpr Duration WriteRetryInterval = std::chrono::milliseconds(300);
 /// New connections are accepted for this long after SIGTERM, until the load
 /// balancer has noticed that the instance is not ready.
@@ -31,11 +31,6 @@
 constexpr Duration OperatorTimeout = std::chrono::seconds(3);
 /// The home unregisters an instance that has sent no message for this long.
 constexpr Duration MemberTimeout = std::chrono::seconds(20);
-/// Changes of backend servers within this time arrive in one call.
-constexpr Duration ServersBatchInterval = std::chrono::milliseconds(250);
-/// A long interval suffices: until the rows arrive, instances learn of each
-/// other from messages through their homes.
-constexpr Duration RelayRowsBatchInterval = std::chrono::seconds(3);
 constexpr Duration InitialCallerDeadline = std::chrono::seconds(30);
 
 CallerLimits makeCallerLimits(const RelayCallerLimits &Configured) {
@@ -70,8 +65,12 @@
 
 RelayDaemon::RelayDaemon(RelaySettings Settings, Adapter AdapterParts)
     : Settings_(std::move(Settings)), Adapter_(std::move(AdapterParts)),
+      Feeds_(Context_,
+             {Adapter_.Schema_->serversTable(), std::string(RelayTable),
+              Adapter_.Schema_->configurationTable()},
+             Settings_.Capacity_.LinkMbps_, makeFeedListener()),
       Home_(Context_, Settings_.Name_, Directory_, Settings_.LimitWindow_,
-            makeCallbacks()),
+            Feeds_, makeCallbacks()),
       Relay_{Context_,
              Settings_,
              *Adapter_.Protocol_,
@@ -98,12 +97,36 @@
   Handlers.OnConfiguration_ = [this](std::string_view Source) {
     applyConfiguration(Source, "peer");
   };
-  Handlers.OnServers_ = [this](const ServersCopy &Copy) {
-    applyServersCopy(Copy);
+  Handlers.IsStoreAvailable_ = [this] { return Feeds_.areServersCurrent(); };
+  return Handlers;
+}
+
+TableFeeds::Listener RelayDaemon::makeFeedListener() {
+  TableFeeds::Listener Handlers;
+  Handlers.OnChanges_ = [this](SharedTableId Table,
+                               std::span<const StoreRow> Changed) {
+    if (Table == SharedTableId::Servers)
+      applyServers(Changed);
+    else if (Table == SharedTableId::Instances)
+      applyInstances();
+    else
+      applyConfigurationRows(Changed);
+  };
+  Handlers.OnAvailability_ = [this](bool IsAvailable) {
+    if (IsAvailable)
+      Directory_.onStoreRestored(readBootClock());
+    else
+      Directory_.onStoreUnavailable();
+  };
+  Handlers.IsNearOutage_ = [this] {
+    return Directory_.isNearOutage(readBootClock());
+  };
+  Handlers.AttachedInstanceCount_ = [this] {
+    return Home_.attachedInstanceCount();
+  };
+  Handlers.SendToAttached_ = [this](const TableUpdate &Update) {
+    Home_.sendToAttached(Update);
   };
-  Handlers.ServersVersion_ = [this] { return ServersVersion_; };
-  Handlers.IsStoreAvailable_ = [this] { return IsStoreAvailable_; };
-  Handlers.CopyServers_ = [this] { return copyServers(); };
   return Handlers;
 }
 
@@ -134,7 +157,7 @@
   asio::co_spawn(Context_, watchHangups(), asio::detached);
   asio::co_spawn(Context_, runTicks(), asio::detached);
   Home_.start();
-  startWatchers();
+  Feeds_.start(*Store_);
   logLine(LogPart::Daemon, LogLevel::Info, "Instance starting.",
           {{"instance", Settings_.Name_.Value_},
            {"incarnation", std::to_string(Incarnation_)},
@@ -188,36 +211,10 @@
   }
 }
 
-void RelayDaemon::startWatchers() {
-  const auto Ignore = [] {};
-  const auto Watch = [this](std::string Table, Duration MinInterval,
-                            TableWatcher::Listener Listener) {
-    Watchers_.push_back(std::make_unique<TableWatcher>(
-        Context_, *Store_, std::move(Table), MinInterval, std::move(Listener)));
-    Watchers_.back()->start();
-  };
-  const auto ApplyConfiguration = [this](const std::vector<StoreRow> &Rows) {
-    for (const auto &Row : Rows)
-      if (Row.Key_ == Adapter_.Schema_->configurationKey() && !Row.IsRemoved_)
-        applyConfiguration(Row.Value_, "store");
-  };
-  Watch(Adapter_.Schema_->configurationTable(), Duration::zero(),
-        {ApplyConfiguration, ApplyConfiguration, Ignore, Ignore});
-  Watch(Adapter_.Schema_->serversTable(), ServersBatchInterval,
-        {[this](const auto &Rows) { applyServers(Rows, true); },
-         [this](const auto &Rows) { applyServers(Rows, false); },
-         [this] {
-           IsStoreAvailable_ = false;
-           Directory_.onStoreUnavailable();
-         },
-         [this] {
-           IsStoreAvailable_ = true;
-           Directory_.onStoreRestored(readBootClock());
-         }});
-  Watch(std::string(RelayTable), RelayRowsBatchInterval,
-        {[this](const auto &Rows) { applyRelayRows(Rows, true); },
-         [this](const auto &Rows) { applyRelayRows(Rows, false); }, Ignore,
-         Ignore});
+void RelayDaemon::applyConfigurationRows(std::span<const StoreRow> Changed) {
+  for (const auto &Row : Changed)
+    if (Row.Key_ == Adapter_.Schema_->configurationKey() && !Row.IsRemoved_)
+      applyConfiguration(Row.Value_, "store");
 }
 
 void RelayDaemon::applyConfiguration(std::string_view Source,
@@ -248,30 +245,17 @@
     Relay_.Startup_.open();
 }
 
-void RelayDaemon::applyServers(const std::vector<StoreRow> &Rows,
-                               bool IsSnapshot) {
+void RelayDaemon::applyServers(std::span<const StoreRow> Changed) {
   const TimePoint Now = readBootClock();
-  std::vector<BackendEntry> Entries;
-  if (IsSnapshot)
-    ServerRows_.clear();
-  for (const auto &Row : Rows) {
-    const auto Existing = ServerRows_.find(Row.Key_);
-    if (Existing != ServerRows_.end() &&
-        Existing->second.Version_ > Row.Version_)
-      continue;
-    ServerRows_[Row.Key_] = Row;
-    ServersVersion_ = std::max(ServersVersion_, Row.Version_);
+  for (const auto &Row : Changed) {
     const auto Entry =
         Row.IsRemoved_ ? std::nullopt : Adapter_.Schema_->parseServer(Row);
-    if (IsSnapshot) {
-      if (Entry)
-        Entries.push_back(*Entry);
-      continue;
-    }
     if (Entry)
       Directory_.put(*Entry);
     else
       Directory_.remove({Row.Key_}, Now);
+    if (!HasServers_)
+      continue;
     logLine(LogPart::Service, LogLevel::Info, "Backend server changed.",
             {{"server", Row.Key_},
              {"state", !Entry              ? "gone"
@@ -279,42 +263,12 @@
                                            : "ready"},
              {"version", std::to_string(Row.Version_)}});
   }
-  if (IsSnapshot) {
-    Directory_.replace(Entries, Now);
-    logLine(LogPart::Service, LogLevel::Info,
-            "Backend servers loaded from the store.",
-            {{"count", std::to_string(Entries.size())},
-             {"version", std::to_string(ServersVersion_)}});
-  }
-  HasServers_ = true;
+  if (!std::exchange(HasServers_, true))
+    logLine(LogPart::Service, LogLevel::Info, "Backend servers loaded.",
+            {{"count", std::to_string(Directory_.entries().size())}});
   openWhenReady();
 }
 
-void RelayDaemon::applyServersCopy(const ServersCopy &Copy) {
-  if (IsStoreAvailable_ || Copy.Version_ <= ServersVersion_)
-    return;
-  std::vector<StoreRow> Rows;
-  for (const auto &Copied : Copy.Rows_) {
-    StoreRow Row;
-    Row.Key_ = Copied.Key_;
-    Row.Value_ = Copied.Value_;
-    Row.Version_ = Copied.Version_;
-    Row.IsRemoved_ = Copied.Value_.empty();
-    Rows.push_back(std::move(Row));
-  }
-  applyServers(Rows, false);
-  ServersVersion_ = std::max(ServersVersion_, Copy.Version_);
-}
-
-ServersCopy RelayDaemon::copyServers() const {
-  ServersCopy Copy;
-  Copy.Version_ = ServersVersion_;
-  for (const auto &[Key, Row] : ServerRows_)
-    Copy.Rows_.push_back(
-        {Key, Row.IsRemoved_ ? std::string() : Row.Value_, Row.Version_});
-  return Copy;
-}
-
 RelayMember RelayDaemon::self() const {
   RelayMember Member;
   Member.Peer_.Id_ = {Settings_.Name_, Incarnation_};
@@ -324,36 +278,40 @@
   return Member;
 }
 
-void RelayDaemon::applyRelayRows(const std::vector<StoreRow> &Rows,
-                                 bool IsSnapshot) {
-  if (IsSnapshot)
-    RelayRows_.clear();
-  for (const auto &Row : Rows) {
-    if (Row.IsRemoved_)
-      RelayRows_.erase(Row.Key_);
-    else
-      RelayRows_[Row.Key_] = Row;
+const std::map<std::string, StoreRow> &RelayDaemon::instanceRows() const {
+  return Feeds_.table(SharedTableId::Instances).cache().rows();
+}
+
+void RelayDaemon::applyInstances() {
+  registerSelf();
+  adoptPeerKey();
+  updateMembers();
+}
+
+void RelayDaemon::registerSelf() {
+  const auto Row = instanceRows().find(makeInstanceRowKey(Settings_.Name_));
+  const bool IsListed =
+      Row != instanceRows().end() && parseInstanceRow(Row->second) == self();
+  if (IsListed || Relay_.IsDraining_ ||
+      std::exchange(IsInstanceRowBeingWritten_, true))
+    return;
+  asio::co_spawn(Context_, writeInstanceRow(), asio::detached);
+}
+
+void RelayDaemon::adoptPeerKey() {
+  const auto Row = instanceRows().find(std::string(PeerKeyRow));
+  if (Row != instanceRows().end()) {
+    if (std::exchange(PeerKey_, Row->second.Value_) != Row->second.Value_)
+      openPeerTransport();
+    return;
   }
-  const auto InstanceRow = RelayRows_.find(makeInstanceRowKey(Settings_.Name_));
-  const bool IsListed = InstanceRow != RelayRows_.end() &&
-                        parseInstanceRow(InstanceRow->second) == self();
-  if (!IsListed && !Relay_.IsDraining_ &&
-      !std::exchange(IsInstanceRowBeingWritten_, true))
-    asio::co_spawn(Context_, writeInstanceRow(), asio::detached);
-  const auto KeyRow = RelayRows_.find(std::string(PeerKeyRow));
-  if (KeyRow != RelayRows_.end() && PeerKey_ != KeyRow->second.Value_) {
-    PeerKey_ = KeyRow->second.Value_;
-    openPeerTransport();
-  } else if (KeyRow == RelayRows_.end() &&
-             !std::exchange(IsPeerKeyBeingCreated_, true)) {
+  if (!std::exchange(IsPeerKeyBeingCreated_, true))
     asio::co_spawn(Context_, createPeerKey(), asio::detached);
-  }
-  updateMembers();
 }
 
 void RelayDaemon::updateMembers() {
   std::vector<RelayMember> Members = {self()};
-  for (const auto &[Key, Row] : RelayRows_) {
+  for (const auto &[Key, Row] : instanceRows()) {
     const auto Member = parseInstanceRow(Row);
     if (Member && Member->Peer_.Id_.Name_ != Settings_.Name_)
       Members.push_back(*Member);
@@ -402,7 +360,7 @@
   co_await Timer.async_wait(AsTuple);
   IsPeerKeyBeingCreated_ = false;
   if (PeerKey_.empty())
-    applyRelayRows({}, false);
+    adoptPeerKey();
 }
 
 void RelayDaemon::openPeerTransport() {
@@ -435,6 +393,7 @@
       Balancer.retainIf([this](const ServerId &Id) {
         return Directory_.find(Id) != nullptr;
       });
+    Feeds_.tick();
     removeUnresponsiveMembers();
   }
 }
@@ -448,18 +407,25 @@
   if (Now < HomeSince_ + MemberTimeout)
     return;
   for (const auto &Instance : Home_.unresponsiveMembers(MemberTimeout)) {
-    const auto Row = RelayRows_.find(makeInstanceRowKey(Instance));
-    if (Row == RelayRows_.end())
+    const auto Row = instanceRows().find(makeInstanceRowKey(Instance));
+    if (Row == instanceRows().end())
+      continue;
+    const std::uint64_t Version = Row->second.Version_;
+    if (std::exchange(RowsBeingRemoved_[Instance], Version) == Version)
       continue;
     logLine(LogPart::Membership, LogLevel::Info,
             "Instance sent no messages; removing its row.",
             {{"instance", Instance.Value_}});
-    asio::co_spawn(Context_, removeRow(Row->second), asio::detached);
-    RelayRows_.erase(Row);
-    updateMembers();
+    asio::co_spawn(Context_, removeUnresponsive(Instance, Row->second),
+                   asio::detached);
   }
 }
 
+Task<void> RelayDaemon::removeUnresponsive(InstanceId Instance, StoreRow Row) {
+  co_await removeRow(std::move(Row));
+  RowsBeingRemoved_.erase(Instance);
+}
+
 Task<void> RelayDaemon::removeRow(StoreRow Row) {
   CancelScope Scope;
   RowWrite Write;
@@ -498,8 +464,8 @@
           "Shutdown requested; draining requests.",
           {{"in_flight", std::to_string(Relay_.InFlight_)}});
   Home_.announceShutdown();
-  const auto Row = RelayRows_.find(makeInstanceRowKey(Settings_.Name_));
-  if (Row != RelayRows_.end())
+  const auto Row = instanceRows().find(makeInstanceRowKey(Settings_.Name_));
+  if (Row != instanceRows().end())
     asio::co_spawn(Context_, removeRow(Row->second), asio::detached);
   asio::steady_timer Timer(Context_);
   Timer.expires_after(ReadinessNoticeTime);
--- /dev/null
+++ b/src/relayd/SharedTable.cpp
@@ -0,0 +1,50 @@
+#include "gooseberrybeam/relayd/SharedTable.h"
+
+#include <utility>
+
+namespace gooseberry {
+
+SharedTable::SharedTable(SharedTableId Id, std::string Name)
+    : Id_(Id), Name_(std::move(Name)), Cache_(Id, Name_) {}
+
+std::vector<StoreRow> SharedTable::onStoreSnapshot(const StoreRows &Rows,
+                                                   TimePoint Now) {
+  ConfirmedAt_ = Now;
+  return Cache_.applySnapshot(Rows);
+}
+
+std::vector<StoreRow> SharedTable::onStoreChanges(const StoreRows &Rows,
+                                                  TimePoint Now) {
+  ConfirmedAt_ = Now;
+  return Cache_.applyChanges(Rows);
+}
+
+std::optional<TableRequest> SharedTable::onHomeState(const FeedState &State,
+                                                     TimePoint Now) {
+  if (Cache_.version() != 0 && Cache_.version() >= State.LastChange_)
+    Cache_.advance(State.Version_);
+  Source_.onHomeState(State, Cache_.version(), Now);
+  return onPeerVersion(State.LastChange_, Now);
+}
+
+std::optional<TableRequest> SharedTable::onPeerVersion(std::uint64_t LastChange,
+                                                       TimePoint Now) {
+  // A copy of a large configuration is requested in another way, and later.
+  if (Id_ == SharedTableId::Configuration)
+    return std::nullopt;
+  const bool IsFedByStore = IsStoreAvailable_ && !isFedByHome(Now);
+  if (!Requests_.tryRequest(LastChange, Cache_.version(), IsFedByStore, Now))
+    return std::nullopt;
+  return TableRequest{Id_, Cache_.version()};
+}
+
+std::vector<StoreRow> SharedTable::onUpdate(const TableUpdate &Update) {
+  return Cache_.applyUpdate(Update);
+}
+
+FeedState SharedTable::feedState(TimePoint Now) const {
+  return {Cache_.version(), Cache_.lastChange(), Now - ConfirmedAt_,
+          IsStoreAvailable_};
+}
+
+} // namespace gooseberry
--- a/src/relayd/TableWatcher.cpp
+++ b/src/relayd/TableWatcher.cpp
@@ -10,12 +10,10 @@
 namespace gooseberry {
 namespace {
 
-/// How long the store holds a call while there are no changes.
-constexpr Duration LongPollTimeout = std::chrono::seconds(25);
 /// After a failure a short call shows sooner that the store is reachable again.
 constexpr Duration RetryPollTimeout = std::chrono::milliseconds(100);
 constexpr Duration InitialBackoff = std::chrono::milliseconds(60);
-constexpr Duration MaxBackoff = std::chrono::milliseconds(400);
+constexpr Duration MaxBackoff = std::chrono::seconds(1);
 constexpr std::uint32_t MaxBackoffDoublings = 4;
 
 } // namespace
@@ -27,19 +25,36 @@
 }
 
 TableWatcher::TableWatcher(asio::io_context &Context, RowStore &Store,
-                           std::string Table, Duration MinInterval,
+                           std::string Table, Control Governor,
                            Listener Handlers)
     : Context_(Context), Store_(Store), Table_(std::move(Table)),
-      MinInterval_(MinInterval), Listener_(std::move(Handlers)) {}
+      Control_(std::move(Governor)), PauseTimer_(Context),
+      Listener_(std::move(Handlers)) {}
 
 void TableWatcher::start() { asio::co_spawn(Context_, run(), asio::detached); }
 
 Task<void> TableWatcher::run() {
   for (;;) {
     bool HasRead = co_await readAll();
-    while (HasRead)
+    while (HasRead) {
+      co_await waitWhilePaused();
       HasRead = co_await pollOnce();
+    }
+  }
+}
+
+Task<void> TableWatcher::waitWhilePaused() {
+  while (Control_.IsPaused_()) {
+    handleSuccess(); // Changes arrive, so an outage of the store is over here.
+    PauseTimer_.expires_at(asio::steady_timer::time_point::max());
+    co_await PauseTimer_.async_wait(AsTuple);
   }
+  Version_ = std::max(Version_, Control_.KnownVersion_());
+}
+
+void TableWatcher::resumeIfNeeded() {
+  if (!Control_.IsPaused_())
+    PauseTimer_.cancel();
 }
 
 Task<bool> TableWatcher::readAll() {
@@ -50,15 +65,15 @@
   }
   Version_ = valueOf(Rows).Version_;
   handleSuccess();
-  Listener_.OnSnapshot_(valueOf(Rows).Rows_);
-  co_await wait(MinInterval_);
+  Listener_.OnSnapshot_(valueOf(Rows));
+  co_await wait(Control_.Pace_().MinInterval_);
   co_return true;
 }
 
 Task<bool> TableWatcher::pollOnce() {
   const Duration Timeout = IsUnavailable_ || ConsecutiveFailures_ > 0
                                ? RetryPollTimeout
-                               : LongPollTimeout;
+                               : Control_.Pace_().PollTime_;
   const auto Rows = co_await Store_.watch(Table_, Version_, Timeout, Scope_);
   if (!isOk(Rows)) {
     if (errorOf(Rows) == StoreFailure::HistoryGone) {
@@ -72,10 +87,9 @@
   }
   handleSuccess();
   Version_ = std::max(Version_, valueOf(Rows).Version_);
-  if (valueOf(Rows).Rows_.empty())
-    co_return true;
-  Listener_.OnChanges_(valueOf(Rows).Rows_);
-  co_await wait(MinInterval_);
+  Listener_.OnChanges_(valueOf(Rows));
+  if (!valueOf(Rows).Rows_.empty())
+    co_await wait(Control_.Pace_().MinInterval_);
   co_return true;
 }
 
--- /dev/null
+++ b/tests/FeedFleetTest.cpp
@@ -0,0 +1,215 @@
+// Plays many instances that follow a table, in virtual time. Checks that every
+// instance learns of every change in time, whatever happens to the home, and
+// that the calls to the store do not grow with the number of instances.
+#include "gooseberrybeam/relayd/SharedTable.h"
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <random>
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration Step = 25ms;
+constexpr Duration HeartbeatInterval = 150ms;
+constexpr Duration HomePollTime = 800ms;
+constexpr Duration PollTime = 5s;
+/// Instances must stop using a leaving server within this time.
+constexpr Duration MaxDelay = 2s;
+
+/// The store: one row per change.
+class FakeStore {
+public:
+  void change(TimePoint Now) {
+    ++Version_;
+    Rows_.push_back(
+        {"servers", "s" + std::to_string(Version_), "v", Version_, false});
+    ChangedAt_.push_back(Now);
+  }
+  StoreRows changesAfter(std::uint64_t Version) {
+    ++Calls_;
+    StoreRows Changes;
+    Changes.Version_ = Version_;
+    for (std::size_t I = Version; I < Rows_.size(); ++I)
+      Changes.Rows_.push_back(Rows_[I]);
+    return Changes;
+  }
+  std::uint64_t version() const { return Version_; }
+  std::size_t calls() const { return Calls_; }
+  TimePoint changedAt(std::uint64_t Version) const {
+    return ChangedAt_[Version - 1];
+  }
+
+private:
+  std::uint64_t Version_ = 0;
+  std::vector<StoreRow> Rows_;
+  std::vector<TimePoint> ChangedAt_;
+  std::size_t Calls_ = 0;
+};
+
+/// What goes wrong; all may depend on the time.
+struct Faults {
+  std::function<bool(TimePoint)> IsHomeFrozen_ = [](TimePoint) {
+    return false;
+  };
+  std::function<bool(TimePoint)> IsHomeCutFromStore_ = [](TimePoint) {
+    return false;
+  };
+  double PushLoss_ = 0;
+  bool DoesHomeLie_ = false; ///< States that its copy is current.
+};
+
+class FeedFleet {
+public:
+  FeedFleet(std::size_t Count, Faults Scenario, std::uint64_t Seed)
+      : Faults_(std::move(Scenario)), Random_(Seed) {
+    Store_.change(TimePoint(0s));
+    for (std::size_t I = 0; I != Count; ++I)
+      Instances_.push_back(
+          {SharedTable(SharedTableId::Servers, "servers"), TimePoint(0s)});
+    for (Instance &Each : Instances_)
+      Each.Table_.onStoreSnapshot(Store_.changesAfter(0), TimePoint(0s));
+    StartCalls_ = Store_.calls();
+  }
+
+  void run(Duration Period) {
+    for (TimePoint Now(0s); Now < TimePoint(Period); Now += Step) {
+      if (Now.time_since_epoch() % 1500ms == 0ms)
+        Store_.change(Now);
+      pollHome(Now);
+      for (std::size_t I = 1; I != Instances_.size(); ++I)
+        playInstance(Instances_[I], Now);
+      checkDelays(Now);
+    }
+  }
+
+  Duration longestDelay() const { return LongestDelay_; }
+  /// \returns the calls since all instances read the table first.
+  std::size_t calls() const { return Store_.calls() - StartCalls_; }
+
+private:
+  struct Instance {
+    SharedTable Table_;
+    TimePoint PolledAt_;
+  };
+
+  Instance &home() { return Instances_.front(); }
+
+  void pollHome(TimePoint Now) {
+    if (Faults_.IsHomeFrozen_(Now) || Faults_.IsHomeCutFromStore_(Now))
+      return;
+    const std::uint64_t Previous = home().Table_.cache().version();
+    const bool IsDue = Now >= home().PolledAt_ + HomePollTime;
+    if (!IsDue && Store_.version() == Previous)
+      return;
+    home().PolledAt_ = Now;
+    home().Table_.onStoreChanges(Store_.changesAfter(Previous), Now);
+    if (home().Table_.cache().version() != Previous)
+      push(home().Table_.cache().changesSince(Previous));
+  }
+
+  void push(const TableUpdate &Update) {
+    std::bernoulli_distribution IsLost(Faults_.PushLoss_);
+    for (std::size_t I = 1; I != Instances_.size(); ++I)
+      if (!Faults_.DoesHomeLie_ && !IsLost(Random_))
+        Instances_[I].Table_.onUpdate(Update);
+  }
+
+  void playInstance(Instance &Each, TimePoint Now) {
+    const bool IsHeartbeatDue =
+        Now.time_since_epoch() % HeartbeatInterval == 0ms;
+    if (IsHeartbeatDue && !Faults_.IsHomeFrozen_(Now))
+      receiveState(Each, Now);
+    if (Each.Table_.isFedByHome(Now))
+      return;
+    const std::uint64_t Known = Each.Table_.cache().version();
+    if (Store_.version() == Known && Now < Each.PolledAt_ + PollTime)
+      return;
+    Each.PolledAt_ = Now;
+    Each.Table_.onStoreChanges(Store_.changesAfter(Known), Now);
+  }
+
+  void receiveState(Instance &Each, TimePoint Now) {
+    FeedState State = home().Table_.feedState(Now);
+    if (Faults_.DoesHomeLie_)
+      State = {Each.Table_.cache().version(), 1, 0ms, true};
+    const auto Request = Each.Table_.onHomeState(State, Now);
+    if (Request && !Faults_.DoesHomeLie_)
+      Each.Table_.onUpdate(
+          home().Table_.cache().changesSince(Request->Version_));
+  }
+
+  void checkDelays(TimePoint Now) {
+    for (std::size_t I = 1; I != Instances_.size(); ++I) {
+      const std::uint64_t Known = Instances_[I].Table_.cache().version();
+      if (Known < Store_.version())
+        LongestDelay_ =
+            std::max(LongestDelay_, Now - Store_.changedAt(Known + 1));
+    }
+  }
+
+  Faults Faults_;
+  std::mt19937_64 Random_;
+  FakeStore Store_;
+  std::vector<Instance> Instances_;
+  std::size_t StartCalls_ = 0;
+  Duration LongestDelay_{0};
+};
+
+bool isBetween(TimePoint Now, Duration From, Duration To) {
+  return Now >= TimePoint(From) && Now < TimePoint(To);
+}
+
+} // namespace
+
+TEST_CASE("Changes of a table reach every instance in time", "[relay][feeds]") {
+  constexpr Duration Period = 60s;
+
+  SECTION("on a calm day, with few calls however many instances there are") {
+    FeedFleet Small(30, {}, 1);
+    FeedFleet Large(300, {}, 1);
+    Small.run(Period);
+    Large.run(Period);
+    CHECK(Large.longestDelay() <= MaxDelay);
+    // Until the home is relied on, each instance follows the store.
+    CHECK(Small.calls() <= 30 * 2 + 200);
+    CHECK(Large.calls() <= 300 * 2 + 200);
+  }
+  SECTION("when a part of the updates is lost") {
+    Faults Scenario;
+    Scenario.PushLoss_ = 0.3;
+    for (std::uint64_t Seed = 1; Seed != 6; ++Seed) {
+      FeedFleet Fleet(300, Scenario, Seed);
+      Fleet.run(Period);
+      CHECK(Fleet.longestDelay() <= MaxDelay);
+    }
+  }
+  SECTION("when the home freezes and wakes again") {
+    Faults Scenario;
+    Scenario.IsHomeFrozen_ = [](TimePoint Now) {
+      return isBetween(Now, 7s, 12s) || isBetween(Now, 20100ms, 21s);
+    };
+    FeedFleet Fleet(300, Scenario, 1);
+    Fleet.run(Period);
+    CHECK(Fleet.longestDelay() <= MaxDelay);
+  }
+  SECTION("when the home no longer hears from the store and does not notice") {
+    Faults Scenario;
+    Scenario.IsHomeCutFromStore_ = [](TimePoint Now) {
+      return isBetween(Now, 7s, 27s);
+    };
+    FeedFleet Fleet(300, Scenario, 1);
+    Fleet.run(Period);
+    CHECK(Fleet.longestDelay() <= MaxDelay);
+  }
+  SECTION("and this check finds a home that withholds changes") {
+    Faults Scenario;
+    Scenario.DoesHomeLie_ = true;
+    FeedFleet Fleet(30, Scenario, 1);
+    Fleet.run(Period);
+    CHECK(Fleet.longestDelay() > MaxDelay);
+  }
+}
--- a/tests/HomeCodecTest.cpp
+++ b/tests/HomeCodecTest.cpp
@@ -28,7 +28,15 @@
     Message.RunningGenerations_ = {
         {{"r"}, {"acme"}, {"svc"}, {"d1"}, 5000, 630, 4400}};
     checkRoundTrip(Message);
-    checkRoundTrip(HomeReply{4, 17, 99, true, {{"acme"}}, {{{"acme"}, 0.5}}});
+    HomeReply Reply;
+    Reply.Sequence_ = 4;
+    Reply.ConfigurationVersion_ = 17;
+    Reply.ServersVersion_ = 99;
+    Reply.Feeds_ = {{{101, 99, 80ms, true}, {102, 7, 2s, false}, {}}};
+    Reply.IsLeaving_ = true;
+    Reply.ExhaustedOrganisations_ = {{"acme"}};
+    Reply.Utilisation_ = {{{"acme"}, 0.5}};
+    checkRoundTrip(Reply);
   }
   SECTION("placement requests, grants and denials") {
     PlacementRequest Request;
@@ -57,8 +65,9 @@
   SECTION("copies of the configuration and the backend servers") {
     checkRoundTrip(ConfigurationRequest{3});
     checkRoundTrip(ConfigurationCopy{"{}"});
-    checkRoundTrip(ServersRequest{5});
-    checkRoundTrip(ServersCopy{6, {{"a", "{}", 4}, {"b", "", 6}}});
+    checkRoundTrip(TableRequest{SharedTableId::Instances, 5});
+    checkRoundTrip(TableUpdate{
+        SharedTableId::Servers, 3, 6, true, {{"a", "{}", 4}, {"b", "", 6}}});
   }
 }
 
--- a/tests/HomeLinkTest.cpp
+++ b/tests/HomeLinkTest.cpp
@@ -40,6 +40,25 @@
   std::vector<HomeMessage> Sent_;
 };
 
+/// An instance's copies of the shared tables, which are always up to date.
+class FakeTables : public TableExchange {
+public:
+  FeedState feedState(SharedTableId) const override { return {}; }
+  std::optional<TableRequest> onHomeState(SharedTableId,
+                                          const FeedState &) override {
+    return std::nullopt;
+  }
+  std::optional<TableRequest> onPeerVersion(SharedTableId,
+                                            std::uint64_t) override {
+    return std::nullopt;
+  }
+  void onHomeChanged() override {}
+  std::optional<TableUpdate> answer(const TableRequest &) const override {
+    return std::nullopt;
+  }
+  void onUpdate(const TableUpdate &) override {}
+};
+
 /// An instance whose home is another instance.
 class AttachedInstance {
 public:
@@ -53,11 +72,8 @@
         Home_ == InstanceId{"one"} ? InstanceId{"two"} : InstanceId{"one"};
     HomeLink::Callbacks Handlers;
     Handlers.OnConfiguration_ = [](std::string_view) {};
-    Handlers.OnServers_ = [](const ServersCopy &) {};
-    Handlers.ServersVersion_ = [] { return std::uint64_t{0}; };
     Handlers.IsStoreAvailable_ = [this] { return IsStoreAvailable_; };
-    Handlers.CopyServers_ = [] { return ServersCopy(); };
-    Link_ = std::make_unique<HomeLink>(Context_, Self, Directory_, 8s,
+    Link_ = std::make_unique<HomeLink>(Context_, Self, Directory_, 8s, Tables_,
                                        std::move(Handlers));
     auto Transport = std::make_unique<FakeTransport>();
     Transport_ = Transport.get();
@@ -105,6 +121,7 @@
 
   asio::io_context Context_;
   BackendDirectory Directory_;
+  FakeTables Tables_;
   CancelScope Scope_;
   bool IsStoreAvailable_ = true;
   InstanceId Home_;
