Make up for missing shares of limits with slack; return tokens of refusals

Cause: a home that misses instances (cut off, killed, just started) has only its shares of every limit. And a generation that was refused because it would wait too long kept its tokens, so that its caller was charged twice when it returned.

Change: a home adds its instances' shares of the tolerated slack, up to the whole limit, half of it, a fifth for processes that have just started. With all shares a limit is exact as before. Tokens of generations that end before they were granted engines are returned.

Tests of both faults fail on the code before.

--- a/include/gooseberrybeam/relay/HomeCoordinator.h
+++ b/include/gooseberrybeam/relay/HomeCoordinator.h
@@ -8,6 +8,7 @@
 #include "gooseberrybeam/relay/RelayRateLimiter.h"
 
 #include <map>
+#include <unordered_map>
 
 namespace gooseberry {
 
@@ -18,8 +19,9 @@
 public:
   /// \param Directory the registered backend servers; must outlive the
   /// coordinator.
-  /// \param LimitWindow the length of the sliding window for token limits.
-  HomeCoordinator(const BackendDirectory &Directory, Duration LimitWindow);
+  /// \param Bounds how exactly token limits are kept.
+  HomeCoordinator(const BackendDirectory &Directory,
+                  const RateLimitBounds &Bounds);
 
   /// Applies a configuration.
   /// \param Configuration the configuration to apply.
@@ -72,17 +74,28 @@
     TimePoint UsageReportedAt_{Duration::zero()}; ///< When it was recorded.
   };
 
+  /// Tokens taken for a generation that waits for engines.
+  struct PendingCharge {
+    InstanceId Instance_;
+    OrganisationId Organisation_;
+    double Tokens_ = 0;
+    TimePoint TakenAt_;
+  };
+
   void recordUsage(const InstanceId &Sender, const HomeHeartbeat &Message,
                    TimePoint Now);
   void attach(const InstanceId &Instance, std::optional<TimePoint> StartedAt,
               TimePoint Now);
   void detach(const InstanceId &Instance, TimePoint Now);
   void detachSilent(TimePoint Now);
+  void dropInstance(const InstanceId &Instance);
+  void refund(const RequestId &Request);
 
   GenerationPlacer Placer_;
   RelayRateLimiter Limits_;
   std::map<InstanceId, AttachedInstance> AttachedInstances_;
   std::vector<PlacementDecision> PendingDenials_;
+  std::unordered_map<RequestId, PendingCharge> PendingCharges_;
   std::vector<LimitUtilisation> Utilisation_;
   TimePoint UtilisationUpdatedAt_{Duration::zero()};
 };
--- a/include/gooseberrybeam/relay/RelayRateLimiter.h
+++ b/include/gooseberrybeam/relay/RelayRateLimiter.h
@@ -5,6 +5,7 @@
 
 #include "gooseberrybeam/base/Time.h"
 #include "gooseberrybeam/relay/HomeMessages.h"
+#include "gooseberrybeam/relay/RateLimitBounds.h"
 #include "gooseberrybeam/relay/RelayConfiguration.h"
 #include "gooseberrybeam/relay/UsageWindow.h"
 
@@ -21,10 +22,16 @@
 /// every limit to its home, and has one home at a time. The shares therefore
 /// add up to the whole limit under any network partition, without consensus on
 /// which instance is home.
+///
+/// A home that misses shares, because some instances are out of reach or have
+/// just started, would refuse requests that are within the limit. It makes up
+/// for that, up to the whole limit, with its instances' shares of the slack
+/// that operators tolerate.
 class RelayRateLimiter {
 public:
-  /// \param Window the length of the sliding window.
-  explicit RelayRateLimiter(Duration Window) : Window_(Window) {}
+  /// \param Bounds the sliding window and the tolerated excess.
+  explicit RelayRateLimiter(const RateLimitBounds &Bounds)
+      : Window_(Bounds.Window_), SlackTokens_(Bounds.SlackTokens_) {}
 
   /// Applies a configuration. Tokens that accrued at the previous rate stay
   /// granted.
@@ -66,6 +73,12 @@
   std::optional<Duration> tryAcquire(const InstanceId &Instance,
                                      const OrganisationId &Organisation,
                                      double Tokens, TimePoint Now);
+  /// Returns tokens that were taken for a request that was never run.
+  /// \param Instance the instance that took the tokens.
+  /// \param Organisation the organisation that was charged.
+  /// \param TakenAt when they were taken.
+  void refund(const InstanceId &Instance, const OrganisationId &Organisation,
+              double Tokens, TimePoint TakenAt);
   /// Records tokens that an attached instance used without asking.
   /// \param Instance the instance that used the tokens.
   /// \param Organisation the organisation to charge.
@@ -117,6 +130,9 @@
                AttachedInstance &State);
   UsageMap borrowedUsage(const AttachedInstance &Instance, TimePoint Now) const;
   const TokenLimit *limitOf(const OrganisationId &Organisation) const;
+  double attachedShares(const OrganisationId &Organisation,
+                        const TokenLimit &Limit, TimePoint Now) const;
+  double attachedSlack(TimePoint Now) const;
   double allowedTokens(const OrganisationId &Organisation,
                        const TokenLimit &Limit, TimePoint Now) const;
   double usedTokens(const OrganisationId &Organisation, TimePoint Now) const;
@@ -128,9 +144,12 @@
   double instanceShare(const AttachedInstance &Instance,
                        const OrganisationId &Organisation,
                        const TokenLimit &Limit, TimePoint Now) const;
+  double limitTokens(Duration AccrualTime, const OrganisationId &Organisation,
+                     const TokenLimit &Limit, TimePoint Now) const;
   double instanceCount() const;
 
   Duration Window_;
+  double SlackTokens_;
   std::shared_ptr<const RelayConfiguration> Configuration_;
   std::map<InstanceId, AttachedInstance> AttachedInstances_;
   std::map<InstanceId, DepartedInstance> DepartedInstances_;
--- a/include/gooseberrybeam/relay/UsageWindow.h
+++ b/include/gooseberrybeam/relay/UsageWindow.h
@@ -24,6 +24,10 @@
   /// \param Amount the amount used.
   /// \param UsedAt when it was used.
   void add(double Amount, TimePoint UsedAt);
+  /// Subtracts an amount that was added, but at most what its cell still holds.
+  /// \param Amount the amount that was not used.
+  /// \param UsedAt when it was said to be used.
+  void subtract(double Amount, TimePoint UsedAt);
   /// Adds the contents of another window of the same length.
   void add(const UsageWindow &Other);
   /// \param Now the current time.
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -43,11 +43,11 @@
   /// \param Context runs the timers and coroutines; outlives the link.
   /// \param Self the name of this instance.
   /// \param Directory the registered backend servers; outlives the link.
-  /// \param LimitWindow how long token use counts towards a limit.
+  /// \param Bounds how exactly token limits are kept.
   /// \param Tables the copies of shared tables; outlives the link.
   /// \param Handlers functions of the instance; all must be set.
   HomeLink(asio::io_context &Context, InstanceId Self,
-           const BackendDirectory &Directory, Duration LimitWindow,
+           const BackendDirectory &Directory, const RateLimitBounds &Bounds,
            TableExchange &Tables, Callbacks Handlers);
 
   /// Sets or replaces the transport to other instances.
--- a/include/gooseberrybeam/relayd/RelaySettings.h
+++ b/include/gooseberrybeam/relayd/RelaySettings.h
@@ -6,6 +6,7 @@
 #include "gooseberrybeam/base/Ids.h"
 #include "gooseberrybeam/base/Time.h"
 #include "gooseberrybeam/relay/InstanceCapacity.h"
+#include "gooseberrybeam/relay/RateLimitBounds.h"
 #include "gooseberrybeam/relay/RetryWindow.h"
 
 #include <string>
@@ -26,7 +27,7 @@
   Duration ShutdownTimeout_ =
       std::chrono::seconds(8); ///< From SIGTERM to exit.
   RetryWindowLimits RetryBounds_;
-  Duration LimitWindow_ = std::chrono::seconds(8); ///< How long use counts.
+  RateLimitBounds LimitBounds_;
 };
 
 } // namespace gooseberry
--- a/src/relay/HomeCoordinator.cpp
+++ b/src/relay/HomeCoordinator.cpp
@@ -15,8 +15,8 @@
 } // namespace
 
 HomeCoordinator::HomeCoordinator(const BackendDirectory &Directory,
-                                 Duration LimitWindow)
-    : Placer_(Directory), Limits_(LimitWindow) {}
+                                 const RateLimitBounds &Bounds)
+    : Placer_(Directory), Limits_(Bounds) {}
 
 void HomeCoordinator::configure(
     std::shared_ptr<const RelayConfiguration> Configuration, TimePoint Now) {
@@ -35,7 +35,16 @@
   if (AttachedInstances_.erase(Instance) == 0)
     return;
   Limits_.detach(Instance, Now);
+  dropInstance(Instance);
+}
+
+// The instance repeats what still waits to its next home, which charges it
+// there.
+void HomeCoordinator::dropInstance(const InstanceId &Instance) {
   Placer_.dropInstance(Instance);
+  std::erase_if(PendingCharges_, [&Instance](const auto &Each) {
+    return Each.second.Instance_ == Instance;
+  });
 }
 
 std::vector<OrganisationId>
@@ -109,11 +118,27 @@
            {}});
       return;
     }
+    PendingCharges_[Placement.Request_] = {Sender, Placement.Organisation_,
+                                           Tokens, Now};
   }
   Placer_.enqueue(Sender, Placement, Now);
 }
 
+// A generation that ends without engines has not used its tokens. If they
+// stayed taken, a caller that returns after a refusal would be charged twice.
+void HomeCoordinator::refund(const RequestId &Request) {
+  const auto Found = PendingCharges_.find(Request);
+  if (Found == PendingCharges_.end())
+    return;
+  const PendingCharge &Charge = Found->second;
+  Limits_.refund(Charge.Instance_, Charge.Organisation_, Charge.Tokens_,
+                 Charge.TakenAt_);
+  PendingCharges_.erase(Found);
+}
+
 void HomeCoordinator::onReport(const GenerationReport &Report, TimePoint Now) {
+  if (Report.Step_ == GenerationStep::Ended)
+    refund(Report.Request_);
   Placer_.onReport(Report, Now);
 }
 
@@ -132,7 +157,7 @@
   for (const auto &Each : Silent) {
     AttachedInstances_.erase(Each);
     Limits_.onSilent(Each, Now);
-    Placer_.dropInstance(Each);
+    dropInstance(Each);
   }
 }
 
@@ -140,8 +165,13 @@
   detachSilent(Now);
   std::vector<PlacementDecision> Decisions = std::move(PendingDenials_);
   PendingDenials_.clear();
-  for (auto &Each : Placer_.decide(Now))
+  for (auto &Each : Placer_.decide(Now)) {
+    if (const auto *Denial = std::get_if<PlacementDenial>(&Each.Answer_))
+      refund(Denial->Request_);
+    else
+      PendingCharges_.erase(std::get<PlacementGrant>(Each.Answer_).Request_);
     Decisions.push_back(std::move(Each));
+  }
   return Decisions;
 }
 
--- a/src/relay/RelayRateLimiter.cpp
+++ b/src/relay/RelayRateLimiter.cpp
@@ -11,6 +11,12 @@
 /// Shorter than the silence after which an instance switches to another home.
 constexpr Duration LendingTimeout = std::chrono::milliseconds(400);
 
+/// Fractions of an instance's share of the slack that make up for missing
+/// shares. The rest covers use that an ended process no longer reports; a
+/// process that has just started contributes less, as it may start repeatedly.
+constexpr double SlackFraction = 0.5;
+constexpr double StartingSlackFraction = 0.2;
+
 /// Limits with a lower utilisation are not reported, as their shares are hardly
 /// lent.
 constexpr double MinReportedUtilisation = 0.5;
@@ -53,14 +59,22 @@
   return Found && Found->Limit_ ? &*Found->Limit_ : nullptr;
 }
 
-// The burst plus the tokens accrued since `AccrualStart_`, at the rate in force
-// at each moment, divided by the number of instances.
+// The limit's share since `AccrualStart_`, divided by the number of instances.
 double RelayRateLimiter::instanceShare(const AttachedInstance &Instance,
                                        const OrganisationId &Organisation,
                                        const TokenLimit &Limit,
                                        TimePoint Now) const {
   const Duration AccrualTime =
       std::clamp(Now - Instance.AccrualStart_, Duration::zero(), Window_);
+  return limitTokens(AccrualTime, Organisation, Limit, Now) / instanceCount();
+}
+
+// The burst plus the tokens accrued in the time before `Now`, at the rate in
+// force at each moment.
+double RelayRateLimiter::limitTokens(Duration AccrualTime,
+                                     const OrganisationId &Organisation,
+                                     const TokenLimit &Limit,
+                                     TimePoint Now) const {
   Duration TimeAtPreviousRate = Duration::zero();
   double PreviousTokensPerSecond = 0;
   if (const auto Previous = PreviousRates_.find(Organisation);
@@ -70,11 +84,9 @@
                    Duration::zero(), AccrualTime);
     PreviousTokensPerSecond = Previous->second.RatePerSecond_;
   }
-  const double Total =
-      asSeconds(TimeAtPreviousRate) * PreviousTokensPerSecond +
-      asSeconds(AccrualTime - TimeAtPreviousRate) * Limit.RatePerSecond_ +
-      Limit.Burst_;
-  return Total / instanceCount();
+  return asSeconds(TimeAtPreviousRate) * PreviousTokensPerSecond +
+         asSeconds(AccrualTime - TimeAtPreviousRate) * Limit.RatePerSecond_ +
+         Limit.Burst_;
 }
 
 double RelayRateLimiter::instanceCount() const {
@@ -177,15 +189,35 @@
                       windowSum(Instance.EarlierUsage_, Organisation, Now));
 }
 
-double RelayRateLimiter::allowedTokens(const OrganisationId &Organisation,
-                                       const TokenLimit &Limit,
-                                       TimePoint Now) const {
+double RelayRateLimiter::attachedShares(const OrganisationId &Organisation,
+                                        const TokenLimit &Limit,
+                                        TimePoint Now) const {
   double Sum = 0;
   for (const auto &[Instance, State] : AttachedInstances_)
     Sum += instanceAllowance(State, Organisation, Limit, Now);
   return Sum;
 }
 
+double RelayRateLimiter::attachedSlack(TimePoint Now) const {
+  double Sum = 0;
+  for (const auto &[Instance, State] : AttachedInstances_) {
+    if (Now > State.LastHeardAt_ + LendingTimeout)
+      continue;
+    const bool IsStarting = Now < State.AccrualStart_ + Window_;
+    Sum += (IsStarting ? StartingSlackFraction : SlackFraction) * SlackTokens_ /
+           instanceCount();
+  }
+  return Sum;
+}
+
+double RelayRateLimiter::allowedTokens(const OrganisationId &Organisation,
+                                       const TokenLimit &Limit,
+                                       TimePoint Now) const {
+  const double Shares = attachedShares(Organisation, Limit, Now);
+  const double Whole = limitTokens(Window_, Organisation, Limit, Now);
+  return std::max(Shares, std::min(Shares + attachedSlack(Now), Whole));
+}
+
 double RelayRateLimiter::usedTokens(const OrganisationId &Organisation,
                                     TimePoint Now) const {
   double Sum = 0;
@@ -225,6 +257,17 @@
   return std::nullopt;
 }
 
+void RelayRateLimiter::refund(const InstanceId &Instance,
+                              const OrganisationId &Organisation, double Tokens,
+                              TimePoint TakenAt) {
+  const auto Found = AttachedInstances_.find(Instance);
+  if (Found == AttachedInstances_.end())
+    return;
+  const auto Usage = Found->second.Usage_.find(Organisation);
+  if (Usage != Found->second.Usage_.end())
+    Usage->second.subtract(Tokens, TakenAt);
+}
+
 void RelayRateLimiter::recordUsage(const InstanceId &Instance,
                                    const OrganisationId &Organisation,
                                    double Tokens, TimePoint UsedAt) {
@@ -266,10 +309,10 @@
   for (const auto &Each : Configuration_->parts().Organisations_) {
     if (!Each.Limit_)
       continue;
-    const double Allowed = allowedTokens(Each.Name_, *Each.Limit_, Now);
+    const double Shares = attachedShares(Each.Name_, *Each.Limit_, Now);
     const double Used = usedTokens(Each.Name_, Now);
-    if (Allowed > 0 && Used >= MinReportedUtilisation * Allowed)
-      Result.push_back({Each.Name_, std::min(1.0, Used / Allowed)});
+    if (Shares > 0 && Used >= MinReportedUtilisation * Shares)
+      Result.push_back({Each.Name_, std::min(1.0, Used / Shares)});
   }
   return Result;
 }
--- a/src/relay/UsageWindow.cpp
+++ b/src/relay/UsageWindow.cpp
@@ -1,5 +1,7 @@
 #include "gooseberrybeam/relay/UsageWindow.h"
 
+#include <algorithm>
+
 namespace gooseberry {
 
 void UsageWindow::add(double Amount, TimePoint UsedAt) {
@@ -14,6 +16,15 @@
   Target.Amount_ += Amount;
 }
 
+void UsageWindow::subtract(double Amount, TimePoint UsedAt) {
+  const std::int64_t Number = UsedAt.time_since_epoch() / CellWidth_;
+  if (Number < 0)
+    return;
+  Cell &Source = Cells_[static_cast<std::size_t>(Number) % Cells_.size()];
+  if (Source.Number_ == Number)
+    Source.Amount_ = std::max(0.0, Source.Amount_ - Amount);
+}
+
 void UsageWindow::add(const UsageWindow &Other) {
   for (const Cell &Each : Other.Cells_)
     if (Each.Number_ >= 0)
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -21,11 +21,12 @@
 } // namespace
 
 HomeLink::HomeLink(asio::io_context &Context, InstanceId Self,
-                   const BackendDirectory &Directory, Duration LimitWindow,
-                   TableExchange &Tables, Callbacks Handlers)
+                   const BackendDirectory &Directory,
+                   const RateLimitBounds &Bounds, TableExchange &Tables,
+                   Callbacks Handlers)
     : Context_(Context), Self_(std::move(Self)), Tables_(Tables),
-      Callbacks_(std::move(Handlers)), Coordinator_(Directory, LimitWindow),
-      Selector_(Self_, "pools"), Home_(Self_), LimitWindow_(LimitWindow) {}
+      Callbacks_(std::move(Handlers)), Coordinator_(Directory, Bounds),
+      Selector_(Self_, "pools"), Home_(Self_), LimitWindow_(Bounds.Window_) {}
 
 void HomeLink::setTransport(std::unique_ptr<PeerTransport> Transport) {
   Transport_ = std::move(Transport);
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -69,7 +69,7 @@
              {Adapter_.Schema_->serversTable(), std::string(RelayTable),
               Adapter_.Schema_->configurationTable()},
              Settings_.Capacity_.LinkMbps_, makeFeedListener()),
-      Home_(Context_, Settings_.Name_, Directory_, Settings_.LimitWindow_,
+      Home_(Context_, Settings_.Name_, Directory_, Settings_.LimitBounds_,
             Feeds_, makeCallbacks()),
       Relay_{Context_,
              Settings_,
--- a/tests/HomeCoordinatorTest.cpp
+++ b/tests/HomeCoordinatorTest.cpp
@@ -40,8 +40,10 @@
   /// \param Seed determines which instances switch, lose their connection or
   /// are killed, and when.
   /// \param KillProcesses whether processes are killed and restarted.
-  Deployment(std::uint32_t Seed, bool KillProcesses)
+  /// \param SlackTokens the tolerated excess that homes know of.
+  Deployment(std::uint32_t Seed, bool KillProcesses, double SlackTokens = 0)
       : Random_(Seed), KillProcesses_(KillProcesses) {
+    const RateLimitBounds Bounds = {Window, SlackTokens};
     BackendEntry Engine;
     Engine.Id_ = {"d"};
     Engine.Service_ = {"writer"};
@@ -49,7 +51,7 @@
     Directory_.put(Engine);
     for (std::size_t I = 0; I != InstanceCount; ++I) {
       Coordinators_.push_back(
-          std::make_unique<HomeCoordinator>(Directory_, Window));
+          std::make_unique<HomeCoordinator>(Directory_, Bounds));
       Coordinators_.back()->configure(makeConfiguration(), Now_);
       Coordinators_.back()->setInstanceCount(InstanceCount);
       Names_.push_back({"edge-" + std::to_string(I)});
@@ -225,9 +227,10 @@
           "[relay][limits][history]") {
   const bool KillProcesses = GENERATE(false, true);
   CAPTURE(KillProcesses);
+  const double SlackTokens = GENERATE(0.0, Slack);
   for (std::uint32_t Seed = 1; Seed != 40; ++Seed) {
     CAPTURE(Seed);
-    Deployment Cluster(Seed, KillProcesses);
+    Deployment Cluster(Seed, KillProcesses, SlackTokens);
     Cluster.run();
     CHECK(Cluster.worstWindow() <=
           (Rate * 8 + Burst) * (1 + Tolerance) + Slack);
@@ -237,7 +240,7 @@
 
 TEST_CASE("A home detaches silent instances", "[relay]") {
   BackendDirectory Directory;
-  HomeCoordinator Coordinator(Directory, Window);
+  HomeCoordinator Coordinator(Directory, {Window, 0});
   Coordinator.configure(makeConfiguration(), TimePoint(1s));
   HomeHeartbeat Message;
   Message.IsAttached_ = true;
@@ -258,7 +261,7 @@
 TEST_CASE("Usage beyond the limit is reported as exhausted",
           "[relay][limits]") {
   BackendDirectory Directory;
-  HomeCoordinator Coordinator(Directory, Window);
+  HomeCoordinator Coordinator(Directory, {Window, 0});
   Coordinator.configure(makeConfiguration(), TimePoint(1000s));
   HomeHeartbeat Message;
   Message.IsAttached_ = true;
@@ -276,7 +279,7 @@
 
 TEST_CASE("A home receives the same state twice", "[relay][limits]") {
   BackendDirectory Directory;
-  HomeCoordinator Coordinator(Directory, Window);
+  HomeCoordinator Coordinator(Directory, {Window, 0});
   Coordinator.configure(makeConfiguration(), TimePoint(1000s));
   HomeHeartbeat Message;
   Message.IsAttached_ = true;
@@ -309,3 +312,50 @@
               .empty());
   }
 }
+
+TEST_CASE("Tokens of a generation that is not run are returned",
+          "[relay][limits]") {
+  BackendDirectory Directory; // Without engines, nothing is granted.
+  HomeCoordinator Coordinator(Directory, {Window, 0});
+  Coordinator.configure(makeConfiguration(), TimePoint(1000s));
+  HomeHeartbeat Message;
+  Message.IsAttached_ = true;
+  Message.Uptime_ = 100s;
+  Coordinator.onHeartbeat({"one"}, Message, TimePoint(1000s));
+  PlacementRequest Placement;
+  Placement.Request_ = {"first"};
+  Placement.Organisation_ = Acme;
+  Placement.Service_ = {"writer"};
+  Placement.PromptTokens_ = 1'200'000; // Nearly the whole limit.
+  Placement.TargetLeft_ = 1s;
+  Placement.TimeLeft_ = 1000s;
+  Placement.PatienceLeft_ = 1000s;
+
+  const auto IsSecondLimited = [&](TimePoint Now) {
+    Placement.Request_ = {"second"};
+    Coordinator.onPlacementRequest({"one"}, Placement, Now);
+    for (const PlacementDecision &Each : Coordinator.decide(Now)) {
+      const auto *Denial = std::get_if<PlacementDenial>(&Each.Answer_);
+      if (Denial && Denial->Reason_ == RefusalReason::RateExceeded)
+        return true;
+    }
+    return false;
+  };
+
+  SECTION("not while it waits") {
+    Coordinator.onPlacementRequest({"one"}, Placement, TimePoint(1000s));
+    CHECK(Coordinator.decide(TimePoint(1000s)).empty());
+    CHECK(IsSecondLimited(TimePoint(1000100ms)));
+    SECTION("but when its caller leaves") {
+      Coordinator.onReport({{"first"}, GenerationStep::Ended, {}, 0, {}},
+                           TimePoint(1000200ms));
+      CHECK_FALSE(IsSecondLimited(TimePoint(1000200ms)));
+    }
+  }
+  SECTION("when it is refused because it would wait too long") {
+    Placement.PatienceLeft_ = 10ms;
+    Coordinator.onPlacementRequest({"one"}, Placement, TimePoint(1000s));
+    CHECK(Coordinator.decide(TimePoint(1000100ms)).size() == 1);
+    CHECK_FALSE(IsSecondLimited(TimePoint(1000200ms)));
+  }
+}
--- a/tests/HomeLinkTest.cpp
+++ b/tests/HomeLinkTest.cpp
@@ -73,7 +73,8 @@
     HomeLink::Callbacks Handlers;
     Handlers.OnConfiguration_ = [](std::string_view) {};
     Handlers.IsStoreAvailable_ = [this] { return IsStoreAvailable_; };
-    Link_ = std::make_unique<HomeLink>(Context_, Self, Directory_, 8s, Tables_,
+    Link_ = std::make_unique<HomeLink>(Context_, Self, Directory_,
+                                       RateLimitBounds(), Tables_,
                                        std::move(Handlers));
     auto Transport = std::make_unique<FakeTransport>();
     Transport_ = Transport.get();
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -58,7 +58,7 @@
   CHECK(Settings.PeerListen_ == "10.1.0.3:7500");
   CHECK(Settings.StoreAddress_.Value_ == "10.200.1.7:8361");
   CHECK(Settings.ShutdownTimeout_ == 8s);
-  CHECK(Settings.LimitWindow_ == 5s);
+  CHECK(Settings.LimitBounds_.Window_ == 5s);
   CHECK(Settings.RetryBounds_.RetriesPerRequest_ == 0.3);
 
   SECTION("the error names the missing field") {
--- a/tests/RelayRateLimiterTest.cpp
+++ b/tests/RelayRateLimiterTest.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 TEST_CASE("An organisation's usage stays within its limit", "[relay][limits]") {
-  RelayRateLimiter Limiter(Window);
+  RelayRateLimiter Limiter({Window, 0});
   Limiter.configure(makeLimits(1000, 1000), TimePoint(0s));
   Limiter.setInstanceCount(2);
   Limiter.attach(FirstInstance, TimePoint(-100s), AlwaysHeard);
@@ -68,7 +68,7 @@
     CHECK(requestTokens(Limiter, FirstInstance, TimePoint(1s), 8s) <= 4500);
   }
   SECTION("two homes with one instance each grant at most the whole limit") {
-    RelayRateLimiter OtherLimiter(Window);
+    RelayRateLimiter OtherLimiter({Window, 0});
     OtherLimiter.configure(makeLimits(1000, 1000), TimePoint(0s));
     OtherLimiter.setInstanceCount(2);
     OtherLimiter.attach(SecondInstance, TimePoint(-100s), AlwaysHeard);
@@ -87,7 +87,7 @@
     CHECK(requestTokens(Limiter, FirstInstance, TimePoint(101s), 1s) == 9000);
     const auto Utilisation = Limiter.utilisation(TimePoint(102s));
     REQUIRE(Utilisation.size() == 1);
-    RelayRateLimiter OtherLimiter(Window);
+    RelayRateLimiter OtherLimiter({Window, 0});
     OtherLimiter.configure(makeLimits(1000, 1000), TimePoint(0s));
     OtherLimiter.setInstanceCount(2);
     OtherLimiter.attach(SecondInstance, TimePoint(-100s), AlwaysHeard);
@@ -99,7 +99,7 @@
           4000);
   }
   SECTION("a new home counts the earlier usage of an instance") {
-    RelayRateLimiter NextLimiter(Window);
+    RelayRateLimiter NextLimiter({Window, 0});
     NextLimiter.configure(makeLimits(1000, 1000), TimePoint(0s));
     NextLimiter.setInstanceCount(1);
     NextLimiter.attach(FirstInstance, TimePoint(-100s), AlwaysHeard);
@@ -107,7 +107,7 @@
     CHECK(requestTokens(NextLimiter, FirstInstance, TimePoint(2s), 6s) <= 1000);
   }
   SECTION("a new process contributes no more than its burst") {
-    RelayRateLimiter NextLimiter(Window);
+    RelayRateLimiter NextLimiter({Window, 0});
     NextLimiter.configure(makeLimits(1000, 1000), TimePoint(0s));
     NextLimiter.attach(FirstInstance, TimePoint(10s), AlwaysHeard);
     CHECK(requestTokens(NextLimiter, FirstInstance, TimePoint(10s), 1s) <=
@@ -172,3 +172,42 @@
         Limiter.tryAcquire(FirstInstance, {"other"}, 1e9, TimePoint(1s)));
   }
 }
+
+TEST_CASE("A home that misses shares of a limit", "[relay][limits]") {
+  constexpr double SlackTokens = 8000;
+  const auto MakeLimiter = [] {
+    RelayRateLimiter Limiter({Window, SlackTokens});
+    Limiter.configure(makeLimits(1000, 1000), TimePoint(0s));
+    Limiter.setInstanceCount(2);
+    return Limiter;
+  };
+  RelayRateLimiter Limiter = MakeLimiter();
+  Limiter.attach(FirstInstance, TimePoint(-100s), AlwaysHeard);
+
+  SECTION("because instances are out of reach makes up for them with slack") {
+    const double Granted =
+        requestTokens(Limiter, FirstInstance, TimePoint(1s), 1s);
+    CHECK(Granted > 4500);
+    CHECK(Granted <= 9000);
+    SECTION("and all homes together stay within limit and slack") {
+      RelayRateLimiter OtherLimiter = MakeLimiter();
+      OtherLimiter.attach(SecondInstance, TimePoint(-100s), AlwaysHeard);
+      CHECK(Granted + requestTokens(OtherLimiter, SecondInstance, TimePoint(1s),
+                                    1s) <=
+            9000 + SlackTokens);
+    }
+  }
+  SECTION("because all processes have just started makes up for some") {
+    RelayRateLimiter NextLimiter = MakeLimiter();
+    NextLimiter.attach(FirstInstance, TimePoint(10s), AlwaysHeard);
+    NextLimiter.attach(SecondInstance, TimePoint(10s), AlwaysHeard);
+    const double Granted =
+        requestTokens(NextLimiter, FirstInstance, TimePoint(10s), 500ms);
+    CHECK(Granted > 2000);
+    CHECK(Granted <= 1000 + 500 + SlackTokens / 2);
+  }
+  SECTION("uses no slack once it has all shares") {
+    Limiter.attach(SecondInstance, TimePoint(-100s), AlwaysHeard);
+    CHECK(requestTokens(Limiter, FirstInstance, TimePoint(1s), 1s) == 9000);
+  }
+}
