End answers that a server in trouble sends without end or a byte at a time

Cause: each byte of a body restarted its timeout, so a server that sends a byte now and then held a prefill until the caller's deadline and an idempotent request until its second attempt was of no use; bytes that complete no event kept a stalled stream alive in the same way. Heads were bounded already, in bytes by the parser and in time by one timeout.

Change: a body has a timeout as a whole; streams are watched by whole events. HttpCallTest plays endless heads, bodies and bytes that are no answer, fast and slow: the slow body did not end in 10 s before.

Also: rows are requested from a home only after 5 s while the store is readable.

--- a/include/gooseberrybeam/http/HttpCall.h
+++ b/include/gooseberrybeam/http/HttpCall.h
@@ -18,7 +18,9 @@
 
 /// Bounds of a call.
 struct CallLimits {
-  Duration IdleTimeout_ = std::chrono::seconds(2);
+  Duration IdleTimeout_ = std::chrono::seconds(2); ///< Without any byte.
+  /// For the whole body. A server that sends a byte now and then is never idle.
+  Duration BodyTimeout_ = std::chrono::seconds(30);
   std::size_t MaxBody_ = std::size_t{16} << 20;
 };
 
--- a/include/gooseberrybeam/relay/CopyRequestSchedule.h
+++ b/include/gooseberrybeam/relay/CopyRequestSchedule.h
@@ -17,6 +17,11 @@
 /// configuration would fill the link of the home and delay its heartbeats.
 class CopyRequestSchedule {
 public:
+  /// \param StoreFeedTime how long a newer version is awaited from a readable
+  /// store.
+  explicit CopyRequestSchedule(Duration StoreFeedTime)
+      : StoreFeedTime_(StoreFeedTime) {}
+
   /// Records that a peer has a version, and decides. If a request is due, it
   /// counts as sent.
   /// \param PeerVersion the version of the peer.
@@ -28,6 +33,7 @@
                   bool IsStoreReadable, TimePoint Now);
 
 private:
+  Duration StoreFeedTime_;
   std::uint64_t OwnVersion_ = 0;
   /// When a newer version was first heard of; none since `OwnVersion_` changed.
   std::optional<TimePoint> BehindSince_;
--- a/src/http/HttpCall.cpp
+++ b/src/http/HttpCall.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrybeam/http/HttpCall.h"
 
+#include <algorithm>
 #include <array>
 
 namespace gooseberry {
@@ -23,8 +24,15 @@
 readBody(ClientConnection &Connection, CallLimits Limits, CancelScope &Scope) {
   std::string Body;
   std::array<char, 4096> Chunk;
+  const TimePoint Deadline = readBootClock() + Limits.BodyTimeout_;
   for (;;) {
-    auto Read = co_await Connection.readSome(Chunk, Limits.IdleTimeout_, Scope);
+    const Duration TimeLeft = Deadline - readBootClock();
+    if (TimeLeft <= Duration::zero()) {
+      Connection.close();
+      co_return CallError{CallFailure::Timeout, true};
+    }
+    auto Read = co_await Connection.readSome(
+        Chunk, std::min(TimeLeft, Limits.IdleTimeout_), Scope);
     if (!isOk(Read))
       co_return errorOf(Read);
     if (valueOf(Read) == 0)
--- a/src/relay/CopyRequestSchedule.cpp
+++ b/src/relay/CopyRequestSchedule.cpp
@@ -5,8 +5,6 @@
 namespace gooseberry {
 namespace {
 
-/// How long a newer version is awaited from a readable store.
-constexpr Duration StoreFeedTime = std::chrono::milliseconds(700);
 /// A copy that has not arrived after this time is requested again.
 constexpr Duration CopyTimeout = std::chrono::seconds(1);
 
@@ -21,7 +19,7 @@
     return false;
   if (!BehindSince_)
     BehindSince_ = Now;
-  if (IsStoreReadable && Now < *BehindSince_ + StoreFeedTime)
+  if (IsStoreReadable && Now < *BehindSince_ + StoreFeedTime_)
     return false;
   if (RequestedAt_ && Now < *RequestedAt_ + CopyTimeout)
     return false;
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrybeam/http/HttpCall.h"
 #include "gooseberrybeam/log/Log.h"
+#include "gooseberrybeam/relay/EventStallTimer.h"
 #include "gooseberrybeam/relayd/RelayResponse.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -141,7 +142,9 @@
   if (!isOk(CallResult))
     co_return StepOutcome::Failed;
   ServerResponse Response = takeValue(std::move(CallResult));
-  auto Body = co_await readBody(*Response.Connection_, CallLimits(), Scope);
+  CallLimits Limits;
+  Limits.BodyTimeout_ = PrefillTimeout;
+  auto Body = co_await readBody(*Response.Connection_, Limits, Scope);
   if (!isOk(Body))
     co_return Scope.isCancelled() ? StepOutcome::Stopped : StepOutcome::Failed;
   Context_.Pool_.release(Engine.Address_, std::move(Response.Connection_));
@@ -230,10 +233,11 @@
   EventSplitter Splitter;
   std::array<char, ReadBufferBytes> Buffer;
   EngineEvents_ = 0;
+  EventStallTimer Stall(FirstEventTimeout, EventTimeout, readBootClock());
   for (;;) {
     Duration Timeout = Request_.timeLeft();
     if (MayFailOver)
-      Timeout = EngineEvents_ == 0 ? FirstEventTimeout : EventTimeout;
+      Timeout = std::min(Timeout, Stall.timeLeft(readBootClock()));
     auto ReadResult = co_await Response.Connection_->readSome(Buffer, Timeout,
                                                               Exchange.scope());
     if (Exchange.scope().isCancelled())
@@ -251,6 +255,8 @@
     const bool IsAccepted = co_await writeEvents(Splitter);
     if (!IsAccepted)
       co_return StepOutcome::Stopped;
+    if (EngineEvents_ != PreviousEvents)
+      Stall.onEvent(readBootClock());
     // Tells the home that the engine is producing events. The rate follows in
     // later reports, since it takes at least two events.
     if (PreviousEvents == 0 && EngineEvents_ != 0)
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -16,6 +16,8 @@
 /// Messages that arrive within this time of a decision wait for the next one,
 /// so that the load of a home does not grow with the number of messages.
 constexpr Duration DecisionInterval = std::chrono::milliseconds(10);
+/// How long a newer configuration is awaited from a readable store.
+constexpr Duration ConfigurationFeedTime = std::chrono::milliseconds(700);
 std::string text(std::uint64_t Value) { return std::to_string(Value); }
 
 } // namespace
@@ -26,7 +28,8 @@
                    Callbacks Handlers)
     : Context_(Context), Self_(std::move(Self)), Tables_(Tables),
       Callbacks_(std::move(Handlers)), Coordinator_(Directory, Bounds),
-      Selector_(Self_, "pools"), Home_(Self_), LimitWindow_(Bounds.Window_) {}
+      Selector_(Self_, "pools"), Home_(Self_), LimitWindow_(Bounds.Window_),
+      ConfigurationRequests_(ConfigurationFeedTime) {}
 
 void HomeLink::setTransport(std::unique_ptr<PeerTransport> Transport) {
   Transport_ = std::move(Transport);
--- a/src/relayd/PlainCall.cpp
+++ b/src/relayd/PlainCall.cpp
@@ -62,6 +62,7 @@
   ServerResponse Response = takeValue(std::move(CallResult));
   CallLimits Limits;
   Limits.IdleTimeout_ = Request_.timeLeft();
+  Limits.BodyTimeout_ = std::min(Timeout, Request_.timeLeft());
   Limits.MaxBody_ = MaxBodyBytes;
   auto Body = co_await readBody(*Response.Connection_, Limits, Scope);
   if (!isOk(Body))
--- a/src/relayd/ServerCall.cpp
+++ b/src/relayd/ServerCall.cpp
@@ -62,8 +62,9 @@
       co_return Response;
     if (ForeignResponses == MaxForeignResponses)
       co_return CallError{CallFailure::Malformed, true};
-    auto SkippedBody =
-        co_await readBody(*Response.Connection_, CallLimits(), Scope);
+    CallLimits Limits;
+    Limits.BodyTimeout_ = ResponseTimeout;
+    auto SkippedBody = co_await readBody(*Response.Connection_, Limits, Scope);
     if (!isOk(SkippedBody))
       co_return errorOf(SkippedBody);
     Head = co_await Response.Connection_->readHead(ResponseTimeout, Scope);
--- a/src/relayd/SharedTable.cpp
+++ b/src/relayd/SharedTable.cpp
@@ -4,8 +4,18 @@
 
 namespace gooseberry {
 
+namespace {
+
+/// How long newer rows are awaited from a readable store. After all instances
+/// have restarted, most are a little behind their home, and a copy of thousands
+/// of rows for each of them would fill the home's link.
+constexpr Duration StoreFeedTime = std::chrono::seconds(5);
+
+} // namespace
+
 SharedTable::SharedTable(SharedTableId Id, std::string Name)
-    : Id_(Id), Name_(std::move(Name)), Cache_(Id, Name_) {}
+    : Id_(Id), Name_(std::move(Name)), Cache_(Id, Name_),
+      Requests_(StoreFeedTime) {}
 
 std::vector<StoreRow> SharedTable::onStoreSnapshot(const StoreRows &Rows,
                                                    TimePoint Now) {
--- a/tests/CopyRequestScheduleTest.cpp
+++ b/tests/CopyRequestScheduleTest.cpp
@@ -7,7 +7,7 @@
 
 TEST_CASE("A newer configuration is copied from a peer only if needed",
           "[relay]") {
-  CopyRequestSchedule Schedule;
+  CopyRequestSchedule Schedule(700ms);
   const TimePoint Start(10s);
 
   SECTION("nothing is requested from a peer that has no newer one") {
--- /dev/null
+++ b/tests/HttpCallTest.cpp
@@ -0,0 +1,82 @@
+#include "gooseberrybeam/http/HttpCall.h"
+
+#include "support/ScriptedServer.h"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A call that has not ended after this time would never end.
+constexpr Duration TestTimeout = 10s;
+
+/// Calls a server that sends \p Answer and then \p Repeated without end.
+class EndlessAnswer {
+public:
+  EndlessAnswer(std::string Answer, std::string Repeated, Duration Pause)
+      : Server_(Context_, std::move(Answer), AfterAnswer::Repeat) {
+    Server_.setRepeated(std::move(Repeated), Pause);
+  }
+
+  /// \returns why the call failed; none if it did not end.
+  std::optional<CallFailure> call(CallLimits Limits) {
+    asio::co_spawn(Context_, run(Limits), asio::detached);
+    Context_.run_for(TestTimeout);
+    return Failure_;
+  }
+
+private:
+  Task<void> run(CallLimits Limits) {
+    const BackendId Address = {Server_.address()};
+    HttpRequest Request = makeJsonRequest(beast::http::verb::get, "/", {});
+    const auto Reply =
+        co_await callHttp(Pool_, Address, std::move(Request), Limits, Scope_);
+    REQUIRE_FALSE(isOk(Reply));
+    Failure_ = errorOf(Reply).Failure_;
+    Context_.stop();
+  }
+
+  asio::io_context Context_;
+  ConnectionPool Pool_{PoolLimits()};
+  ScriptedServer Server_;
+  CancelScope Scope_;
+  std::optional<CallFailure> Failure_;
+};
+
+} // namespace
+
+TEST_CASE("A server in trouble sends bytes without end", "[http]") {
+  CallLimits Limits;
+
+  SECTION("in a head") {
+    EndlessAnswer Answer("HTTP/1.1 200 OK\r\nx: ", std::string(512, 'a'), 0ms);
+    CHECK(Answer.call(Limits) == CallFailure::Malformed);
+  }
+  SECTION("in a head, a byte now and then") {
+    Limits.IdleTimeout_ = 300ms;
+    EndlessAnswer Answer("HTTP/1.1 200 OK\r\nx: ", "a", 20ms);
+    CHECK(Answer.call(Limits) == CallFailure::Timeout);
+  }
+  SECTION("that are no answer") {
+    EndlessAnswer Answer("\x01\x02", std::string(512, '\x03'), 0ms);
+    CHECK(Answer.call(Limits) == CallFailure::Malformed);
+  }
+  SECTION("in a body") {
+    Limits.MaxBody_ = std::size_t{64} << 10;
+    EndlessAnswer Answer(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "8\r\nabcdefgh\r\n", 0ms);
+    CHECK(Answer.call(Limits) == CallFailure::Malformed);
+  }
+  SECTION("in a body, a byte now and then") {
+    Limits.BodyTimeout_ = 300ms;
+    EndlessAnswer Answer(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n",
+        20ms);
+    CHECK(Answer.call(Limits) == CallFailure::Timeout);
+  }
+}
--- a/tests/support/ScriptedServer.h
+++ b/tests/support/ScriptedServer.h
@@ -3,11 +3,13 @@
 #ifndef GOOSEBERRYBEAM_TESTS_SUPPORT_SCRIPTEDSERVER_H
 #define GOOSEBERRYBEAM_TESTS_SUPPORT_SCRIPTEDSERVER_H
 
+#include "gooseberrybeam/base/Time.h"
 #include "gooseberrybeam/http/Asio.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <memory>
@@ -17,7 +19,11 @@
 namespace gooseberry {
 
 /// What happens after the answer.
-enum class AfterAnswer { KeepOpen, Close };
+enum class AfterAnswer {
+  KeepOpen,
+  Close,
+  Repeat, ///< The last bytes are sent again and again until the client closes.
+};
 
 /// Listens on a free port of the loopback address.
 class ScriptedServer {
@@ -32,6 +38,14 @@
     asio::co_spawn(Context, accept(), asio::detached);
   }
 
+  /// Sets what `AfterAnswer::Repeat` sends.
+  /// \param Bytes sent after each pause.
+  /// \param Pause between two writes.
+  void setRepeated(std::string Bytes, Duration Pause) {
+    Repeated_ = std::move(Bytes);
+    Pause_ = Pause;
+  }
+
   /// \returns its address, `ip:port`.
   std::string address() const {
     return "127.0.0.1:" + std::to_string(Acceptor_.local_endpoint().port());
@@ -63,12 +77,28 @@
       co_await asio::async_write(Socket, asio::buffer(Answer_), AsTuple);
       if (After_ == AfterAnswer::Close)
         Socket.close();
+      if (After_ == AfterAnswer::Repeat)
+        co_await repeat(Socket);
+    }
+  }
+
+  Task<void> repeat(tcp::socket &Socket) {
+    asio::steady_timer Timer(Acceptor_.get_executor());
+    for (;;) {
+      auto [Error, Size] =
+          co_await asio::async_write(Socket, asio::buffer(Repeated_), AsTuple);
+      if (Error)
+        co_return;
+      Timer.expires_after(Pause_);
+      co_await Timer.async_wait(AsTuple);
     }
   }
 
   tcp::acceptor Acceptor_;
   std::string Answer_;
   AfterAnswer After_;
+  std::string Repeated_;
+  Duration Pause_{0};
   std::vector<std::unique_ptr<tcp::socket>> Connections_;
 };
 
