Compare an instance's row by its identity; log who feeds a table

The capacity in a row is a decimal fraction that need not read back exactly; an instance must not take its own row for another's because of that. Each change of a table's source is one log line, as an on-call engineer asks who fed an instance when.

--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -290,8 +290,10 @@
 
 void RelayDaemon::registerSelf() {
   const auto Row = instanceRows().find(makeInstanceRowKey(Settings_.Name_));
-  const bool IsListed =
-      Row != instanceRows().end() && parseInstanceRow(Row->second) == self();
+  const auto Listed = Row == instanceRows().end()
+                          ? std::nullopt
+                          : parseInstanceRow(Row->second);
+  const bool IsListed = Listed && Listed->Peer_ == self().Peer_;
   if (IsListed || Relay_.IsDraining_ ||
       std::exchange(IsInstanceRowBeingWritten_, true))
     return;
--- a/src/relayd/TableWatcher.cpp
+++ b/src/relayd/TableWatcher.cpp
@@ -44,12 +44,18 @@
 }
 
 Task<void> TableWatcher::waitWhilePaused() {
+  if (!Control_.IsPaused_())
+    co_return;
+  handleSuccess(); // Changes arrive, so an outage of the store is over here.
+  logLine(LogPart::Table, LogLevel::Info, "Home feeds the table.",
+          {{"table", Table_}, {"version", std::to_string(Version_)}});
   while (Control_.IsPaused_()) {
-    handleSuccess(); // Changes arrive, so an outage of the store is over here.
     PauseTimer_.expires_at(asio::steady_timer::time_point::max());
     co_await PauseTimer_.async_wait(AsTuple);
   }
   Version_ = std::max(Version_, Control_.KnownVersion_());
+  logLine(LogPart::Table, LogLevel::Info, "Following the store.",
+          {{"table", Table_}, {"version", std::to_string(Version_)}});
 }
 
 void TableWatcher::resumeIfNeeded() {
--- a/tests/TableCacheTest.cpp
+++ b/tests/TableCacheTest.cpp
@@ -16,6 +16,7 @@
 
 std::vector<std::string> keysOf(const std::vector<StoreRow> &Rows) {
   std::vector<std::string> Keys;
+  Keys.reserve(Rows.size());
   for (const StoreRow &Each : Rows)
     Keys.push_back(Each.Key_);
   return Keys;
