--- a/tests/HttpCallTest.cpp
+++ b/tests/HttpCallTest.cpp
@@ -80,3 +80,35 @@
     CHECK(Answer.call(Limits) == CallFailure::Timeout);
   }
 }
+
+TEST_CASE("A server sends its answer a second time, late", "[http]") {
+  const std::string Copy = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+  asio::io_context Context;
+  ConnectionPool Pool{PoolLimits()};
+  ScriptedServer Server(Context, Copy, AfterAnswer::Repeat);
+  Server.setRepeated(Copy, 20ms);
+  CancelScope Scope;
+  const BackendId Address = {Server.address()};
+  int Answers = 0;
+  const auto Call = [&](Duration Pause) -> Task<void> {
+    asio::steady_timer Timer(Context);
+    Timer.expires_after(Pause);
+    co_await Timer.async_wait(AsTuple);
+    HttpRequest Request = makeJsonRequest(beast::http::verb::get, "/", {});
+    const auto Reply =
+        co_await callHttp(Pool, Address, std::move(Request), {}, Scope);
+    Answers += isOk(Reply) ? 1 : 0;
+  };
+  const auto CallTwice = [&]() -> Task<void> {
+    co_await Call(0ms);
+    co_await Call(200ms);
+    Context.stop();
+  };
+  asio::co_spawn(Context, CallTwice(), asio::detached);
+  Context.run_for(TestTimeout);
+
+  SECTION("the next call gets a connection of its own") {
+    CHECK(Answers == 2);
+    CHECK(Server.connections() == 2);
+  }
+}
