--- a/tests/FeedFleetTest.cpp
+++ b/tests/FeedFleetTest.cpp
@@ -159,8 +159,8 @@
   Duration LongestDelay_{0};
 };
 
-bool isBetween(TimePoint Now, Duration From, Duration To) {
-  return Now >= TimePoint(From) && Now < TimePoint(To);
+bool isBetween(TimePoint Now, Duration Begin, Duration End) {
+  return Now >= TimePoint(Begin) && Now < TimePoint(End);
 }
 
 } // namespace
