Log which prompt segments a failed decode call had, and how far its engine got

The log could not tell requests that crash engines from requests that were there when an engine fell. 'Decode call failed.' now has the events and the time of this engine and the shared segments of the prompt; completed streams have the segments too.

--- a/include/gooseberrybeam/base/Ids.h
+++ b/include/gooseberrybeam/base/Ids.h
@@ -42,6 +42,8 @@
 using DataCentreId = NamedId<struct DataCentreTag>;
 /// A request, unique across instances.
 using RequestId = NamedId<struct RequestTag>;
+/// A segment of a prompt that other prompts may contain too.
+using PromptSegmentId = NamedId<struct PromptSegmentTag>;
 
 } // namespace gooseberry
 
--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -72,6 +72,7 @@
   std::uint32_t EventsSent_ = 0; ///< Events written to the caller.
   std::optional<std::uint64_t> LastEventId_;
   TimePoint PlacedAt_;    ///< Time of the latest grant.
+  TimePoint DecodeAt_;    ///< Start of the latest decode call.
   TimePoint PrefilledAt_; ///< End of the latest successful prefill.
   TimePoint FirstEventAt_;
   TimePoint LastEventAt_;
--- a/include/gooseberrybeam/relayd/RelayProtocol.h
+++ b/include/gooseberrybeam/relayd/RelayProtocol.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace gooseberry {
 
@@ -24,7 +25,10 @@
   std::uint32_t PromptTokens_ = 0;
   std::uint32_t MaxOutputTokens_ = 0;
   std::uint32_t LengthHint_ = 0; ///< Estimated output tokens; 0 if absent.
-  bool IsWellFormed_ = true;     ///< False if a field is malformed.
+  /// The segments of the prompt that other prompts may contain too, in order.
+  /// The last segment of a prompt is its own and not listed.
+  std::vector<PromptSegmentId> SharedSegments_;
+  bool IsWellFormed_ = true; ///< False if a field is malformed.
 };
 
 /// Metadata that the relay adds to a request to a backend server.
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <span>
 
 namespace gooseberry {
 namespace {
@@ -45,6 +46,16 @@
              {"failure", asCode(errorOf(Response).Failure_)}});
 }
 
+std::string joinSegments(std::span<const PromptSegmentId> Segments) {
+  std::string Text;
+  for (const PromptSegmentId &Segment : Segments) {
+    if (!Text.empty())
+      Text += ',';
+    Text += Segment.Value_;
+  }
+  return Text;
+}
+
 } // namespace
 
 GenerationCall::GenerationCall(RelayContext &Context, RelayRequest &Request,
@@ -212,6 +223,10 @@
            {"server", Engine.Id_.Value_},
            {"why", Reason},
            {"events", std::to_string(EventsSent_)},
+           {"engine_events", std::to_string(EngineEvents_)},
+           {"engine_ms",
+            std::to_string(wholeMilliseconds(readBootClock() - DecodeAt_))},
+           {"segments", joinSegments(Request_.CallerInfo_.SharedSegments_)},
            {"may_move", Request_.Route_.mayRetry() ? "true" : "false"},
            {"elapsed_ms", elapsedMs(Request_.Exchange_)}});
 }
@@ -232,7 +247,6 @@
                            StartedDecodes_ < Request_.Route_.MaxServers_;
   EventSplitter Splitter;
   std::array<char, ReadBufferBytes> Buffer;
-  EngineEvents_ = 0;
   EventStallTimer Stall(FirstEventTimeout, EventTimeout, readBootClock());
   for (;;) {
     Duration Timeout = Request_.timeLeft();
@@ -303,6 +317,8 @@
                        const std::string &KvSource) {
   CallerExchange &Exchange = Request_.Exchange_;
   ++DecodeCalls_;
+  EngineEvents_ = 0;
+  DecodeAt_ = readBootClock();
   ServerTarget Target = makeTarget(Engine);
   Target.RequestInfo_.KvSource_ = KvSource;
   const bool MayFailOver = Request_.Route_.mayRetry() &&
@@ -390,6 +406,7 @@
        {"placed_ms", msSinceArrival(PlacedAt_)},
        {"prefilled_ms", msSinceArrival(PrefilledAt_)},
        {"first_event_ms", msSinceArrival(FirstEventAt_)},
+       {"segments", joinSegments(Request_.CallerInfo_.SharedSegments_)},
        {"configuration", std::to_string(Request_.Configuration_->version())},
        {"elapsed_ms", elapsedMs(Exchange)}});
   if (IsComplete_ || IsResponseStarted) {
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -133,6 +133,7 @@
   Head.set("Deadline-Ms", "14000");
   Head.set("Token-Count", "1460,80");
   Head.set("Length-Hint", "60");
+  Head.set("Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
   Head.set("Authorization", "Token k1");
   Head.set("Kv-Hold", "stolen");
   Head.set("Tenant", "other");
@@ -143,6 +144,8 @@
   CHECK(Info.PromptTokens_ == 1460);
   CHECK(Info.MaxOutputTokens_ == 80);
   CHECK(Info.LengthHint_ == 60);
+  CHECK(Info.SharedSegments_ ==
+        std::vector<PromptSegmentId>{{"5c1e07a2"}, {"91bd3f06"}});
 
   SECTION("the server receives the fields of the relay and no credentials") {
     ServerRequestInfo RequestInfo;
