Keep prompts that crash engines from one engine after the other

Cause: a request whose engine breaks off is carried to the next engine, whatever it did to the first, and nothing remembers what requests under which engines fell have in common. Class of fault: retries and new requests that repeat a harmful input, with the failure blamed on the server alone.

Ruled out: engines that crash by themselves (all other calls on them had run for up to 4.5 s), and overload (its calls time out, after the first crashes).

Change: the home finds the segments (PromptQuarantine). A request is suspect if its engine closed the connection before its third event. Suspects start one at a time and not together on one engine, so a crash names its prompt; a request that is answered clears its segments; three crashes, the last of them on trial, quarantine them. The home's replies carry what it found, the next home gets it from any instance.

--- a/include/gooseberrybeam/base/Refusal.h
+++ b/include/gooseberrybeam/base/Refusal.h
@@ -36,6 +36,7 @@
   ConfigurationUnknown,
   Draining,
   ClientGone,
+  PromptQuarantined,
   Internal,
 };
 
--- a/include/gooseberrybeam/relay/GenerationPlacer.h
+++ b/include/gooseberrybeam/relay/GenerationPlacer.h
@@ -8,6 +8,7 @@
 #include "gooseberrybeam/relay/EngineHealth.h"
 #include "gooseberrybeam/relay/KvForecast.h"
 #include "gooseberrybeam/relay/PlacementTypes.h"
+#include "gooseberrybeam/relay/PromptQuarantine.h"
 #include "gooseberrybeam/relay/RefusalTracker.h"
 #include "gooseberrybeam/relay/RelayConfiguration.h"
 
@@ -30,7 +31,8 @@
 /// order is decided as late as possible. When a burst exceeds the KV memory of
 /// the decode engines, generations that can still meet their target latency go
 /// first, and generations that cannot finish before their deadline are refused
-/// before they run.
+/// before they run. Prompts that crash engines are kept from them, see
+/// `PromptQuarantine`.
 class GenerationPlacer {
 public:
   /// \param Directory the registered backend servers; must outlive the placer.
@@ -69,6 +71,18 @@
   /// \returns the decisions, in the order in which they were made.
   std::vector<PlacementDecision> decide(TimePoint Now);
 
+  /// \returns prompt segments that crash engines, or may, to hand on.
+  /// \param Now the current time.
+  std::vector<CrashSuspect> crashSuspects(TimePoint Now) const {
+    return Quarantine_.suspects(Now);
+  }
+  /// Adds prompt segments that another home had found.
+  /// \param Found what it had found.
+  /// \param Now the current time.
+  void mergeCrashSuspects(std::span<const CrashSuspect> Found, TimePoint Now) {
+    Quarantine_.merge(Found, Now);
+  }
+
   /// \returns whether \p Request of \p Instance is waiting for engines.
   bool isWaiting(const InstanceId &Instance, const RequestId &Request) const;
   /// \returns the number of generations waiting for engines.
@@ -86,6 +100,8 @@
     bool IsGranted_ = false;
     bool IsPrefilling_ = false;
     bool IsSolePrefill_ = false; ///< No other prefill was pending.
+    bool IsSuspect_ = false;     ///< Its prompt may crash engines.
+    bool HasEvents_ = false;     ///< The decode engine has sent events.
     ServerId Prefill_;
     ServerId Decode_;
     TimePoint OutputUpdatedAt_; ///< When `OutputTokens_` was set.
@@ -93,6 +109,7 @@
     double ExpectedOutput_ = 0;
     TimePoint StartDeadline_;      ///< Refused if not started by then.
     TimePoint FirstEventDue_;      ///< For the target latency.
+    TimePoint LatestStart_;        ///< To send the first event when it is due.
     TimePoint Deadline_;           ///< The caller gives up then.
     Duration ExpectedDuration_{0}; ///< Prefill and decode.
   };
@@ -113,6 +130,8 @@
     const BackendEntry *Entry_ = nullptr;
     EngineState *State_ = nullptr;
     std::vector<KvStream> Streams_; ///< Forecasts of its streams.
+    std::size_t Starting_ = 0;      ///< Streams without an event so far.
+    bool HasStartingSuspect_ = false;
   };
 
   /// Queues and estimates of one service.
@@ -120,6 +139,8 @@
     FairQueue Queue_;
     /// Streams whose decode engine failed, oldest first.
     std::vector<RequestId> MovedStreams_;
+    /// Requests that wait for the trial of another one with their segments.
+    std::vector<RequestId> HeldRequests_;
     double MeanOutputTokens_ = 0; ///< Smoothed; 0 before any sample.
     double PrefillTokensPerMs_ = 0;
     double DecodeTokensPerMs_ = 0;
@@ -162,6 +183,10 @@
   chooseEngines(std::vector<DecodeCandidate> &Candidates, const PoolState &Pool,
                 const GenerationState &Generation, const EngineTraits &Traits,
                 TimePoint Now);
+  QueueItem makeQueueItem(const GenerationState &Generation) const;
+  PromptAdmission admit(GenerationState &Generation, TimePoint Now);
+  void queueHeldRequests(PoolState &Pool, TimePoint Now,
+                         std::vector<PlacementDecision> &Decisions);
   void placeMovedStreams(std::vector<DecodeCandidate> &Candidates,
                          PoolState &Pool, const EngineTraits &Traits,
                          TimePoint Now,
@@ -196,6 +221,7 @@
   std::unordered_map<ServerId, EngineState> Engines_;
   std::unordered_map<RequestId, GenerationState> Generations_;
   RefusalTracker Refusals_;
+  PromptQuarantine Quarantine_;
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/relay/HomeCoordinator.h
+++ b/include/gooseberrybeam/relay/HomeCoordinator.h
@@ -43,6 +43,11 @@
   /// \returns the utilisation of the limits that are at least half used. Cached
   /// for up to 250 ms.
   const std::vector<LimitUtilisation> &utilisation(TimePoint Now);
+  /// \param Now the current time.
+  /// \returns prompt segments that crash engines, or may, to hand on.
+  std::vector<CrashSuspect> crashSuspects(TimePoint Now) const {
+    return Placer_.crashSuspects(Now);
+  }
   /// Processes a placement request. The answer is returned by `decide`.
   /// \param Sender the instance that sent the message.
   /// \param Placement the request for engines.
--- a/include/gooseberrybeam/relay/HomeMessages.h
+++ b/include/gooseberrybeam/relay/HomeMessages.h
@@ -5,6 +5,7 @@
 #define GOOSEBERRYBEAM_RELAY_HOMEMESSAGES_H
 
 #include "gooseberrybeam/relay/PlacementTypes.h"
+#include "gooseberrybeam/relay/PromptQuarantine.h"
 #include "gooseberrybeam/relay/TableUpdate.h"
 
 #include <array>
@@ -54,6 +55,8 @@
   /// On attachment: the utilisation at the last home if that became
   /// unreachable.
   std::vector<LimitUtilisation> Utilisation_;
+  /// On attachment: what the last home had found.
+  std::vector<CrashSuspect> CrashSuspects_;
 
   friend bool operator==(const HomeHeartbeat &,
                          const HomeHeartbeat &) = default;
@@ -69,6 +72,8 @@
   bool IsLeaving_ = false; ///< The sender shuts down; select another home.
   std::vector<OrganisationId> ExhaustedOrganisations_; ///< No tokens left.
   std::vector<LimitUtilisation> Utilisation_; ///< Of limits at least half used.
+  /// Prompt segments that crash engines, or may.
+  std::vector<CrashSuspect> CrashSuspects_;
 
   friend bool operator==(const HomeReply &, const HomeReply &) = default;
 };
--- a/include/gooseberrybeam/relay/PlacementTypes.h
+++ b/include/gooseberrybeam/relay/PlacementTypes.h
@@ -33,6 +33,8 @@
   bool NeedsPrefill_ = true; ///< False: the decode engine prefills the prompt.
   std::uint32_t OutputTokens_ = 0; ///< Generated before the stream was moved.
   std::vector<ServerId> ExcludedEngines_; ///< Engines that failed this request.
+  /// Segments of the prompt that other prompts may contain too.
+  std::vector<PromptSegmentId> SharedSegments_;
 
   friend bool operator==(const PlacementRequest &,
                          const PlacementRequest &) = default;
@@ -72,13 +74,16 @@
 
 /// An event in the life of a granted generation.
 enum class GenerationStep : std::uint8_t {
-  Prefilled,      ///< Prefill ended: `Tokens_` in `Elapsed_`.
-  Progressed,     ///< Decoding: `Tokens_` in total in `Elapsed_`.
+  Prefilled, ///< Prefill ended: `Tokens_` in `Elapsed_`.
+  /// Decoding: `Tokens_` in total in `Elapsed_`; 0 at the first event.
+  Progressed,
   Ended,          ///< Reservation ended, regardless of the outcome.
   HandleLost,     ///< KV of the prefill engine could not be fetched.
   ServerFull,     ///< The engine rejected the request.
   ServerFailed,   ///< The engine disconnected or timed out.
   ServerReplaced, ///< The engine was replaced or is leaving.
+  /// The engine closed the connection as it began to answer.
+  CrashedAtStart,
 };
 
 /// Reports a step of a generation to the home.
@@ -88,6 +93,8 @@
   ServerId Server_; ///< The engine that the step concerns.
   std::uint32_t Tokens_ = 0;
   Duration Elapsed_{0};
+  /// Of the prompt; set for `CrashedAtStart` only.
+  std::vector<PromptSegmentId> SharedSegments_;
 
   friend bool operator==(const GenerationReport &,
                          const GenerationReport &) = default;
--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -48,11 +48,12 @@
   Task<bool> writeEvents(EventSplitter &Splitter);
   ServerTarget makeTarget(const ChosenServer &Engine) const;
   bool mayRetry(StepOutcome Outcome) const;
+  void reportFailure(const ChosenServer &Engine, CallFailure Failure);
   bool tryConsumeRetry();
   bool excludeLeavingEngines(const PlacementGrant &Grant);
   void logEngineFailure(const ChosenServer &Engine,
                         std::string_view Reason) const;
-  void reportProgress(const ChosenServer &Engine, bool IsLast);
+  void reportProgress(const ChosenServer &Engine, bool IsDue);
   void report(GenerationStep Step, const ChosenServer &Engine,
               std::uint32_t Tokens = 0, Duration Elapsed = Duration::zero());
   void releaseHandleAsync(const BackendId &Address, const std::string &Handle);
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -140,6 +140,7 @@
   HomeHeartbeat makeHeartbeat();
   std::vector<TokenUsage> recentTokenUsage() const;
   void logAnswer(const PlacementDecision &Decision) const;
+  void logCrash(const GenerationReport &Report) const;
   void sendDecisions();
   void sendDecisionsRateLimited();
   void sendPlacementRequest(PendingPlacement &Placement);
@@ -166,6 +167,8 @@
   std::unordered_set<OrganisationId> ExhaustedOrganisations_;
   /// From the latest reply of the home.
   std::vector<LimitUtilisation> Utilisation_;
+  /// From the latest reply of the home, for the next one.
+  std::vector<CrashSuspect> CrashSuspects_;
   std::uint64_t Attachment_ = 0; ///< Number of attachments so far.
   /// Sequence number of the first heartbeat of the current attachment; it and
   /// those up to the first reply carry the whole state.
--- a/src/base/Refusal.cpp
+++ b/src/base/Refusal.cpp
@@ -36,6 +36,7 @@
     {RefusalReason::ConfigurationUnknown, "configuration_unknown", 503},
     {RefusalReason::Draining, "draining", 503},
     {RefusalReason::ClientGone, "client_gone", 499},
+    {RefusalReason::PromptQuarantined, "prompt_quarantined", 503},
     {RefusalReason::Internal, "internal", 500},
 }};
 
--- a/src/http/ErrorBody.cpp
+++ b/src/http/ErrorBody.cpp
@@ -50,6 +50,8 @@
      "This instance has no current configuration."},
     {RefusalReason::Draining, "This instance is shutting down."},
     {RefusalReason::ClientGone, "The caller closed the connection."},
+    {RefusalReason::PromptQuarantined,
+     "Prompts with these segments crash the engines that answer them."},
     {RefusalReason::Internal, "Internal error."},
 }};
 
--- a/src/relay/GenerationPlacer.cpp
+++ b/src/relay/GenerationPlacer.cpp
@@ -123,15 +123,22 @@
   if (const auto EarlierDue = Refusals_.take(Placement, Now))
     Generation.FirstEventDue_ =
         std::min(Generation.FirstEventDue_, *EarlierDue);
-  QueueItem Entry;
-  Entry.Request_ = Placement.Request_;
-  Entry.Organisation_ = Placement.Organisation_;
-  Entry.LatestStart_ = Generation.FirstEventDue_ - FirstEvent;
-  Entry.ExpiresAt_ = Generation.StartDeadline_;
-  Entry.CallerMayRetry_ = Placement.PatienceLeft_ < Placement.TimeLeft_;
-  Entry.Weight_ = weightOf(Placement.Organisation_);
+  Generation.LatestStart_ = Generation.FirstEventDue_ - FirstEvent;
+  Pool.Queue_.push(makeQueueItem(Generation));
   Generations_.emplace(Placement.Request_, std::move(Generation));
-  Pool.Queue_.push(Entry);
+}
+
+QueueItem
+GenerationPlacer::makeQueueItem(const GenerationState &Generation) const {
+  const PlacementRequest &Placement = Generation.Placement_;
+  QueueItem Item;
+  Item.Request_ = Placement.Request_;
+  Item.Organisation_ = Placement.Organisation_;
+  Item.LatestStart_ = Generation.LatestStart_;
+  Item.ExpiresAt_ = Generation.StartDeadline_;
+  Item.CallerMayRetry_ = Placement.PatienceLeft_ < Placement.TimeLeft_;
+  Item.Weight_ = weightOf(Placement.Organisation_);
+  return Item;
 }
 
 void GenerationPlacer::adopt(const InstanceId &Instance,
@@ -190,6 +197,8 @@
   else
     Pool.Queue_.erase(Request);
   std::erase(Pool.MovedStreams_, Request);
+  std::erase(Pool.HeldRequests_, Request);
+  Quarantine_.onReleased(Request);
   Generations_.erase(Found);
 }
 
@@ -229,6 +238,9 @@
   Generation.OutputTokens_ =
       std::max<double>(Generation.OutputTokens_, Report.Tokens_);
   Generation.OutputUpdatedAt_ = Now;
+  Generation.HasEvents_ = true;
+  if (Report.Tokens_ > 0)
+    Quarantine_.onAnswered(Generation.Placement_.SharedSegments_, Now);
   EngineState &Engine = Engines_[Report.Server_];
   Engine.Health_.onSuccess();
   if (!Generation.Prefill_.Value_.empty())
@@ -254,9 +266,11 @@
       recordDecode(Found->second, Report, Now);
     return;
   case GenerationStep::Ended:
-    if (Found != Generations_.end() && Report.Elapsed_ > Duration::zero())
+    if (Found != Generations_.end() && Report.Elapsed_ > Duration::zero()) {
       smooth(poolOf(Found->second.Placement_.Service_).MeanOutputTokens_,
              Report.Tokens_, PoolSampleWeight);
+      Quarantine_.onAnswered(Found->second.Placement_.SharedSegments_, Now);
+    }
     erase(Report.Request_, Now);
     return;
   case GenerationStep::HandleLost:
@@ -267,6 +281,11 @@
   case GenerationStep::ServerFull:
     Engines_[Report.Server_].Health_.onFull(Now);
     return;
+  case GenerationStep::CrashedAtStart:
+    Quarantine_.onCrash(Report.Request_, Report.SharedSegments_, Report.Server_,
+                        Now);
+    Engines_[Report.Server_].Health_.onFailure(Now);
+    return;
   case GenerationStep::ServerFailed:
   case GenerationStep::ServerReplaced:
     Engines_[Report.Server_].Health_.onFailure(Now);
@@ -288,6 +307,10 @@
                          Generation.ExpectedOutput_);
   Generation.IsGranted_ = true;
   Generation.OutputUpdatedAt_ = Now;
+  Quarantine_.onGranted(Generation.Placement_.Request_,
+                        Generation.Placement_.SharedSegments_, Now);
+  ++Engines.Decode_->Starting_;
+  Engines.Decode_->HasStartingSuspect_ |= Generation.IsSuspect_;
   const BackendEntry &Decode = *Engines.Decode_->Entry_;
   EngineState &DecodeEngine = *Engines.Decode_->State_;
   Generation.Decode_ = Decode.Id_;
@@ -361,6 +384,32 @@
   }
 }
 
+PromptAdmission GenerationPlacer::admit(GenerationState &Generation,
+                                        TimePoint Now) {
+  const PromptAdmission Admission =
+      Quarantine_.admissionOf(Generation.Placement_.SharedSegments_, Now);
+  Generation.IsSuspect_ = Admission != PromptAdmission::Free;
+  return Admission;
+}
+
+// Requests whose trial has ended return to the queue.
+void GenerationPlacer::queueHeldRequests(
+    PoolState &Pool, TimePoint Now, std::vector<PlacementDecision> &Decisions) {
+  const std::vector<RequestId> Held = std::exchange(Pool.HeldRequests_, {});
+  for (const RequestId &Request : Held) {
+    GenerationState &Generation = Generations_.at(Request);
+    const PromptAdmission Admission = admit(Generation, Now);
+    if (Admission == PromptAdmission::Quarantined)
+      deny(Request, RefusalReason::PromptQuarantined, {}, Now, Decisions);
+    else if (Generation.StartDeadline_ < Now)
+      deny(Request, RefusalReason::DeadlineUnreachable, {}, Now, Decisions);
+    else if (Admission == PromptAdmission::Held)
+      Pool.HeldRequests_.push_back(Request);
+    else
+      Pool.Queue_.push(makeQueueItem(Generation));
+  }
+}
+
 // Moved streams go first, as their callers are waiting in the middle of an
 // answer.
 void GenerationPlacer::placeMovedStreams(
@@ -370,8 +419,13 @@
   const std::vector<RequestId> Waiting = std::exchange(Pool.MovedStreams_, {});
   for (const RequestId &Request : Waiting) {
     GenerationState &Generation = Generations_.at(Request);
-    if (Generation.StartDeadline_ < Now) {
+    const PromptAdmission Admission = admit(Generation, Now);
+    if (Admission == PromptAdmission::Quarantined) {
+      deny(Request, RefusalReason::PromptQuarantined, {}, Now, Decisions);
+    } else if (Generation.StartDeadline_ < Now) {
       deny(Request, RefusalReason::DeadlineUnreachable, {}, Now, Decisions);
+    } else if (Admission == PromptAdmission::Held) {
+      Pool.MovedStreams_.push_back(Request);
     } else if (const auto Chosen =
                    chooseEngines(Candidates, Pool, Generation, Traits, Now)) {
       grant(Pool, Generation, *Chosen, Now, Decisions);
@@ -386,7 +440,18 @@
                                    TimePoint Now,
                                    std::vector<PlacementDecision> &Decisions) {
   while (const auto Next = Pool.Queue_.peek(Now)) {
-    GenerationState &Generation = Generations_.at(*Next);
+    const RequestId Request = *Next;
+    GenerationState &Generation = Generations_.at(Request);
+    const PromptAdmission Admission = admit(Generation, Now);
+    if (Admission == PromptAdmission::Quarantined) {
+      deny(Request, RefusalReason::PromptQuarantined, {}, Now, Decisions);
+      continue;
+    }
+    if (Admission == PromptAdmission::Held) {
+      Pool.Queue_.erase(Request);
+      Pool.HeldRequests_.push_back(Request);
+      continue;
+    }
     const auto Chosen =
         chooseEngines(Candidates, Pool, Generation, Traits, Now);
     if (!Chosen)
@@ -399,6 +464,7 @@
                                   TimePoint Now,
                                   std::vector<PlacementDecision> &Decisions) {
   refuseExpired(Pool, Now, Decisions);
+  queueHeldRequests(Pool, Now, Decisions);
   if (Pool.Queue_.size() + Pool.MovedStreams_.size() == 0)
     return;
   const RelayService *Known = Configuration_->findService(Service);
@@ -433,7 +499,8 @@
 std::size_t GenerationPlacer::waitingCount() const {
   std::size_t Count = 0;
   for (const auto &[Service, Pool] : Pools_)
-    Count += Pool.Queue_.size() + Pool.MovedStreams_.size();
+    Count += Pool.Queue_.size() + Pool.MovedStreams_.size() +
+             Pool.HeldRequests_.size();
   return Count;
 }
 
--- a/src/relay/GenerationPlacerChoice.cpp
+++ b/src/relay/GenerationPlacerChoice.cpp
@@ -24,6 +24,9 @@
 constexpr Duration RemoteTransferPenalty = std::chrono::milliseconds(15);
 /// A decode engine slower than this fraction of its pool's rate is used last.
 constexpr double SlowRateThreshold = 0.6;
+/// Extra cost of an engine on which another request is starting, if one of the
+/// two may crash it.
+constexpr double SuspectCompanyPenalty = 1;
 
 } // namespace
 
@@ -95,10 +98,18 @@
   for (const auto &[Id, Entry] : Directory_.entries()) {
     if (Entry.Service_ != Service || Entry.Role_ != EngineRole::Decode)
       continue;
-    DecodeCandidate Candidate{&Entry, &engineOf(Entry), {}};
-    for (const auto &Request : Candidate.State_->Streams_)
-      Candidate.Streams_.push_back(forecastStream(
-          Generations_.at(Request), Pool, *Candidate.State_, Now));
+    DecodeCandidate Candidate;
+    Candidate.Entry_ = &Entry;
+    Candidate.State_ = &engineOf(Entry);
+    for (const auto &Request : Candidate.State_->Streams_) {
+      const GenerationState &Stream = Generations_.at(Request);
+      Candidate.Streams_.push_back(
+          forecastStream(Stream, Pool, *Candidate.State_, Now));
+      if (Stream.HasEvents_)
+        continue;
+      ++Candidate.Starting_;
+      Candidate.HasStartingSuspect_ |= Stream.IsSuspect_;
+    }
     Candidates.push_back(std::move(Candidate));
   }
   return Candidates;
@@ -120,6 +131,8 @@
       continue;
     if (Each.Streams_.size() >= Traits.Slots_)
       continue;
+    if (Generation.IsSuspect_ && Each.HasStartingSuspect_)
+      continue;
     std::vector<KvStream> Streams = Each.Streams_;
     Streams.push_back(forecastStream(Generation, Pool, Engine, Now));
     const double Peak = forecastPeakTokens(std::move(Streams));
@@ -128,7 +141,10 @@
     const double Rate = decodeTokensPerMs(Pool, Engine);
     const double SlownessPenalty =
         Rate < SlowRateThreshold * PoolRate ? PoolRate / Rate : 0;
-    const double Cost = Peak / Capacity + SlownessPenalty;
+    const bool IsNearSuspect =
+        Generation.IsSuspect_ ? Each.Starting_ > 0 : Each.HasStartingSuspect_;
+    const double Cost = Peak / Capacity + SlownessPenalty +
+                        (IsNearSuspect ? SuspectCompanyPenalty : 0);
     if (Cost < BestCost) {
       Best = &Each;
       BestCost = Cost;
--- a/src/relay/HomeCoordinator.cpp
+++ b/src/relay/HomeCoordinator.cpp
@@ -59,6 +59,7 @@
   for (const auto &Each : Message.RunningGenerations_)
     Placer_.adopt(Sender, Each, Now);
   recordUsage(Sender, Message, Now);
+  Placer_.mergeCrashSuspects(Message.CrashSuspects_, Now);
   for (const auto &Each : Message.TokenUsage_)
     if (Limits_.isExhausted(Each.Organisation_, Now))
       Exhausted.push_back(Each.Organisation_);
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -17,6 +17,8 @@
 
 constexpr int HttpOk = 200;
 constexpr std::uint32_t MaxPlacements = 4;
+/// An engine that has sent this many events is answering the request.
+constexpr std::uint32_t AnsweringEvents = 3;
 /// Events between two progress reports to the home.
 constexpr std::uint32_t EventsPerReport = 12;
 /// A prefill that takes longer counts as failed; prompts take about 100 ms.
@@ -85,6 +87,7 @@
   Placement.IsCharged_ = Placements_ > 1;
   Placement.OutputTokens_ = EventsSent_ * Engine_.TokensPerEvent_;
   Placement.ExcludedEngines_ = ExcludedServers_;
+  Placement.SharedSegments_ = Request_.CallerInfo_.SharedSegments_;
   if (LastEventId_) {
     Placement.NeedsPrefill_ = false;
     Placement.TargetLeft_ = ResumeTarget;
@@ -95,7 +98,22 @@
 void GenerationCall::report(GenerationStep Step, const ChosenServer &Engine,
                             std::uint32_t Tokens, Duration Elapsed) {
   Context_.Home_.report(
-      {Request_.Exchange_.id(), Step, Engine.Id_, Tokens, Elapsed});
+      {Request_.Exchange_.id(), Step, Engine.Id_, Tokens, Elapsed, {}});
+}
+
+// A connection that ends as the engine begins to answer may be the doing of the
+// prompt.
+void GenerationCall::reportFailure(const ChosenServer &Engine,
+                                   CallFailure Failure) {
+  const bool IsCrash =
+      Failure == CallFailure::Receive && EngineEvents_ < AnsweringEvents;
+  if (!IsCrash) {
+    report(GenerationStep::ServerFailed, Engine);
+    return;
+  }
+  Context_.Home_.report(
+      {Request_.Exchange_.id(), GenerationStep::CrashedAtStart, Engine.Id_, 0,
+       Duration::zero(), Request_.CallerInfo_.SharedSegments_});
 }
 
 ServerTarget GenerationCall::makeTarget(const ChosenServer &Engine) const {
@@ -208,8 +226,8 @@
   co_return co_await Request_.Exchange_.write(Bytes);
 }
 
-void GenerationCall::reportProgress(const ChosenServer &Engine, bool IsLast) {
-  if (EngineEvents_ < 2 || (!IsLast && EngineEvents_ % EventsPerReport != 0))
+void GenerationCall::reportProgress(const ChosenServer &Engine, bool IsDue) {
+  if (EngineEvents_ < 2 || (!IsDue && EngineEvents_ % EventsPerReport != 0))
     return;
   const std::uint32_t Tokens = (EngineEvents_ - 1) * Engine_.TokensPerEvent_;
   report(GenerationStep::Progressed, Engine, Tokens,
@@ -260,6 +278,8 @@
       logEngineFailure(Engine, isOk(ReadResult)
                                    ? "event too large"
                                    : asCode(errorOf(ReadResult).Failure_));
+      reportFailure(Engine, isOk(ReadResult) ? CallFailure::Malformed
+                                             : errorOf(ReadResult).Failure_);
       co_return StepOutcome::Failed;
     }
     if (valueOf(ReadResult) == 0)
@@ -276,10 +296,12 @@
     if (PreviousEvents == 0 && EngineEvents_ != 0)
       report(GenerationStep::Progressed, Engine);
     else if (EngineEvents_ != PreviousEvents)
-      reportProgress(Engine, false);
+      reportProgress(Engine, PreviousEvents < AnsweringEvents &&
+                                 EngineEvents_ >= AnsweringEvents);
   }
   if (Splitter.hasPartialEvent()) {
     logEngineFailure(Engine, "ended inside an event");
+    reportFailure(Engine, CallFailure::Receive);
     co_return StepOutcome::Failed;
   }
   reportProgress(Engine, true);
@@ -333,7 +355,7 @@
     if (Exchange.scope().isCancelled())
       co_return StepOutcome::Stopped;
     logEngineFailure(Engine, asCode(errorOf(CallResult).Failure_));
-    report(GenerationStep::ServerFailed, Engine);
+    reportFailure(Engine, errorOf(CallResult).Failure_);
     co_return StepOutcome::Failed;
   }
   ServerResponse Response = takeValue(std::move(CallResult));
@@ -344,10 +366,7 @@
     co_return co_await relayFailure(Engine, std::move(Response));
   ++StartedDecodes_;
   MayHaveRun_ = true;
-  const StepOutcome Outcome = co_await relayEvents(Engine, std::move(Response));
-  if (Outcome == StepOutcome::Failed)
-    report(GenerationStep::ServerFailed, Engine);
-  co_return Outcome;
+  co_return co_await relayEvents(Engine, std::move(Response));
 }
 
 Task<bool> GenerationCall::prepareKv(const PlacementGrant &Grant,
--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr auto LastStep =
-    static_cast<std::uint32_t>(GenerationStep::ServerReplaced);
+    static_cast<std::uint32_t>(GenerationStep::CrashedAtStart);
 
 template <typename T>
 void writeUtilisation(T &Body,
@@ -28,6 +28,37 @@
   return Utilisation;
 }
 
+template <typename T>
+void writeSegments(T &Body, const std::vector<PromptSegmentId> &Segments) {
+  for (const auto &Segment : Segments)
+    Body.add_segments(Segment.Value_);
+}
+
+template <typename T> std::vector<PromptSegmentId> readSegments(const T &Body) {
+  std::vector<PromptSegmentId> Segments;
+  for (const auto &Segment : Body.segments())
+    Segments.push_back({Segment});
+  return Segments;
+}
+
+template <typename T>
+void writeSuspects(T &Body, const std::vector<CrashSuspect> &Suspects) {
+  for (const auto &Source : Suspects) {
+    auto &Suspect = *Body.add_suspects();
+    writeSegments(Suspect, Source.Segments_);
+    Suspect.set_crashes(Source.Crashes_);
+    Suspect.set_age_us(Source.Age_.count());
+  }
+}
+
+template <typename T> std::vector<CrashSuspect> readSuspects(const T &Body) {
+  std::vector<CrashSuspect> Suspects;
+  for (const auto &Suspect : Body.suspects())
+    Suspects.push_back(
+        {readSegments(Suspect), Suspect.crashes(), Duration(Suspect.age_us())});
+  return Suspects;
+}
+
 void write(wire::Home &Envelope, const HomeHeartbeat &Message) {
   auto &Body = *Envelope.mutable_heartbeat();
   Body.set_sequence(Message.Sequence_);
@@ -37,6 +68,7 @@
   Body.set_is_attached(Message.IsAttached_);
   Body.set_attachment(Message.Attachment_);
   writeUtilisation(Body, Message.Utilisation_);
+  writeSuspects(Body, Message.CrashSuspects_);
   Body.set_is_leaving(Message.IsLeaving_);
   for (const auto &Used : Message.TokenUsage_) {
     auto &Usage = *Body.add_used();
@@ -65,6 +97,7 @@
   for (const auto &Organisation : Message.ExhaustedOrganisations_)
     Body.add_exhausted(Organisation.Value_);
   writeUtilisation(Body, Message.Utilisation_);
+  writeSuspects(Body, Message.CrashSuspects_);
   for (const auto &Source : Message.Feeds_) {
     auto &Feed = *Body.add_feeds();
     Feed.set_version(Source.Version_);
@@ -91,6 +124,7 @@
   Body.set_output_tokens(Message.OutputTokens_);
   for (const auto &Server : Message.ExcludedEngines_)
     Body.add_avoid(Server.Value_);
+  writeSegments(Body, Message.SharedSegments_);
 }
 
 void write(wire::HomeServer &Body, const ChosenServer &Server) {
@@ -121,6 +155,7 @@
   Body.set_server(Message.Server_.Value_);
   Body.set_tokens(Message.Tokens_);
   Body.set_took_us(Message.Elapsed_.count());
+  writeSegments(Body, Message.SharedSegments_);
 }
 
 void write(wire::Home &Envelope, const ConfigurationRequest &Message) {
@@ -160,6 +195,7 @@
   Message.IsAttached_ = Body.is_attached();
   Message.Attachment_ = Body.attachment();
   Message.Utilisation_ = readUtilisation(Body);
+  Message.CrashSuspects_ = readSuspects(Body);
   Message.IsLeaving_ = Body.is_leaving();
   for (const auto &Usage : Body.used())
     Message.TokenUsage_.push_back(
@@ -184,6 +220,7 @@
   for (const auto &Organisation : Body.exhausted())
     Message.ExhaustedOrganisations_.push_back({Organisation});
   Message.Utilisation_ = readUtilisation(Body);
+  Message.CrashSuspects_ = readSuspects(Body);
   // An instance of an earlier release states no feeds: they count as unread.
   const int FeedCount =
       std::min(Body.feeds_size(), static_cast<int>(SharedTableCount));
@@ -213,6 +250,7 @@
   Message.OutputTokens_ = Body.output_tokens();
   for (const auto &Server : Body.avoid())
     Message.ExcludedEngines_.push_back({Server});
+  Message.SharedSegments_ = readSegments(Body);
   return Message;
 }
 
@@ -243,11 +281,10 @@
 std::optional<HomeMessage> read(const wire::HomeStep &Body) {
   if (Body.step() > LastStep)
     return std::nullopt;
-  return GenerationReport{{Body.request()},
-                          static_cast<GenerationStep>(Body.step()),
-                          {Body.server()},
-                          Body.tokens(),
-                          Duration(Body.took_us())};
+  return GenerationReport{
+      {Body.request()},         static_cast<GenerationStep>(Body.step()),
+      {Body.server()},          Body.tokens(),
+      Duration(Body.took_us()), readSegments(Body)};
 }
 
 std::optional<SharedTableId> readTable(std::uint32_t Table) {
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -179,6 +179,7 @@
   Heartbeat.IsAttached_ = true;
   Heartbeat.TokenUsage_ = recentTokenUsage();
   Heartbeat.Utilisation_ = PreviousHomeUtilisation_;
+  Heartbeat.CrashSuspects_ = CrashSuspects_;
   UnreportedUsage_.clear();
   for (const auto &[Request, Generation] : RunningGenerations_)
     Heartbeat.RunningGenerations_.push_back(Generation);
@@ -266,6 +267,8 @@
           },
           [this](const GenerationReport &Report) {
             Coordinator_.onReport(Report, readBootClock());
+            if (Report.Step_ == GenerationStep::CrashedAtStart)
+              logCrash(Report);
             sendDecisionsRateLimited();
           },
           [this, &Sender](const ConfigurationRequest &Request) {
@@ -331,8 +334,10 @@
   Reply.IsLeaving_ = IsLeaving_;
   Reply.ExhaustedOrganisations_ =
       Coordinator_.onHeartbeat(Sender, Message, Now);
-  if (Message.IsAttached_)
+  if (Message.IsAttached_) {
     Reply.Utilisation_ = Coordinator_.utilisation(Now);
+    Reply.CrashSuspects_ = Coordinator_.crashSuspects(Now);
+  }
   if (Sender == Self_) {
     handleReply(Self_, Reply);
     return;
@@ -362,6 +367,7 @@
   if (Sender != Self_)
     handleFeeds(Message);
   Utilisation_ = Message.Utilisation_;
+  CrashSuspects_ = Message.CrashSuspects_;
   ExhaustedOrganisations_.clear();
   ExhaustedOrganisations_.insert(Message.ExhaustedOrganisations_.begin(),
                                  Message.ExhaustedOrganisations_.end());
@@ -380,7 +386,8 @@
   // No placement is pending for this request: release the granted engines.
   if (std::holds_alternative<PlacementGrant>(Answer) &&
       !RunningGenerations_.contains(Request))
-    send(Sender, GenerationReport{Request, GenerationStep::Ended, {}, 0, {}});
+    send(Sender,
+         GenerationReport{Request, GenerationStep::Ended, {}, 0, {}, {}});
 }
 
 void HomeLink::sendDecisionsRateLimited() {
@@ -398,6 +405,20 @@
   }
 }
 
+void HomeLink::logCrash(const GenerationReport &Report) const {
+  std::string Suspects;
+  for (const CrashSuspect &Each : Coordinator_.crashSuspects(readBootClock())) {
+    for (const PromptSegmentId &Segment : Each.Segments_)
+      Suspects += Segment.Value_ + ' ';
+    Suspects += text(Each.Crashes_) + ';';
+  }
+  logLine(LogPart::Routing, LogLevel::Info,
+          "Engine closed the connection as it began to answer.",
+          {{"request", Report.Request_.Value_},
+           {"server", Report.Server_.Value_},
+           {"suspects", Suspects}});
+}
+
 void HomeLink::logAnswer(const PlacementDecision &Decision) const {
   const auto *Grant = std::get_if<PlacementGrant>(&Decision.Answer_);
   const auto *Denial = std::get_if<PlacementDenial>(&Decision.Answer_);
@@ -455,7 +476,7 @@
                    Placement.Request_.PromptTokens_ +
                        Placement.Request_.MaxOutputTokens_);
   if (!Placement.Answer_)
-    report({Id, GenerationStep::Ended, {}, 0, {}});
+    report({Id, GenerationStep::Ended, {}, 0, {}, {}});
   co_return std::move(Placement.Answer_);
 }
 
--- a/tests/GenerationLoadTest.cpp
+++ b/tests/GenerationLoadTest.cpp
@@ -200,3 +200,108 @@
   }
   CHECK(Lost <= 8);
 }
+
+TEST_CASE("A prompt that crashes engines does not reach one after the other",
+          "[relay]") {
+  // 12 callers a second on 8 decode engines; each 15th prompt has a segment
+  // that crashes its engine 120 ms after the grant. Engines are back after 3 s.
+  PoolFixture Fixture;
+  for (const char *Id : {"d3", "d4", "d5", "d6", "d7", "d8"})
+    Fixture.addEngine(Id, EngineRole::Decode);
+  constexpr Duration Settled = 3s;
+  const auto Now = [&Fixture] { return Fixture.Now_; };
+  struct Stream {
+    ServerId Decode_;
+    TimePoint GrantedAt_;
+    bool IsHarmful_ = false;
+    bool HasEvents_ = false;
+  };
+  std::map<RequestId, Stream> Streams;
+  std::map<RequestId, PlacementRequest> Requests;
+  std::map<ServerId, TimePoint> DownUntil;
+  std::vector<TimePoint> CrashTimes;
+  int LateHarmful = 0;
+  int SoundAsked = 0;
+  int SoundServed = 0;
+  int SoundRefused = 0;
+  const auto End = [&](const RequestId &Request) {
+    Fixture.report(Request.Value_.c_str(), GenerationStep::Ended, {});
+    Streams.erase(Request);
+  };
+  const auto Retry = [&](const RequestId &Request) {
+    Requests[Request].ExcludedEngines_.push_back(Streams[Request].Decode_);
+    End(Request);
+    Fixture.Placer_.enqueue(EdgeInstance, Requests[Request], Now());
+  };
+  const auto Crash = [&](const ServerId &Engine) {
+    CrashTimes.push_back(Now());
+    DownUntil[Engine] = Now() + 3s;
+    std::vector<RequestId> Lost;
+    for (const auto &[Request, Each] : Streams)
+      if (Each.Decode_ == Engine)
+        Lost.push_back(Request);
+    for (const RequestId &Request : Lost) {
+      Fixture.Placer_.onReport(
+          {Request,
+           Streams[Request].HasEvents_ ? GenerationStep::ServerFailed
+                                       : GenerationStep::CrashedAtStart,
+           Engine, 0, Duration::zero(), Requests[Request].SharedSegments_},
+          Now());
+      Retry(Request);
+    }
+  };
+  const TimePoint Start = Now();
+  for (int I = 0; Now() < Start + 24s; Fixture.Now_ += 10ms) {
+    if ((Now() - Start) % 80ms == 0ms) {
+      PlacementRequest Placement =
+          Fixture.makePlacement("r" + std::to_string(++I));
+      const bool IsHarmful = I % 15 == 0;
+      Placement.SharedSegments_ = {{"common"}};
+      Placement.SharedSegments_.push_back(
+          {IsHarmful ? "harmful" : "session" + std::to_string(I % 40)});
+      SoundAsked += IsHarmful ? 0 : 1;
+      Requests[Placement.Request_] = Placement;
+      Fixture.Placer_.enqueue(EdgeInstance, Placement, Now());
+    }
+    for (const auto &Each : Fixture.Placer_.decide(Now())) {
+      if (const auto *Denial = std::get_if<PlacementDenial>(&Each.Answer_)) {
+        const auto &Asked = Requests[Denial->Request_].SharedSegments_;
+        SoundRefused += Asked.back().Value_ == "harmful" ? 0 : 1;
+        continue;
+      }
+      const auto &Grant = std::get<PlacementGrant>(Each.Answer_);
+      const bool IsHarmful =
+          Requests[Grant.Request_].SharedSegments_.back().Value_ == "harmful";
+      const std::size_t Fifth = std::min<std::size_t>(CrashTimes.size(), 5);
+      if (IsHarmful && Fifth == 5 && Now() > CrashTimes[4] + Settled)
+        ++LateHarmful;
+      if (Grant.Prefill_)
+        Fixture.report(Grant.Request_.Value_.c_str(), GenerationStep::Prefilled,
+                       Grant.Prefill_->Id_, 5000, 100ms);
+      Streams[Grant.Request_] = {Grant.Decode_.Id_, Now(), IsHarmful, false};
+    }
+    const std::map<RequestId, Stream> Current = Streams;
+    for (const auto &[Request, Each] : Current) {
+      if (!Streams.contains(Request))
+        continue;
+      if (Now() < DownUntil[Each.Decode_]) {
+        Fixture.report(Request.Value_.c_str(), GenerationStep::ServerFailed,
+                       Each.Decode_);
+        Retry(Request);
+      } else if (Each.IsHarmful_ && Now() >= Each.GrantedAt_ + 120ms) {
+        Crash(Each.Decode_);
+      } else if (!Each.HasEvents_ && Now() >= Each.GrantedAt_ + 200ms) {
+        Streams[Request].HasEvents_ = true;
+        Fixture.report(Request.Value_.c_str(), GenerationStep::Progressed,
+                       Each.Decode_, 126);
+      } else if (Now() >= Each.GrantedAt_ + 2s) {
+        End(Request);
+        ++SoundServed;
+      }
+    }
+  }
+  CHECK(LateHarmful <= 3);
+  CHECK(CrashTimes.size() <= 5);
+  CHECK(SoundRefused == 0);
+  CHECK(SoundServed > SoundAsked * 8 / 10);
+}
--- a/tests/HomeCodecTest.cpp
+++ b/tests/HomeCodecTest.cpp
@@ -27,6 +27,7 @@
     Message.TokenUsage_ = {{{"acme"}, 250.5, 3s}};
     Message.RunningGenerations_ = {
         {{"r"}, {"acme"}, {"svc"}, {"d1"}, 5000, 630, 4400}};
+    Message.CrashSuspects_ = {{{{"s1"}, {"s2"}}, 3, 5s}};
     checkRoundTrip(Message);
     HomeReply Reply;
     Reply.Sequence_ = 4;
@@ -36,6 +37,7 @@
     Reply.IsLeaving_ = true;
     Reply.ExhaustedOrganisations_ = {{"acme"}};
     Reply.Utilisation_ = {{{"acme"}, 0.5}};
+    Reply.CrashSuspects_ = {{{{"s1"}}, 1, 80ms}};
     checkRoundTrip(Reply);
   }
   SECTION("placement requests, grants and denials") {
@@ -49,6 +51,7 @@
     Request.PatienceLeft_ = 3600ms;
     Request.NeedsPrefill_ = false;
     Request.ExcludedEngines_ = {{"d1"}, {"d2"}};
+    Request.SharedSegments_ = {{"s1"}, {"s2"}};
     checkRoundTrip(Request);
     checkRoundTrip(PlacementGrant{{"r"},
                                   ChosenServer{{"p1"}, {"10.0.0.1:80"}},
@@ -59,8 +62,12 @@
     checkRoundTrip(PlacementDenial{{"r"}, RefusalReason::QueueFull, {}});
   }
   SECTION("generation reports") {
-    checkRoundTrip(
-        GenerationReport{{"r"}, GenerationStep::HandleLost, {"p1"}, 7, 5ms});
+    checkRoundTrip(GenerationReport{{"r"},
+                                    GenerationStep::CrashedAtStart,
+                                    {"p1"},
+                                    7,
+                                    5ms,
+                                    {{"s1"}, {"s2"}}});
   }
   SECTION("copies of the configuration and the backend servers") {
     checkRoundTrip(ConfigurationRequest{3});
--- a/tests/HomeCoordinatorTest.cpp
+++ b/tests/HomeCoordinatorTest.cpp
@@ -347,7 +347,7 @@
     CHECK(Coordinator.decide(TimePoint(1000s)).empty());
     CHECK(IsSecondLimited(TimePoint(1000100ms)));
     SECTION("but when its caller leaves") {
-      Coordinator.onReport({{"first"}, GenerationStep::Ended, {}, 0, {}},
+      Coordinator.onReport({{"first"}, GenerationStep::Ended, {}, 0, {}, {}},
                            TimePoint(1000200ms));
       CHECK_FALSE(IsSecondLimited(TimePoint(1000200ms)));
     }
--- a/tests/HomeLinkTest.cpp
+++ b/tests/HomeLinkTest.cpp
@@ -88,12 +88,12 @@
 
   /// Delivers a reply of the home to the latest heartbeat.
   /// \param Incarnation the incarnation of the home's process.
-  /// \param ConfigurationVersion the version that the home has.
+  /// \param Suspects the prompt segments that the home has found.
   void replyFromHome(std::uint64_t Incarnation,
-                     std::uint64_t ConfigurationVersion = 0) {
+                     std::vector<CrashSuspect> Suspects = {}) {
     HomeReply Reply;
     Reply.Sequence_ = heartbeats().back().Sequence_;
-    Reply.ConfigurationVersion_ = ConfigurationVersion;
+    Reply.CrashSuspects_ = std::move(Suspects);
     Transport_->deliver({Home_, Incarnation},
                         PlacementBytes{encodeHomeMessage(Reply)});
   }
@@ -145,6 +145,12 @@
     CHECK(Instance.heartbeats().size() == 1);
     CHECK(Instance.placementRequestCount() == 1);
   }
+  SECTION("with what the home's last process had found of prompts") {
+    const std::vector<CrashSuspect> Suspects = {{{{"harmful"}}, 3, 2s}};
+    Instance.replyFromHome(7, Suspects);
+    Instance.replyFromHome(8);
+    CHECK(Instance.heartbeats().back().CrashSuspects_ == Suspects);
+  }
   SECTION("again if the home restarted between two replies") {
     Instance.replyFromHome(7);
     Instance.replyFromHome(8);
--- a/tests/support/PoolFixture.h
+++ b/tests/support/PoolFixture.h
@@ -88,7 +88,7 @@
 
   void report(const char *Request, GenerationStep Step, const ServerId &Server,
               std::uint32_t Tokens = 0, Duration Elapsed = Duration::zero()) {
-    Placer_.onReport({{Request}, Step, Server, Tokens, Elapsed}, Now_);
+    Placer_.onReport({{Request}, Step, Server, Tokens, Elapsed, {}}, Now_);
   }
 
   /// Fills the pool until a generation has to wait.
