--- a/include/gooseberrybeam/relayd/RelayProtocol.h
+++ b/include/gooseberrybeam/relayd/RelayProtocol.h
@@ -48,6 +48,9 @@
   bool IsNotExecuted_ = false; ///< The request did not and will not run.
   bool IsWrongServer_ = false; ///< The address now belongs to another server.
   bool IsSigned_ = false;      ///< The signature field is present.
+  /// Requests per second that the server accepts from all instances together,
+  /// for as long as its responses state it.
+  std::optional<double> RequestsPerSecond_;
   /// Has a content encoding: not the server's own body.
   bool IsEncoded_ = false;
 };
