--- a/src/relay/GenerationPlacer.cpp
+++ b/src/relay/GenerationPlacer.cpp
@@ -424,13 +424,15 @@
       deny(Request, RefusalReason::PromptQuarantined, {}, Now, Decisions);
     } else if (Generation.StartDeadline_ < Now) {
       deny(Request, RefusalReason::DeadlineUnreachable, {}, Now, Decisions);
-    } else if (Admission == PromptAdmission::Held) {
-      Pool.MovedStreams_.push_back(Request);
-    } else if (const auto Chosen =
-                   chooseEngines(Candidates, Pool, Generation, Traits, Now)) {
-      grant(Pool, Generation, *Chosen, Now, Decisions);
     } else {
-      Pool.MovedStreams_.push_back(Request);
+      const auto Chosen =
+          Admission == PromptAdmission::Held
+              ? std::nullopt
+              : chooseEngines(Candidates, Pool, Generation, Traits, Now);
+      if (Chosen)
+        grant(Pool, Generation, *Chosen, Now, Decisions);
+      else
+        Pool.MovedStreams_.push_back(Request);
     }
   }
 }
@@ -440,7 +442,7 @@
                                    TimePoint Now,
                                    std::vector<PlacementDecision> &Decisions) {
   while (const auto Next = Pool.Queue_.peek(Now)) {
-    const RequestId Request = *Next;
+    const RequestId &Request = *Next;
     GenerationState &Generation = Generations_.at(Request);
     const PromptAdmission Admission = admit(Generation, Now);
     if (Admission == PromptAdmission::Quarantined) {
