Keep backend servers within the limits that they state, over all instances

What callers saw: little; the servers did.

Class of fault: a signal of overload that only one side knows of, and a bound over all instances that none can keep alone.

Ways weighed: 1/N for each instance cannot send one request a second from 8 instances, or 10 from 295; shares lent in heartbeats go unused or are spent twice where they are less than one request. So each request to such a server takes a token from the home: grants of generations take them for the prefill and the decode engine, plain requests ask. A plain request without a token takes another server, waits while it can still be in time, or is refused as not run with the time to return. A home grants only the part of the instances attached to it, starts without tokens, and learns the limits from its instances.

Tests: ServerLimitLedgerTest, GenerationLoadTest, HomeLinkTest, HomeCodecTest, PlatformTest. With the ledger switched off on a scratch copy 10 checks of 3 cases fail (600 requests in 4 s where 45 are allowed; 17 where 9; 100 where 21).

--- a/include/gooseberrybeam/relay/GenerationPlacer.h
+++ b/include/gooseberrybeam/relay/GenerationPlacer.h
@@ -11,6 +11,7 @@
 #include "gooseberrybeam/relay/PromptQuarantine.h"
 #include "gooseberrybeam/relay/RefusalTracker.h"
 #include "gooseberrybeam/relay/RelayConfiguration.h"
+#include "gooseberrybeam/relay/ServerLimitLedger.h"
 
 #include <memory>
 #include <string>
@@ -83,6 +84,9 @@
     Quarantine_.merge(Found, Now);
   }
 
+  /// \returns the limits that servers state; grants stay within them.
+  ServerLimitLedger &serverLimits() { return ServerLimits_; }
+
   /// \returns whether \p Request of \p Instance is waiting for engines.
   bool isWaiting(const InstanceId &Instance, const RequestId &Request) const;
   /// \returns the number of generations waiting for engines.
@@ -222,6 +226,7 @@
   std::unordered_map<RequestId, GenerationState> Generations_;
   RefusalTracker Refusals_;
   PromptQuarantine Quarantine_;
+  ServerLimitLedger ServerLimits_;
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/relay/HomeCoordinator.h
+++ b/include/gooseberrybeam/relay/HomeCoordinator.h
@@ -29,7 +29,7 @@
   void configure(std::shared_ptr<const RelayConfiguration> Configuration,
                  TimePoint Now);
   /// \param Count the number of instances that share the limits; at least 1.
-  void setInstanceCount(std::size_t Count) { Limits_.setInstanceCount(Count); }
+  void setInstanceCount(std::size_t Count);
 
   /// Processes a heartbeat: attaches or detaches the sender and records its
   /// usage and running generations.
@@ -54,6 +54,19 @@
   /// \param Now the current time.
   void onPlacementRequest(const InstanceId &Sender,
                           const PlacementRequest &Placement, TimePoint Now);
+  /// \returns the limits that backend servers state.
+  std::vector<ServerLimit> serverLimits() {
+    return Placer_.serverLimits().limits();
+  }
+  /// Records the limit that a backend server states.
+  /// \param Now the current time.
+  void onServerLimit(const ServerLimitReport &Report, TimePoint Now);
+  /// Takes a token for a request to a server of a plain service.
+  /// \param Server the server.
+  /// \param Now the current time.
+  /// \returns zero if the request may be sent, else the time until another one
+  /// may.
+  Duration takeServerToken(const ServerId &Server, TimePoint Now);
   /// Passes a progress report to the placer.
   /// \param Now the current time.
   void onReport(const GenerationReport &Report, TimePoint Now);
@@ -95,7 +108,9 @@
   void detachSilent(TimePoint Now);
   void dropInstance(const InstanceId &Instance);
   void refund(const RequestId &Request);
+  void updateServerLimits();
 
+  const BackendDirectory &Directory_;
   GenerationPlacer Placer_;
   RelayRateLimiter Limits_;
   std::map<InstanceId, AttachedInstance> AttachedInstances_;
@@ -103,6 +118,7 @@
   std::unordered_map<RequestId, PendingCharge> PendingCharges_;
   std::vector<LimitUtilisation> Utilisation_;
   TimePoint UtilisationUpdatedAt_{Duration::zero()};
+  std::size_t InstanceCount_ = 1;
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/relay/HomeMessages.h
+++ b/include/gooseberrybeam/relay/HomeMessages.h
@@ -6,9 +6,11 @@
 
 #include "gooseberrybeam/relay/PlacementTypes.h"
 #include "gooseberrybeam/relay/PromptQuarantine.h"
+#include "gooseberrybeam/relay/ServerLimit.h"
 #include "gooseberrybeam/relay/TableUpdate.h"
 
 #include <array>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -57,6 +59,8 @@
   std::vector<LimitUtilisation> Utilisation_;
   /// On attachment: what the last home had found.
   std::vector<CrashSuspect> CrashSuspects_;
+  /// On attachment: the limits that backend servers state.
+  std::vector<ServerLimit> ServerLimits_;
 
   friend bool operator==(const HomeHeartbeat &,
                          const HomeHeartbeat &) = default;
@@ -74,6 +78,8 @@
   std::vector<LimitUtilisation> Utilisation_; ///< Of limits at least half used.
   /// Prompt segments that crash engines, or may.
   std::vector<CrashSuspect> CrashSuspects_;
+  /// The limits that backend servers state.
+  std::vector<ServerLimit> ServerLimits_;
 
   friend bool operator==(const HomeReply &, const HomeReply &) = default;
 };
@@ -94,11 +100,39 @@
                          const ConfigurationCopy &) = default;
 };
 
+/// Tells the home what a backend server states in its responses.
+struct ServerLimitReport {
+  ServerId Server_;
+  std::optional<double> RequestsPerSecond_; ///< None: no limit any more.
+
+  friend bool operator==(const ServerLimitReport &,
+                         const ServerLimitReport &) = default;
+};
+
+/// Asks the home whether a request may be sent to a server that has a limit.
+struct ServerTokenRequest {
+  std::uint64_t Ticket_ = 0; ///< Identifies the answer.
+  ServerId Server_;
+
+  friend bool operator==(const ServerTokenRequest &,
+                         const ServerTokenRequest &) = default;
+};
+
+/// The answer to `ServerTokenRequest`.
+struct ServerTokenAnswer {
+  std::uint64_t Ticket_ = 0;
+  Duration RetryAfter_{0}; ///< Zero: the request may be sent.
+
+  friend bool operator==(const ServerTokenAnswer &,
+                         const ServerTokenAnswer &) = default;
+};
+
 /// Any message between an instance and a home.
 using HomeMessage =
     std::variant<HomeHeartbeat, HomeReply, PlacementRequest, PlacementGrant,
                  PlacementDenial, GenerationReport, ConfigurationRequest,
-                 ConfigurationCopy, TableRequest, TableUpdate>;
+                 ConfigurationCopy, TableRequest, TableUpdate,
+                 ServerLimitReport, ServerTokenRequest, ServerTokenAnswer>;
 
 } // namespace gooseberry
 
--- a/include/gooseberrybeam/relay/StatedLimits.h
+++ b/include/gooseberrybeam/relay/StatedLimits.h
@@ -24,7 +24,8 @@
   /// \returns whether the home has to be told: on a change, and now and then.
   bool onResponse(const ServerId &Server,
                   std::optional<double> RequestsPerSecond, TimePoint Now);
-  /// Replaces the limits by those that the home knows.
+  /// Replaces the limits by those that the home knows, but for those that were
+  /// reported to it just now.
   /// \param Limits the limits.
   /// \param Now the current time.
   void assign(std::span<const ServerLimit> Limits, TimePoint Now);
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -9,6 +9,7 @@
 #include "gooseberrybeam/relay/CopyRequestSchedule.h"
 #include "gooseberrybeam/relay/HomeCoordinator.h"
 #include "gooseberrybeam/relay/HomeSelector.h"
+#include "gooseberrybeam/relay/StatedLimits.h"
 #include "gooseberrybeam/relayd/RelayMember.h"
 #include "gooseberrybeam/relayd/TableExchange.h"
 
@@ -88,6 +89,22 @@
   /// home.
   bool isExhausted(const OrganisationId &Organisation) const;
 
+  /// Records what a backend server states in a response; tells the home.
+  /// \param Server the server.
+  /// \param RequestsPerSecond its limit; none if it states none.
+  void onServerResponse(const ServerId &Server,
+                        std::optional<double> RequestsPerSecond);
+  /// Asks the home whether a request may be sent to a server of a plain
+  /// service. Servers without a limit take any. After a denial, the server is
+  /// not to be used until another request may be sent to it.
+  /// \param Server the server.
+  /// \param Scope ends the wait for the answer when cancelled.
+  /// \returns whether it may be sent; false if the home does not answer.
+  Task<bool> mayCallServer(ServerId Server, CancelScope &Scope);
+  /// \param Server a server.
+  /// \returns when its limit admits another request; in the past if now.
+  TimePoint availableAt(const ServerId &Server) const;
+
   /// Sends rows of a shared table to all instances that are attached to this
   /// one.
   /// \param Update the rows.
@@ -120,7 +137,14 @@
     asio::steady_timer *Timer_ = nullptr;
   };
 
+  /// A request for a token that is being answered.
+  struct PendingToken {
+    std::optional<Duration> RetryAfter_; ///< Zero: granted.
+    asio::steady_timer *Timer_ = nullptr;
+  };
+
   Task<void> runTicks();
+  void handleTokenAnswer(const ServerTokenAnswer &Answer);
   void addRecentUsage(const OrganisationId &Organisation, double Tokens);
   void tick();
   void sendHeartbeats(TimePoint Now);
@@ -169,6 +193,12 @@
   std::vector<LimitUtilisation> Utilisation_;
   /// From the latest reply of the home, for the next one.
   std::vector<CrashSuspect> CrashSuspects_;
+  StatedLimits StatedLimits_;
+  /// By ticket.
+  std::unordered_map<std::uint64_t, PendingToken *> PendingTokens_;
+  std::uint64_t LastTicket_ = 0;
+  /// When the limit of a server admits another request, after a denial.
+  std::unordered_map<ServerId, TimePoint> AvailableAt_;
   std::uint64_t Attachment_ = 0; ///< Number of attachments so far.
   /// Sequence number of the first heartbeat of the current attachment; it and
   /// those up to the first reply carry the whole state.
--- a/include/gooseberrybeam/relayd/PlainCall.h
+++ b/include/gooseberrybeam/relayd/PlainCall.h
@@ -32,12 +32,16 @@
   };
   using AttemptResult = Result<BufferedResponse, CallError>;
 
-  std::vector<const BackendEntry *> candidates() const;
+  std::vector<const BackendEntry *> untriedServers() const;
+  Task<std::optional<BackendEntry>> chooseServer();
+  std::optional<Duration> timeUntilAvailable() const;
+  Task<void> wait(Duration Time);
   Task<AttemptResult> attempt(const BackendEntry &Server);
   Task<AttemptResult> exchange(const BackendEntry &Server);
   AttemptOutcome classify(const AttemptResult &Attempt) const;
   bool mayRetry(AttemptOutcome Outcome, bool MayHaveRun);
   Task<void> relayResponse(const BufferedResponse &Response);
+  Task<void> refuseUnsent();
   Task<void> refuseAfterFailure(const AttemptResult &LastAttempt,
                                 bool MayHaveRun);
 
--- a/include/gooseberrybeam/relayd/RelayContext.h
+++ b/include/gooseberrybeam/relayd/RelayContext.h
@@ -9,7 +9,6 @@
 #include "gooseberrybeam/relay/RelayConfiguration.h"
 #include "gooseberrybeam/relay/RetryWindow.h"
 #include "gooseberrybeam/relay/ServiceBalancer.h"
-#include "gooseberrybeam/relay/StatedLimits.h"
 #include "gooseberrybeam/relayd/HomeLink.h"
 #include "gooseberrybeam/relayd/RelayProtocol.h"
 #include "gooseberrybeam/relayd/RelaySettings.h"
@@ -36,7 +35,6 @@
   std::shared_ptr<const RelayConfiguration> Configuration_;
   std::unordered_map<ServiceId, ServiceBalancer> Balancers_;
   std::unordered_map<ServiceId, RetryWindow> RetryBudgets_;
-  StatedLimits StatedLimits_ = {};
   std::minstd_rand Random_{std::random_device()()};
   std::uint64_t InFlight_ = 0;
   bool IsDraining_ = false;
--- a/src/relay/GenerationPlacer.cpp
+++ b/src/relay/GenerationPlacer.cpp
@@ -275,8 +275,11 @@
     return;
   case GenerationStep::HandleLost:
     Engines_[Report.Server_].Health_.onHandleLost(Now);
-    if (Found != Generations_.end())
-      Found->second.Prefill_ = ServerId();
+    if (Found == Generations_.end())
+      return;
+    Found->second.Prefill_ = ServerId();
+    // The decode engine is called once more, without the handle.
+    ServerLimits_.take(Found->second.Decode_, Now);
     return;
   case GenerationStep::ServerFull:
     Engines_[Report.Server_].Health_.onFull(Now);
@@ -314,6 +317,7 @@
   const BackendEntry &Decode = *Engines.Decode_->Entry_;
   EngineState &DecodeEngine = *Engines.Decode_->State_;
   Generation.Decode_ = Decode.Id_;
+  ServerLimits_.take(Decode.Id_, Now);
   DecodeEngine.Streams_.push_back(Generation.Placement_.Request_);
   DecodeEngine.Health_.onAssigned(Generation.Placement_.Request_);
   Engines.Decode_->Streams_.push_back(
@@ -324,6 +328,7 @@
   if (Engines.Prefill_) {
     EngineState &PrefillEngine = Engines_[Engines.Prefill_->Id_];
     Generation.Prefill_ = Engines.Prefill_->Id_;
+    ServerLimits_.take(Engines.Prefill_->Id_, Now);
     Generation.IsPrefilling_ = true;
     Generation.IsSolePrefill_ = PrefillEngine.PendingPrefills_ == 0;
     ++PrefillEngine.PendingPrefills_;
--- a/src/relay/GenerationPlacerChoice.cpp
+++ b/src/relay/GenerationPlacerChoice.cpp
@@ -24,6 +24,9 @@
 constexpr Duration RemoteTransferPenalty = std::chrono::milliseconds(15);
 /// A decode engine slower than this fraction of its pool's rate is used last.
 constexpr double SlowRateThreshold = 0.6;
+/// A prefill engine that its limit keeps busy for longer is not awaited: the
+/// decode engine computes the prefill if there is no other.
+constexpr Duration MaxPrefillLimitWait = std::chrono::milliseconds(200);
 /// Extra cost of an engine on which another request is starting, if one of the
 /// two may crash it.
 constexpr double SuspectCompanyPenalty = 1;
@@ -72,7 +75,12 @@
     EngineState &Engine = engineOf(Entry);
     if (!isUsable(Entry, Engine, Placement, Now))
       continue;
+    const Duration LimitWait = ServerLimits_.timeUntilAvailable(Entry.Id_, Now);
+    if (LimitWait > MaxPrefillLimitWait)
+      continue;
     HasUsableEngine = true;
+    if (LimitWait > Duration::zero())
+      continue;
     const double PoolRate = prefillTokensPerMs(Pool, EngineState());
     TimePoint ReadyAt = std::max(Now, Engine.ReadyAt_);
     if (ReadyAt > Now + MaxPrefillBacklog ||
@@ -131,6 +139,9 @@
       continue;
     if (Each.Streams_.size() >= Traits.Slots_)
       continue;
+    if (ServerLimits_.timeUntilAvailable(Each.Entry_->Id_, Now) >
+        Duration::zero())
+      continue;
     if (Generation.IsSuspect_ && Each.HasStartingSuspect_)
       continue;
     std::vector<KvStream> Streams = Each.Streams_;
--- a/src/relay/HomeCoordinator.cpp
+++ b/src/relay/HomeCoordinator.cpp
@@ -16,7 +16,34 @@
 
 HomeCoordinator::HomeCoordinator(const BackendDirectory &Directory,
                                  const RateLimitBounds &Bounds)
-    : Placer_(Directory), Limits_(Bounds) {}
+    : Directory_(Directory), Placer_(Directory), Limits_(Bounds) {}
+
+void HomeCoordinator::setInstanceCount(std::size_t Count) {
+  InstanceCount_ = Count;
+  Limits_.setInstanceCount(Count);
+}
+
+void HomeCoordinator::updateServerLimits() {
+  ServerLimitLedger &Ledger = Placer_.serverLimits();
+  Ledger.setInstanceCounts(AttachedInstances_.size(), InstanceCount_);
+  Ledger.retainIf(
+      [this](const ServerId &Id) { return Directory_.find(Id) != nullptr; });
+}
+
+void HomeCoordinator::onServerLimit(const ServerLimitReport &Report,
+                                    TimePoint Now) {
+  Placer_.serverLimits().onLimit(Report.Server_, Report.RequestsPerSecond_,
+                                 Now);
+}
+
+Duration HomeCoordinator::takeServerToken(const ServerId &Server,
+                                          TimePoint Now) {
+  ServerLimitLedger &Ledger = Placer_.serverLimits();
+  const Duration Wait = Ledger.timeUntilAvailable(Server, Now);
+  if (Wait == Duration::zero())
+    Ledger.take(Server, Now);
+  return Wait;
+}
 
 void HomeCoordinator::configure(
     std::shared_ptr<const RelayConfiguration> Configuration, TimePoint Now) {
@@ -60,6 +87,7 @@
     Placer_.adopt(Sender, Each, Now);
   recordUsage(Sender, Message, Now);
   Placer_.mergeCrashSuspects(Message.CrashSuspects_, Now);
+  Placer_.serverLimits().merge(Message.ServerLimits_, Now);
   for (const auto &Each : Message.TokenUsage_)
     if (Limits_.isExhausted(Each.Organisation_, Now))
       Exhausted.push_back(Each.Organisation_);
@@ -164,6 +192,7 @@
 
 std::vector<PlacementDecision> HomeCoordinator::decide(TimePoint Now) {
   detachSilent(Now);
+  updateServerLimits();
   std::vector<PlacementDecision> Decisions = std::move(PendingDenials_);
   PendingDenials_.clear();
   for (auto &Each : Placer_.decide(Now)) {
--- a/src/relay/StatedLimits.cpp
+++ b/src/relay/StatedLimits.cpp
@@ -27,11 +27,16 @@
 
 void StatedLimits::assign(std::span<const ServerLimit> Limits, TimePoint Now) {
   std::unordered_map<ServerId, StatedLimit> Assigned;
+  for (const auto &[Server, Limit] : Limits_)
+    if (Now < Limit.ReportedAt_ + ReportInterval)
+      Assigned[Server] = Limit;
   for (const ServerLimit &Each : Limits) {
     const auto Known = Limits_.find(Each.Server_);
-    Assigned[Each.Server_] = {
-        Each.RequestsPerSecond_,
-        Known == Limits_.end() ? Now : Known->second.ReportedAt_};
+    const TimePoint ReportedAt = Known == Limits_.end()
+                                     ? Now - ReportInterval
+                                     : Known->second.ReportedAt_;
+    Assigned.try_emplace(Each.Server_,
+                         StatedLimit{Each.RequestsPerSecond_, ReportedAt});
   }
   Limits_ = std::move(Assigned);
 }
--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -59,6 +59,22 @@
   return Suspects;
 }
 
+template <typename T>
+void writeLimits(T &Body, const std::vector<ServerLimit> &Limits) {
+  for (const auto &Source : Limits) {
+    auto &Limit = *Body.add_server_limits();
+    Limit.set_server(Source.Server_.Value_);
+    Limit.set_per_second(Source.RequestsPerSecond_);
+  }
+}
+
+template <typename T> std::vector<ServerLimit> readLimits(const T &Body) {
+  std::vector<ServerLimit> Limits;
+  for (const auto &Limit : Body.server_limits())
+    Limits.push_back({{Limit.server()}, Limit.per_second()});
+  return Limits;
+}
+
 void write(wire::Home &Envelope, const HomeHeartbeat &Message) {
   auto &Body = *Envelope.mutable_heartbeat();
   Body.set_sequence(Message.Sequence_);
@@ -69,6 +85,7 @@
   Body.set_attachment(Message.Attachment_);
   writeUtilisation(Body, Message.Utilisation_);
   writeSuspects(Body, Message.CrashSuspects_);
+  writeLimits(Body, Message.ServerLimits_);
   Body.set_is_leaving(Message.IsLeaving_);
   for (const auto &Used : Message.TokenUsage_) {
     auto &Usage = *Body.add_used();
@@ -98,6 +115,7 @@
     Body.add_exhausted(Organisation.Value_);
   writeUtilisation(Body, Message.Utilisation_);
   writeSuspects(Body, Message.CrashSuspects_);
+  writeLimits(Body, Message.ServerLimits_);
   for (const auto &Source : Message.Feeds_) {
     auto &Feed = *Body.add_feeds();
     Feed.set_version(Source.Version_);
@@ -186,6 +204,25 @@
   }
 }
 
+void write(wire::Home &Envelope, const ServerLimitReport &Message) {
+  auto &Body = *Envelope.mutable_server_limit();
+  Body.set_server(Message.Server_.Value_);
+  if (Message.RequestsPerSecond_)
+    Body.set_per_second(*Message.RequestsPerSecond_);
+}
+
+void write(wire::Home &Envelope, const ServerTokenRequest &Message) {
+  auto &Body = *Envelope.mutable_server_token_request();
+  Body.set_ticket(Message.Ticket_);
+  Body.set_server(Message.Server_.Value_);
+}
+
+void write(wire::Home &Envelope, const ServerTokenAnswer &Message) {
+  auto &Body = *Envelope.mutable_server_token_answer();
+  Body.set_ticket(Message.Ticket_);
+  Body.set_retry_after_us(Message.RetryAfter_.count());
+}
+
 HomeHeartbeat read(const wire::HomeHeartbeat &Body) {
   HomeHeartbeat Message;
   Message.Sequence_ = Body.sequence();
@@ -196,6 +233,7 @@
   Message.Attachment_ = Body.attachment();
   Message.Utilisation_ = readUtilisation(Body);
   Message.CrashSuspects_ = readSuspects(Body);
+  Message.ServerLimits_ = readLimits(Body);
   Message.IsLeaving_ = Body.is_leaving();
   for (const auto &Usage : Body.used())
     Message.TokenUsage_.push_back(
@@ -221,6 +259,7 @@
     Message.ExhaustedOrganisations_.push_back({Organisation});
   Message.Utilisation_ = readUtilisation(Body);
   Message.CrashSuspects_ = readSuspects(Body);
+  Message.ServerLimits_ = readLimits(Body);
   // An instance of an earlier release states no feeds: they count as unread.
   const int FeedCount =
       std::min(Body.feeds_size(), static_cast<int>(SharedTableCount));
@@ -314,6 +353,22 @@
   return Message;
 }
 
+ServerLimitReport read(const wire::HomeServerLimit &Body) {
+  ServerLimitReport Message;
+  Message.Server_ = {Body.server()};
+  if (Body.has_per_second())
+    Message.RequestsPerSecond_ = Body.per_second();
+  return Message;
+}
+
+ServerTokenRequest read(const wire::HomeServerTokenRequest &Body) {
+  return {Body.ticket(), {Body.server()}};
+}
+
+ServerTokenAnswer read(const wire::HomeServerTokenAnswer &Body) {
+  return {Body.ticket(), Duration(Body.retry_after_us())};
+}
+
 } // namespace
 
 std::string encodeHomeMessage(const HomeMessage &Message) {
@@ -348,6 +403,12 @@
     return read(Envelope.table_request());
   case wire::Home::kTableUpdate:
     return read(Envelope.table_update());
+  case wire::Home::kServerLimit:
+    return read(Envelope.server_limit());
+  case wire::Home::kServerTokenRequest:
+    return read(Envelope.server_token_request());
+  case wire::Home::kServerTokenAnswer:
+    return read(Envelope.server_token_answer());
   case wire::Home::BODY_NOT_SET:
     break;
   }
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -180,6 +180,7 @@
   Heartbeat.TokenUsage_ = recentTokenUsage();
   Heartbeat.Utilisation_ = PreviousHomeUtilisation_;
   Heartbeat.CrashSuspects_ = CrashSuspects_;
+  Heartbeat.ServerLimits_ = StatedLimits_.all();
   UnreportedUsage_.clear();
   for (const auto &[Request, Generation] : RunningGenerations_)
     Heartbeat.RunningGenerations_.push_back(Generation);
@@ -282,7 +283,18 @@
             if (const auto Update = Tables_.answer(Request))
               send(Sender, *Update);
           },
-          [this](const TableUpdate &Update) { Tables_.onUpdate(Update); }},
+          [this](const TableUpdate &Update) { Tables_.onUpdate(Update); },
+          [this](const ServerLimitReport &Report) {
+            Coordinator_.onServerLimit(Report, readBootClock());
+          },
+          [this, &Sender](const ServerTokenRequest &Request) {
+            const Duration Wait =
+                Coordinator_.takeServerToken(Request.Server_, readBootClock());
+            send(Sender, ServerTokenAnswer{Request.Ticket_, Wait});
+          },
+          [this](const ServerTokenAnswer &Answer) {
+            handleTokenAnswer(Answer);
+          }},
       Message);
 }
 
@@ -337,6 +349,7 @@
   if (Message.IsAttached_) {
     Reply.Utilisation_ = Coordinator_.utilisation(Now);
     Reply.CrashSuspects_ = Coordinator_.crashSuspects(Now);
+    Reply.ServerLimits_ = Coordinator_.serverLimits();
   }
   if (Sender == Self_) {
     handleReply(Self_, Reply);
@@ -368,6 +381,7 @@
     handleFeeds(Message);
   Utilisation_ = Message.Utilisation_;
   CrashSuspects_ = Message.CrashSuspects_;
+  StatedLimits_.assign(Message.ServerLimits_, readBootClock());
   ExhaustedOrganisations_.clear();
   ExhaustedOrganisations_.insert(Message.ExhaustedOrganisations_.begin(),
                                  Message.ExhaustedOrganisations_.end());
--- a/src/relayd/PlainCall.cpp
+++ b/src/relayd/PlainCall.cpp
@@ -4,6 +4,8 @@
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/relayd/RelayResponse.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <algorithm>
 
 namespace gooseberry {
@@ -31,7 +33,7 @@
 
 } // namespace
 
-std::vector<const BackendEntry *> PlainCall::candidates() const {
+std::vector<const BackendEntry *> PlainCall::untriedServers() const {
   std::vector<const BackendEntry *> Servers;
   for (const auto &[Id, Entry] : Context_.Directory_.entries()) {
     const bool IsTried = std::find(TriedServers_.begin(), TriedServers_.end(),
@@ -42,6 +44,52 @@
   return Servers;
 }
 
+// None if there is no server whose limit admits a request later on.
+std::optional<Duration> PlainCall::timeUntilAvailable() const {
+  std::optional<Duration> Least;
+  const TimePoint Now = readBootClock();
+  for (const BackendEntry *Each : untriedServers()) {
+    const Duration Wait =
+        std::max(Duration::zero(), Context_.Home_.availableAt(Each->Id_) - Now);
+    Least = std::min(Least.value_or(Wait), Wait);
+  }
+  return Least;
+}
+
+Task<void> PlainCall::wait(Duration Time) {
+  asio::steady_timer Timer(Context_.IoContext_, Time);
+  CancelScope::Guard Guard(Request_.Exchange_.scope(),
+                           [&Timer] { Timer.cancel(); });
+  co_await Timer.async_wait(AsTuple);
+}
+
+// Waits for a server whose limit admits a request, if the answer can still
+// meet its target then.
+Task<std::optional<BackendEntry>> PlainCall::chooseServer() {
+  const TimePoint LatestStart =
+      Request_.Exchange_.arrival() + Request_.Route_.TargetLatency_ / 2;
+  while (!Request_.Exchange_.scope().isCancelled()) {
+    auto Servers = untriedServers();
+    std::erase_if(Servers, [this](const BackendEntry *Each) {
+      return Context_.Home_.availableAt(Each->Id_) > readBootClock();
+    });
+    if (Servers.empty()) {
+      const auto Wait = timeUntilAvailable();
+      if (!Wait || readBootClock() + *Wait > LatestStart)
+        co_return std::nullopt;
+      co_await wait(*Wait);
+      continue;
+    }
+    BackendEntry Server = Context_.Balancers_[Request_.Service_].choose(
+        Servers, Context_.Settings_.DataCentre_, readBootClock());
+    const bool MayCall = co_await Context_.Home_.mayCallServer(
+        Server.Id_, Request_.Exchange_.scope());
+    if (MayCall)
+      co_return Server;
+  }
+  co_return std::nullopt;
+}
+
 Task<PlainCall::AttemptResult> PlainCall::exchange(const BackendEntry &Server) {
   ServerTarget Target;
   Target.Address_ = Server.Address_;
@@ -120,7 +168,7 @@
     return false;
   if (MayHaveRun && !Request_.Route_.mayRetry())
     return false;
-  if (SentAttempts_ >= Request_.Route_.MaxServers_ || candidates().empty())
+  if (SentAttempts_ >= Request_.Route_.MaxServers_ || untriedServers().empty())
     return false;
   return Context_.retryBudget(Request_.Service_)
       .tryRetry(Context_.Home_.instanceCount(), readBootClock());
@@ -129,35 +177,37 @@
 Task<void> PlainCall::run() {
   Context_.retryBudget(Request_.Service_).onRequest(readBootClock());
   bool MayHaveRun = false;
-  for (;;) {
-    const auto Servers = candidates();
-    if (Servers.empty()) {
-      co_await refuse(
-          Context_, Request_.Exchange_,
-          {RefusalReason::NoBackendServer, Execution::NotRun, RetryAfterFull},
-          "no backend server registered for the service");
-      co_return;
-    }
-    const BackendEntry Server = Context_.Balancers_[Request_.Service_].choose(
-        Servers, Context_.Settings_.DataCentre_, readBootClock());
-    AttemptResult Attempt = co_await attempt(Server);
-    const AttemptOutcome Outcome = classify(Attempt);
-    const bool HasRun = isOk(Attempt) ? !valueOf(Attempt).Info_.IsNotExecuted_
-                                      : errorOf(Attempt).MayHaveStarted_;
+  std::optional<AttemptResult> Last;
+  AttemptOutcome Outcome = AttemptOutcome::Rejected;
+  while (const auto Server = co_await chooseServer()) {
+    Last = co_await attempt(*Server);
+    Outcome = classify(*Last);
+    const bool HasRun = isOk(*Last) ? !valueOf(*Last).Info_.IsNotExecuted_
+                                    : errorOf(*Last).MayHaveStarted_;
     MayHaveRun = MayHaveRun || HasRun;
-    if (mayRetry(Outcome, MayHaveRun)) {
-      Context_.Metrics_.addRetry(static_cast<std::size_t>(Outcome),
-                                 codeOf(Outcome));
-      continue;
-    }
-    const bool IsRelayed = Outcome == AttemptOutcome::Answered ||
-                           Outcome == AttemptOutcome::ServerError;
-    if (IsRelayed)
-      co_await relayResponse(valueOf(Attempt));
-    else
-      co_await refuseAfterFailure(Attempt, MayHaveRun);
-    co_return;
+    if (!mayRetry(Outcome, MayHaveRun))
+      break;
+    Context_.Metrics_.addRetry(static_cast<std::size_t>(Outcome),
+                               codeOf(Outcome));
   }
+  const bool IsRelayed = Outcome == AttemptOutcome::Answered ||
+                         Outcome == AttemptOutcome::ServerError;
+  if (!Last)
+    co_await refuseUnsent();
+  else if (IsRelayed)
+    co_await relayResponse(valueOf(*Last));
+  else
+    co_await refuseAfterFailure(*Last, MayHaveRun);
+}
+
+Task<void> PlainCall::refuseUnsent() {
+  const auto Wait = timeUntilAvailable();
+  co_await refuse(
+      Context_, Request_.Exchange_,
+      {Wait ? RefusalReason::QueueFull : RefusalReason::NoBackendServer,
+       Execution::NotRun, std::max(RetryAfterFull, Wait.value_or(Duration()))},
+      Wait ? "all backend servers of the service are at their limits"
+           : "no backend server registered for the service");
 }
 
 Task<void> PlainCall::relayResponse(const BufferedResponse &Response) {
--- a/src/relayd/ServerCall.cpp
+++ b/src/relayd/ServerCall.cpp
@@ -1,7 +1,6 @@
 #include "gooseberrybeam/relayd/ServerCall.h"
 
 #include "gooseberrybeam/http/HttpCall.h"
-#include "gooseberrybeam/log/Log.h"
 
 namespace gooseberry {
 namespace {
@@ -34,20 +33,6 @@
          Info.RequestId_ != Request.CallerInfo_.RequestId_;
 }
 
-void noteLimit(RelayContext &Context, const ServerId &Server,
-               const ServerResponseInfo &Info) {
-  if (!Context.StatedLimits_.onResponse(Server, Info.RequestsPerSecond_,
-                                        readBootClock()))
-    return;
-  logLine(LogPart::Limits, LogLevel::Info,
-          Info.RequestsPerSecond_ ? "Backend server states a limit."
-                                  : "Backend server states no limit any more.",
-          {{"server", Server.Value_},
-           {"per_second", Info.RequestsPerSecond_
-                              ? std::to_string(*Info.RequestsPerSecond_)
-                              : ""}});
-}
-
 } // namespace
 
 Task<Result<ServerResponse, CallError>> callServer(RelayContext &Context,
@@ -74,7 +59,8 @@
     Response.Head_ = takeValue(std::move(Head));
     Response.Info_ = Context.Protocol_.parseServerResponse(Response.Head_);
     if (!isForeign(Response.Info_, Request)) {
-      noteLimit(Context, Target.RequestInfo_.Server_, Response.Info_);
+      Context.Home_.onServerResponse(Target.RequestInfo_.Server_,
+                                     Response.Info_.RequestsPerSecond_);
       co_return Response;
     }
     if (ForeignResponses == MaxForeignResponses)
--- a/tests/GenerationLoadTest.cpp
+++ b/tests/GenerationLoadTest.cpp
@@ -305,3 +305,60 @@
   CHECK(SoundRefused == 0);
   CHECK(SoundServed > SoundAsked * 8 / 10);
 }
+
+TEST_CASE("Engines get no more generations than the limits that they state",
+          "[relay]") {
+  // 25 callers a second on 6 decode engines, of which 5 accept one request a
+  // second, and 2 prefill engines, of which one accepts 4.
+  PoolFixture Fixture;
+  for (const char *Id : {"d3", "d4", "d5", "d6"})
+    Fixture.addEngine(Id, EngineRole::Decode);
+  ServerLimitLedger &Limits = Fixture.Placer_.serverLimits();
+  const std::map<ServerId, double> Stated = {{{"d1"}, 1}, {{"d2"}, 1},
+                                             {{"d3"}, 1}, {{"d4"}, 1},
+                                             {{"d5"}, 1}, {{"p1"}, 4}};
+  for (const auto &[Engine, Limit] : Stated)
+    Limits.onLimit(Engine, Limit, Fixture.Now_);
+  std::map<ServerId, std::vector<TimePoint>> Sent;
+  std::multimap<TimePoint, RequestId> EndTimes;
+  int Granted = 0;
+  const TimePoint Start = Fixture.Now_;
+  for (int I = 0; Fixture.Now_ < Start + 20s; Fixture.Now_ += 10ms) {
+    if ((Fixture.Now_ - Start) % 40ms == 0ms)
+      Fixture.Placer_.enqueue(EdgeInstance,
+                              Fixture.makePlacement("r" + std::to_string(++I)),
+                              Fixture.Now_);
+    for (; !EndTimes.empty() && EndTimes.begin()->first <= Fixture.Now_;
+         EndTimes.erase(EndTimes.begin()))
+      Fixture.report(EndTimes.begin()->second.Value_.c_str(),
+                     GenerationStep::Ended, {}, 4000, 2s);
+    for (const auto &Each : Fixture.Placer_.decide(Fixture.Now_)) {
+      const auto *Grant = std::get_if<PlacementGrant>(&Each.Answer_);
+      if (!Grant)
+        continue;
+      ++Granted;
+      Sent[Grant->Decode_.Id_].push_back(Fixture.Now_);
+      if (Grant->Prefill_) {
+        Sent[Grant->Prefill_->Id_].push_back(Fixture.Now_);
+        Fixture.report(Grant->Request_.Value_.c_str(),
+                       GenerationStep::Prefilled, Grant->Prefill_->Id_, 5000,
+                       60ms);
+      }
+      EndTimes.emplace(Fixture.Now_ + 2s, Grant->Request_);
+    }
+  }
+  for (const auto &[Engine, Limit] : Stated) {
+    const std::vector<TimePoint> &Times = Sent[Engine];
+    std::size_t Worst = 0;
+    for (auto First = Times.begin(); First != Times.end(); ++First)
+      Worst = std::max<std::size_t>(
+          Worst, std::lower_bound(First, Times.end(), *First + 4s) - First);
+    INFO(Engine.Value_);
+    CHECK(static_cast<double>(Worst) <= 4 * Limit + 5);
+    if (Engine != ServerId{"p1"}) // The other prefill engine is enough.
+      CHECK(static_cast<double>(Times.size()) >= 20 * Limit * 0.9);
+  }
+  // The engine without a limit is used as far as its memory allows.
+  CHECK(Sent[{"d6"}].size() > 60);
+  CHECK(Granted > 5 * 18 + 60);
+}
--- a/tests/HomeCodecTest.cpp
+++ b/tests/HomeCodecTest.cpp
@@ -28,6 +28,7 @@
     Message.RunningGenerations_ = {
         {{"r"}, {"acme"}, {"svc"}, {"d1"}, 5000, 630, 4400}};
     Message.CrashSuspects_ = {{{{"s1"}, {"s2"}}, 3, 5s}};
+    Message.ServerLimits_ = {{{"s1"}, 1.5}, {{"s2"}, 0}};
     checkRoundTrip(Message);
     HomeReply Reply;
     Reply.Sequence_ = 4;
@@ -38,6 +39,7 @@
     Reply.ExhaustedOrganisations_ = {{"acme"}};
     Reply.Utilisation_ = {{{"acme"}, 0.5}};
     Reply.CrashSuspects_ = {{{{"s1"}}, 1, 80ms}};
+    Reply.ServerLimits_ = {{{"s1"}, 1.5}};
     checkRoundTrip(Reply);
   }
   SECTION("placement requests, grants and denials") {
@@ -61,6 +63,13 @@
     checkRoundTrip(PlacementDenial{{"r"}, RefusalReason::RateExceeded, 1s});
     checkRoundTrip(PlacementDenial{{"r"}, RefusalReason::QueueFull, {}});
   }
+  SECTION("limits of servers") {
+    checkRoundTrip(ServerLimitReport{{"s1"}, 12.5});
+    checkRoundTrip(ServerLimitReport{{"s1"}, 0.0});
+    checkRoundTrip(ServerLimitReport{{"s1"}, std::nullopt});
+    checkRoundTrip(ServerTokenRequest{7, {"s1"}});
+    checkRoundTrip(ServerTokenAnswer{7, 80ms});
+  }
   SECTION("generation reports") {
     checkRoundTrip(GenerationReport{{"r"},
                                     GenerationStep::CrashedAtStart,
--- a/tests/HomeLinkTest.cpp
+++ b/tests/HomeLinkTest.cpp
@@ -104,6 +104,28 @@
     Context_.poll();
   }
 
+  /// Starts to ask whether a request may be sent to a server.
+  void askForServer(const ServerId &Server) {
+    MayCall_.reset();
+    asio::co_spawn(Context_, ask(Server), asio::detached);
+    Context_.poll();
+  }
+  /// Delivers the answer of the home to the latest question.
+  void answerFromHome(Duration RetryAfter) {
+    const auto Ticket = Transport_->sent<ServerTokenRequest>().back().Ticket_;
+    Transport_->deliver({Home_, 7},
+                        PlacementBytes{encodeHomeMessage(
+                            ServerTokenAnswer{Ticket, RetryAfter})});
+    Context_.poll();
+  }
+  /// Lets the wait for an answer run out.
+  void awaitTimeout() {
+    while (!MayCall_)
+      Context_.run_one();
+  }
+  /// \returns the outcome of the question; none while it is open.
+  std::optional<bool> mayCall() const { return MayCall_; }
+
   HomeLink &link() { return *Link_; }
   std::vector<HomeHeartbeat> heartbeats() const {
     return Transport_->sent<HomeHeartbeat>();
@@ -113,6 +135,9 @@
   }
 
 private:
+  Task<void> ask(ServerId Server) {
+    MayCall_ = co_await Link_->mayCallServer(Server, Scope_);
+  }
   Task<void> place() {
     PlacementRequest Request;
     Request.Request_ = {"r"};
@@ -124,6 +149,7 @@
   BackendDirectory Directory_;
   FakeTables Tables_;
   CancelScope Scope_;
+  std::optional<bool> MayCall_;
   bool IsStoreAvailable_ = true;
   InstanceId Home_;
   std::unique_ptr<HomeLink> Link_;
@@ -151,6 +177,13 @@
     Instance.replyFromHome(8);
     CHECK(Instance.heartbeats().back().CrashSuspects_ == Suspects);
   }
+  SECTION("with the limits that servers state") {
+    Instance.replyFromHome(7);
+    Instance.link().onServerResponse({"s1"}, 2.5);
+    Instance.replyFromHome(8);
+    CHECK(Instance.heartbeats().back().ServerLimits_ ==
+          std::vector<ServerLimit>{{{"s1"}, 2.5}});
+  }
   SECTION("again if the home restarted between two replies") {
     Instance.replyFromHome(7);
     Instance.replyFromHome(8);
@@ -166,3 +199,30 @@
     CHECK(Instance.heartbeats().size() == 2);
   }
 }
+
+TEST_CASE("Requests to a server with a limit wait for a token of the home",
+          "[relay]") {
+  AttachedInstance Instance;
+  Instance.askForServer({"s1"});
+  REQUIRE(Instance.mayCall() == true);
+  Instance.link().onServerResponse({"s1"}, 2.5);
+  Instance.askForServer({"s1"});
+  REQUIRE_FALSE(Instance.mayCall());
+
+  SECTION("and are sent with one") {
+    Instance.answerFromHome(0ms);
+    CHECK(Instance.mayCall() == true);
+    CHECK(Instance.link().availableAt({"s1"}) < readBootClock());
+  }
+  SECTION("and spare the server until there is one") {
+    Instance.answerFromHome(10s);
+    CHECK(Instance.mayCall() == false);
+    CHECK(Instance.link().availableAt({"s1"}) > readBootClock() + 5s);
+    Instance.link().onServerResponse({"s1"}, std::nullopt);
+    CHECK(Instance.link().availableAt({"s1"}) < readBootClock());
+  }
+  SECTION("and are not sent if the home does not answer") {
+    Instance.awaitTimeout();
+    CHECK(Instance.mayCall() == false);
+  }
+}
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -183,6 +183,15 @@
   CHECK(Info.RequestId_.Value_ == "r1");
   CHECK(Info.IsSigned_);
   CHECK_FALSE(Info.IsNotExecuted_);
+  SECTION("a limit of the server is a number of requests per second") {
+    CHECK_FALSE(Info.RequestsPerSecond_);
+    Head.Fields_.set("Server-Limit", "7.5");
+    CHECK(Protocol.parseServerResponse(Head).RequestsPerSecond_ == 7.5);
+    for (const char *Text : {"", "many", "-1", "nan", "inf", "7 per second"}) {
+      Head.Fields_.set("Server-Limit", Text);
+      CHECK_FALSE(Protocol.parseServerResponse(Head).RequestsPerSecond_);
+    }
+  }
   SECTION("a rejection marks the request as not executed") {
     Head.Status_ = 503;
     Head.Fields_.set("Not-Executed", "1");
