Take a stream that ends before its first event for broken off

A stream may come with neither a length nor chunks and end with its connection. An engine that crashes as it begins to answer then leaves what looks like a complete, empty answer: the caller got it as such, and the crash was not counted by PromptQuarantine. Streams that end inside an event were broken off before.

--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -299,8 +299,11 @@
       reportProgress(Engine, PreviousEvents < AnsweringEvents &&
                                  EngineEvents_ >= AnsweringEvents);
   }
-  if (Splitter.hasPartialEvent()) {
-    logEngineFailure(Engine, "ended inside an event");
+  // A stream without a length ends with its connection, also if its engine
+  // crashes before the first event.
+  if (Splitter.hasPartialEvent() || EventsSent_ == 0) {
+    logEngineFailure(Engine, EventsSent_ == 0 ? "ended without an event"
+                                              : "ended inside an event");
     reportFailure(Engine, CallFailure::Receive);
     co_return StepOutcome::Failed;
   }
