Let servers in the soak state limits for a while

The soak exercises tokens for limited servers under kills, freezes and outages. It does not count requests against the limit, as restarts and freezes excuse excess.

--- a/tools/gbsoak/SoakWorld.cpp
+++ b/tools/gbsoak/SoakWorld.cpp
@@ -113,13 +113,14 @@
 }
 
 asio::awaitable<void> SoakWorld::injectFaults() {
-  constexpr std::array<Fault, 12> Faults = {
-      &SoakWorld::killRelay,      &SoakWorld::freezeRelay,
-      &SoakWorld::terminateRelay, &SoakWorld::hangUpRelay,
-      &SoakWorld::takeStoreDown,  &SoakWorld::compactStore,
-      &SoakWorld::harmStoreLink,  &SoakWorld::harmBackendLink,
-      &SoakWorld::failBackend,    &SoakWorld::fillBackend,
-      &SoakWorld::drainBackend,   &SoakWorld::changeConfiguration};
+  constexpr std::array<Fault, 13> Faults = {
+      &SoakWorld::killRelay,          &SoakWorld::freezeRelay,
+      &SoakWorld::terminateRelay,     &SoakWorld::hangUpRelay,
+      &SoakWorld::takeStoreDown,      &SoakWorld::compactStore,
+      &SoakWorld::harmStoreLink,      &SoakWorld::harmBackendLink,
+      &SoakWorld::failBackend,        &SoakWorld::fillBackend,
+      &SoakWorld::limitBackend,       &SoakWorld::drainBackend,
+      &SoakWorld::changeConfiguration};
   co_await sleepFor(milliseconds(800));
   while (!IsOver_) {
     ++RunningFaults_;
@@ -223,6 +224,13 @@
   Face.setFull(false);
 }
 
+asio::awaitable<void> SoakWorld::limitBackend() {
+  BackendFace &Face = *anyBackend().Face_;
+  Face.setLimit(std::to_string(drawMs(1000, 9000).count() / 1000.0));
+  co_await sleepFor(drawMs(500, 2500));
+  Face.setLimit("");
+}
+
 asio::awaitable<void> SoakWorld::drainBackend() {
   Backend &Of = anyBackend();
   if (Of.IsLeaving_)
--- a/tools/gbsoak/SoakWorld.h
+++ b/tools/gbsoak/SoakWorld.h
@@ -63,6 +63,7 @@
   asio::awaitable<void> harmBackendLink();
   asio::awaitable<void> failBackend();
   asio::awaitable<void> fillBackend();
+  asio::awaitable<void> limitBackend();
   asio::awaitable<void> drainBackend();
   asio::awaitable<void> changeConfiguration();
 
--- a/tools/standin_platform/BackendFace.cpp
+++ b/tools/standin_platform/BackendFace.cpp
@@ -87,6 +87,8 @@
   auto Answer = makeReply(200, "answer to " + fieldOf(Call, "Request-Id"));
   Answer.set("Request-Id", fieldOf(Call, "Request-Id"));
   Answer.set("Response-Signature", Id_);
+  if (!Limit_.empty())
+    Answer.set("Server-Limit", Limit_);
   co_await Call.reply(std::move(Answer));
 }
 
@@ -98,6 +100,8 @@
   Head.set("Request-Id", Request);
   Head.set("Response-Signature", Id_);
   Head.set("Content-Type", "text/event-stream");
+  if (!Limit_.empty())
+    Head.set("Server-Limit", Limit_);
   Head.chunked(true);
   http::response_serializer<http::empty_body> Serializer(Head);
   auto [HeadError, HeadSize] =
--- a/tools/standin_platform/BackendFace.h
+++ b/tools/standin_platform/BackendFace.h
@@ -38,6 +38,8 @@
   void setFailing(bool IsFailing) { IsFailing_ = IsFailing; }
   /// \param IsFull whether requests are rejected as not run.
   void setFull(bool IsFull) { IsFull_ = IsFull; }
+  /// \param Limit requests a second that answers state as limit; may be empty.
+  void setLimit(std::string Limit) { Limit_ = std::move(Limit); }
 
 private:
   asio::awaitable<void> serve(FaceCall &Call);
@@ -54,6 +56,7 @@
   RunLog &Log_;
   bool IsFailing_ = false;
   bool IsFull_ = false;
+  std::string Limit_;
   int Handles_ = 0;
   HttpFace Face_;
 };
