Keep quarantined prompts in the store, for the loss of all instances

Change: the home writes the quarantined segments to a row of the relay's table, if they differ from what it holds: one write a finding, at most one a second, conditional on the row's version. Instances merge the row when they read it.

--- a/include/gooseberrybeam/relay/HomeCoordinator.h
+++ b/include/gooseberrybeam/relay/HomeCoordinator.h
@@ -54,6 +54,12 @@
   /// \param Now the current time.
   void onPlacementRequest(const InstanceId &Sender,
                           const PlacementRequest &Placement, TimePoint Now);
+  /// Adds prompt segments that were found earlier.
+  /// \param Found suspect and quarantined segments.
+  /// \param Now the current time.
+  void mergeCrashSuspects(std::span<const CrashSuspect> Found, TimePoint Now) {
+    Placer_.mergeCrashSuspects(Found, Now);
+  }
   /// \returns the limits that backend servers state.
   std::vector<ServerLimit> serverLimits() {
     return Placer_.serverLimits().limits();
--- a/include/gooseberrybeam/relay/PromptQuarantine.h
+++ b/include/gooseberrybeam/relay/PromptQuarantine.h
@@ -13,6 +13,10 @@
 
 namespace gooseberry {
 
+/// Crashed engines after which segments are quarantined. Engines crash for
+/// other reasons too, now and then under the same request.
+inline constexpr std::uint32_t QuarantineCrashes = 3;
+
 /// Prompt segments that were in each of several requests under which engines
 /// crashed, and in no request that an engine has answered since.
 struct CrashSuspect {
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -89,6 +89,11 @@
   /// home.
   bool isExhausted(const OrganisationId &Organisation) const;
 
+  /// Adds prompt segments that were found before a restart.
+  /// \param Found quarantined segments.
+  void mergeCrashSuspects(std::span<const CrashSuspect> Found) {
+    Coordinator_.mergeCrashSuspects(Found, readBootClock());
+  }
   /// Records what a backend server states in a response; tells the home.
   /// \param Server the server.
   /// \param RequestsPerSecond its limit; none if it states none.
--- a/include/gooseberrybeam/relayd/RelayDaemon.h
+++ b/include/gooseberrybeam/relayd/RelayDaemon.h
@@ -5,6 +5,7 @@
 
 #include "gooseberrybeam/http/CallerServer.h"
 #include "gooseberrybeam/relayd/InstanceRows.h"
+#include "gooseberrybeam/relayd/QuarantineRow.h"
 #include "gooseberrybeam/relayd/RelayContext.h"
 #include "gooseberrybeam/relayd/RelayHandler.h"
 #include "gooseberrybeam/relayd/RelaySettings.h"
@@ -58,6 +59,9 @@
   Task<void> drain();
   Task<void> runTicks();
   Task<void> writeInstanceRow();
+  void loadQuarantine();
+  void saveQuarantine();
+  Task<void> writeQuarantineRow(std::vector<CrashSuspect> Quarantined);
   Task<void> createPeerKey();
   Task<void> removeRow(StoreRow Row);
   Task<void> removeUnresponsive(InstanceId Instance, StoreRow Row);
@@ -96,6 +100,9 @@
   TimePoint HomeSince_; ///< Start of the time as home with a transport.
   asio::signal_set StopSignals_;
   asio::signal_set HangupSignals_;
+  std::vector<CrashSuspect> SavedQuarantine_; ///< As its row holds it.
+  std::uint64_t QuarantineVersion_ = 0;       ///< Of its row; 0 if none.
+  bool IsQuarantineBeingWritten_ = false;
   bool IsInstanceRowBeingWritten_ = false;
   bool IsPeerKeyBeingCreated_ = false;
   bool HasServers_ = false; ///< Backend servers were received once.
--- a/src/relay/PromptQuarantine.cpp
+++ b/src/relay/PromptQuarantine.cpp
@@ -8,9 +8,6 @@
 namespace gooseberry {
 namespace {
 
-/// Crashed engines after which segments are quarantined. Engines crash for
-/// other reasons too, now and then under the same request.
-constexpr std::uint32_t QuarantineCrashes = 3;
 constexpr Duration QuarantineTime = std::chrono::minutes(10);
 /// Suspicion without a further crash ends after this time.
 constexpr Duration SuspicionTime = std::chrono::minutes(1);
--- /dev/null
+++ b/src/relayd/QuarantineRow.cpp
@@ -0,0 +1,70 @@
+#include "gooseberrybeam/relayd/QuarantineRow.h"
+
+#include "gooseberrybeam/relayd/InstanceRows.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+
+namespace gooseberry {
+namespace {
+
+namespace json = boost::json;
+
+std::vector<PromptSegmentId> parseSegments(const json::value &Value) {
+  std::vector<PromptSegmentId> Segments;
+  if (!Value.is_array())
+    return Segments;
+  for (const json::value &Each : Value.get_array())
+    if (Each.is_string())
+      Segments.push_back({std::string(Each.get_string().c_str())});
+  return Segments;
+}
+
+} // namespace
+
+std::vector<CrashSuspect>
+quarantinedOnly(std::span<const CrashSuspect> Suspects) {
+  std::vector<CrashSuspect> Quarantined;
+  for (const CrashSuspect &Each : Suspects)
+    if (Each.Crashes_ >= QuarantineCrashes)
+      Quarantined.push_back({Each.Segments_, QuarantineCrashes, {}});
+  std::sort(Quarantined.begin(), Quarantined.end(),
+            [](const CrashSuspect &A, const CrashSuspect &B) {
+              return A.Segments_ < B.Segments_;
+            });
+  return Quarantined;
+}
+
+StoreRow makeQuarantineRow(std::span<const CrashSuspect> Quarantined) {
+  json::array Entries;
+  for (const CrashSuspect &Each : Quarantined) {
+    json::array Segments;
+    for (const PromptSegmentId &Segment : Each.Segments_)
+      Segments.emplace_back(Segment.Value_);
+    Entries.push_back(std::move(Segments));
+  }
+  StoreRow Row;
+  Row.Table_ = RelayTable;
+  Row.Key_ = QuarantineRowKey;
+  Row.Value_ = json::serialize(Entries);
+  return Row;
+}
+
+std::vector<CrashSuspect> parseQuarantineRow(const StoreRow &Row) {
+  std::vector<CrashSuspect> Quarantined;
+  boost::system::error_code Error;
+  const json::value Parsed = json::parse(Row.Value_, Error);
+  if (Error || !Parsed.is_array())
+    return Quarantined;
+  for (const json::value &Each : Parsed.get_array()) {
+    auto Segments = parseSegments(Each);
+    if (!Segments.empty())
+      Quarantined.push_back({std::move(Segments), QuarantineCrashes, {}});
+  }
+  return Quarantined;
+}
+
+} // namespace gooseberry
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -21,6 +21,8 @@
 
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
 constexpr Duration WriteRetryInterval = std::chrono::milliseconds(300);
+/// Between two writes of the quarantined prompts.
+constexpr Duration QuarantineSaveInterval = std::chrono::seconds(1);
 /// New connections are accepted for this long after SIGTERM, until the load
 /// balancer has noticed that the instance is not ready.
 constexpr Duration ReadinessNoticeTime = std::chrono::milliseconds(2500);
@@ -286,6 +288,47 @@
   registerSelf();
   adoptPeerKey();
   updateMembers();
+  loadQuarantine();
+}
+
+void RelayDaemon::loadQuarantine() {
+  const auto Row = instanceRows().find(std::string(QuarantineRowKey));
+  if (Row == instanceRows().end() || Row->second.Version_ == QuarantineVersion_)
+    return;
+  QuarantineVersion_ = Row->second.Version_;
+  SavedQuarantine_ = parseQuarantineRow(Row->second);
+  Home_.mergeCrashSuspects(SavedQuarantine_);
+}
+
+// The home keeps the row, so that what was learned from crashed engines
+// outlives the loss of all instances.
+void RelayDaemon::saveQuarantine() {
+  if (Home_.home() != Settings_.Name_ || Relay_.IsDraining_)
+    return;
+  auto Quarantined =
+      quarantinedOnly(Home_.coordinator().crashSuspects(readBootClock()));
+  if (Quarantined == SavedQuarantine_ ||
+      std::exchange(IsQuarantineBeingWritten_, true))
+    return;
+  asio::co_spawn(Context_, writeQuarantineRow(std::move(Quarantined)),
+                 asio::detached);
+}
+
+Task<void>
+RelayDaemon::writeQuarantineRow(std::vector<CrashSuspect> Quarantined) {
+  CancelScope Scope;
+  RowWrite Write;
+  Write.Row_ = makeQuarantineRow(Quarantined);
+  Write.ExpectedVersion_ = QuarantineVersion_;
+  const auto Written = co_await Store_->write(std::move(Write), Scope);
+  if (!isOk(Written))
+    logLine(LogPart::Membership, LogLevel::Warn,
+            "Quarantined prompts could not be saved; retrying.",
+            {{"failure", asCode(errorOf(Written))}});
+  // The feed brings the new row, or the one that another home has written.
+  asio::steady_timer Timer(Context_, QuarantineSaveInterval);
+  co_await Timer.async_wait(AsTuple);
+  IsQuarantineBeingWritten_ = false;
 }
 
 void RelayDaemon::registerSelf() {
@@ -397,6 +440,7 @@
       });
     Feeds_.tick();
     removeUnresponsiveMembers();
+    saveQuarantine();
   }
 }
 
