--- a/src/relay/ServerLimitLedger.cpp
+++ b/src/relay/ServerLimitLedger.cpp
@@ -16,6 +16,8 @@
 /// A server that accepts nothing for now is still asked this often, as only its
 /// responses tell when that changes.
 constexpr double MinRequestsPerSecond = 0.25;
+/// Bounds the stated wait at a home that no instance has attached to yet.
+constexpr double MinTokensPerSecond = 0.03125;
 /// Requests that may follow each other at once.
 constexpr double MaxBurst = 2;
 /// The same for high limits, as the time in which they accrue.
@@ -74,7 +76,7 @@
   if (Missing <= 0)
     return Duration::zero();
   constexpr double MsPerSecond = 1000;
-  const double Rate = std::max(rateOf(Found->second), MinRequestsPerSecond / 8);
+  const double Rate = std::max(rateOf(Found->second), MinTokensPerSecond);
   return std::max(Duration(1), fromMs(Missing / Rate * MsPerSecond));
 }
 
--- a/tests/HomeCodecTest.cpp
+++ b/tests/HomeCodecTest.cpp
@@ -71,6 +71,8 @@
     checkRoundTrip(ServerTokenAnswer{7, 80ms});
   }
   SECTION("generation reports") {
+    checkRoundTrip(GenerationReport{
+        {"r"}, GenerationStep::HandleLost, {"p1"}, 7, 5ms, {}});
     checkRoundTrip(GenerationReport{{"r"},
                                     GenerationStep::CrashedAtStart,
                                     {"p1"},
