Log that a backend server says that it leaves

The line names the server, the request and what its registration says. Nothing is decided by it yet.

--- a/src/relayd/ServerCall.cpp
+++ b/src/relayd/ServerCall.cpp
@@ -1,6 +1,7 @@
 #include "gooseberrybeam/relayd/ServerCall.h"
 
 #include "gooseberrybeam/http/HttpCall.h"
+#include "gooseberrybeam/log/Log.h"
 
 namespace gooseberry {
 namespace {
@@ -33,6 +34,16 @@
          Info.RequestId_ != Request.CallerInfo_.RequestId_;
 }
 
+void logLeaving(const RelayContext &Context, const RelayRequest &Request,
+                const ServerId &Server) {
+  const bool IsKnown = Context.Directory_.isLeavingOrRemoved(Server);
+  logLine(LogPart::Service, LogLevel::Info,
+          "Backend server says that it leaves.",
+          {{"server", Server.Value_},
+           {"request", Request.CallerInfo_.RequestId_.Value_},
+           {"registration", IsKnown ? "leaving" : "ready"}});
+}
+
 } // namespace
 
 Task<Result<ServerResponse, CallError>> callServer(RelayContext &Context,
@@ -59,6 +70,8 @@
     Response.Head_ = takeValue(std::move(Head));
     Response.Info_ = Context.Protocol_.parseServerResponse(Response.Head_);
     if (!isForeign(Response.Info_, Request)) {
+      if (Response.Info_.IsLeaving_)
+        logLeaving(Context, Request, Target.RequestInfo_.Server_);
       Context.Home_.onServerResponse(Target.RequestInfo_.Server_,
                                      Response.Info_.RequestsPerSecond_);
       co_return Response;
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -202,6 +202,18 @@
     CHECK(Protocol.parseServerResponse(Head).IsNotExecuted_);
     CHECK(Protocol.parseServerResponse(Head).IsWrongServer_);
   }
+  SECTION("a server that leaves says so, but not for the one that was meant") {
+    CHECK_FALSE(Info.IsLeaving_);
+    Head.Fields_.set("Server-Leaving", "1");
+    CHECK(Protocol.parseServerResponse(Head).IsLeaving_);
+    Head.Status_ = 421;
+    CHECK_FALSE(Protocol.parseServerResponse(Head).IsLeaving_);
+    Head.Status_ = 200;
+    for (const char *Text : {"", "0", "no", "11"}) {
+      Head.Fields_.set("Server-Leaving", Text);
+      CHECK_FALSE(Protocol.parseServerResponse(Head).IsLeaving_);
+    }
+  }
   SECTION("the response to a prefill names the handle") {
     const auto Prompt = Protocol.parsePrefillResponse(
         R"({"kv_handle":"3f","tokens":1460,"version":1})");
