Send nothing more to a backend server that says in a response that it leaves

Callers: requests went on to a server that had said that it leaves, for as long as its registration said otherwise (store away, report lost, an older row), and were cut when it ended.

Cause: the field was read on no path; a registration that says ready was taken over one that says that the same process leaves; a decode engine was called a second time after a rejection that said so.

Fix: the directory, which every choice of a server reads, marks the process of the server. Older registrations do not undo it, a restart does. Heartbeats and replies hand it on to other instances and the next home.

The soak's servers now come back with a new start time, as real ones do: the check of late requests is new, nothing is checked less.

--- a/include/gooseberrybeam/relay/BackendDirectory.h
+++ b/include/gooseberrybeam/relay/BackendDirectory.h
@@ -5,16 +5,21 @@
 
 #include "gooseberrybeam/base/Time.h"
 #include "gooseberrybeam/relay/BackendEntry.h"
+#include "gooseberrybeam/relay/LeavingServer.h"
 
 #include <deque>
 #include <map>
+#include <optional>
+#include <set>
 #include <vector>
 
 namespace gooseberry {
 
 /// Mirrors the registrations in the store. During a store outage, registrations
 /// can expire although their servers are still running, so expired entries are
-/// kept until the servers have had time to register again.
+/// kept until the servers have had time to register again. Once a server is
+/// known to leave, it stays so until its process restarts, whatever older
+/// registrations say.
 class BackendDirectory {
 public:
   /// Records that the store cannot be read.
@@ -31,6 +36,16 @@
   void replace(const std::vector<BackendEntry> &Entries, TimePoint Now);
   /// Adds or updates a registration.
   void put(const BackendEntry &Entry);
+  /// Records that a server said in a response to this instance that it leaves.
+  /// The server need not be registered here.
+  /// \param Id the server.
+  /// \returns whether this was unknown.
+  bool onLeaving(const ServerId &Id);
+  /// Records that a server said so to another instance. Has no effect if that
+  /// process of the server is not registered here.
+  /// \param Server the process of the server.
+  /// \returns whether this was unknown.
+  bool onLeaving(const LeavingServer &Server);
   /// Removes a registration. During an outage of the store and shortly after
   /// it, the entry is kept until its renewal deadline unless the server had
   /// announced that it is leaving.
@@ -49,6 +64,9 @@
   /// \returns whether the server takes no new work because it is leaving or was
   /// removed recently. False for servers that were never registered.
   bool isLeavingOrRemoved(const ServerId &Id) const;
+  /// \returns the registered servers that have said in a response that they
+  /// leave, for other instances.
+  std::vector<LeavingServer> announcedLeaving() const;
   /// \returns all entries, including leaving servers, ordered by id.
   const std::map<ServerId, BackendEntry> &entries() const { return Entries_; }
   /// \returns a counter that increases with each change of the entries.
@@ -59,11 +77,23 @@
   bool isNearOutage(TimePoint Now) const;
 
 private:
+  /// A server whose registration was removed, or that is not registered yet.
+  struct AbsentServer {
+    ServerId Id_;
+    std::optional<std::int64_t> StartTimeMs_; ///< None if never registered.
+    bool IsLeaving_ = false;
+  };
+
   void erase(const ServerId &Id);
+  void remember(AbsentServer Server);
+  const AbsentServer *findAbsent(const ServerId &Id) const;
+  bool isKnownToLeave(const BackendEntry &Entry) const;
 
   std::map<ServerId, BackendEntry> Entries_;
   std::map<ServerId, TimePoint> LapseDeadlines_; ///< Renewal deadlines.
-  std::deque<ServerId> RecentlyRemoved_;         ///< Oldest first.
+  std::deque<AbsentServer> Absent_;              ///< Oldest first.
+  /// Registered servers that have said in a response that they leave.
+  std::set<ServerId> AnnouncedLeaving_;
   bool IsStoreUnavailable_ = false;
   TimePoint StoreRestoredAt_{Duration::min()};
   std::uint64_t ChangeCount_ = 0;
--- a/include/gooseberrybeam/relay/HomeMessages.h
+++ b/include/gooseberrybeam/relay/HomeMessages.h
@@ -4,6 +4,7 @@
 #ifndef GOOSEBERRYBEAM_RELAY_HOMEMESSAGES_H
 #define GOOSEBERRYBEAM_RELAY_HOMEMESSAGES_H
 
+#include "gooseberrybeam/relay/LeavingServer.h"
 #include "gooseberrybeam/relay/PlacementTypes.h"
 #include "gooseberrybeam/relay/PromptQuarantine.h"
 #include "gooseberrybeam/relay/ServerLimit.h"
@@ -61,6 +62,8 @@
   std::vector<CrashSuspect> CrashSuspects_;
   /// On attachment: the limits that backend servers state.
   std::vector<ServerLimit> ServerLimits_;
+  /// If attached: servers that have said in a response that they leave.
+  std::vector<LeavingServer> LeavingServers_;
 
   friend bool operator==(const HomeHeartbeat &,
                          const HomeHeartbeat &) = default;
@@ -80,6 +83,8 @@
   std::vector<CrashSuspect> CrashSuspects_;
   /// The limits that backend servers state.
   std::vector<ServerLimit> ServerLimits_;
+  /// Servers that have said in a response that they leave.
+  std::vector<LeavingServer> LeavingServers_;
 
   friend bool operator==(const HomeReply &, const HomeReply &) = default;
 };
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -48,7 +48,7 @@
   /// \param Tables the copies of shared tables; outlives the link.
   /// \param Handlers functions of the instance; all must be set.
   HomeLink(asio::io_context &Context, InstanceId Self,
-           const BackendDirectory &Directory, const RateLimitBounds &Bounds,
+           BackendDirectory &Directory, const RateLimitBounds &Bounds,
            TableExchange &Tables, Callbacks Handlers);
 
   /// Sets or replaces the transport to other instances.
@@ -166,6 +166,8 @@
   void handleVersions(const InstanceId &Sender, std::uint64_t Configuration,
                       std::uint64_t Servers);
   void handleFeeds(const HomeReply &Reply);
+  void handleLeaving(std::span<const LeavingServer> Servers,
+                     const InstanceId &Sender);
   HomeHeartbeat makeHeartbeat();
   std::vector<TokenUsage> recentTokenUsage() const;
   void logAnswer(const PlacementDecision &Decision) const;
@@ -177,6 +179,7 @@
 
   asio::io_context &Context_;
   InstanceId Self_;
+  BackendDirectory &Directory_;
   TableExchange &Tables_;
   Callbacks Callbacks_;
   HomeCoordinator Coordinator_;
--- a/src/relay/BackendDirectory.cpp
+++ b/src/relay/BackendDirectory.cpp
@@ -2,14 +2,15 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace gooseberry {
 namespace {
 
 /// Servers register again within 2 s after the store is restored.
 constexpr Duration RenewalTime = std::chrono::milliseconds(2300);
-/// Maximum number of removed servers that `isLeavingOrRemoved` recognises.
-constexpr std::size_t MaxRememberedRemovals = 512;
+/// Maximum number of absent servers that `isLeavingOrRemoved` recognises.
+constexpr std::size_t MaxAbsentServers = 512;
 
 } // namespace
 
@@ -44,15 +45,59 @@
 }
 
 void BackendDirectory::put(const BackendEntry &Entry) {
+  BackendEntry Known = Entry;
+  Known.IsLeaving_ = Entry.IsLeaving_ || isKnownToLeave(Entry);
   LapseDeadlines_.erase(Entry.Id_);
-  std::erase(RecentlyRemoved_, Entry.Id_);
-  auto [Existing, IsNew] = Entries_.try_emplace(Entry.Id_, Entry);
-  if (!IsNew && Existing->second == Entry)
+  std::erase_if(Absent_, [&Entry](const AbsentServer &Each) {
+    return Each.Id_ == Entry.Id_;
+  });
+  const auto [Existing, IsNew] = Entries_.try_emplace(Entry.Id_, Known);
+  if (!IsNew && Existing->second == Known)
     return;
-  Existing->second = Entry;
+  if (Existing->second.StartTimeMs_ != Known.StartTimeMs_)
+    AnnouncedLeaving_.erase(Entry.Id_);
+  Existing->second = std::move(Known);
   ++ChangeCount_;
 }
 
+bool BackendDirectory::isKnownToLeave(const BackendEntry &Entry) const {
+  if (const BackendEntry *Known = find(Entry.Id_))
+    return Known->IsLeaving_ && Known->StartTimeMs_ == Entry.StartTimeMs_;
+  const AbsentServer *Absent = findAbsent(Entry.Id_);
+  return Absent && Absent->IsLeaving_ &&
+         Absent->StartTimeMs_.value_or(Entry.StartTimeMs_) ==
+             Entry.StartTimeMs_;
+}
+
+bool BackendDirectory::onLeaving(const ServerId &Id) {
+  if (const BackendEntry *Known = find(Id))
+    return onLeaving(LeavingServer{Id, Known->StartTimeMs_});
+  const AbsentServer *Absent = findAbsent(Id);
+  if (Absent && Absent->IsLeaving_)
+    return false;
+  remember({Id, Absent ? Absent->StartTimeMs_ : std::nullopt, true});
+  return true;
+}
+
+bool BackendDirectory::onLeaving(const LeavingServer &Server) {
+  const auto Found = Entries_.find(Server.Id_);
+  if (Found == Entries_.end() ||
+      Found->second.StartTimeMs_ != Server.StartTimeMs_)
+    return false;
+  AnnouncedLeaving_.insert(Server.Id_);
+  if (std::exchange(Found->second.IsLeaving_, true))
+    return false;
+  ++ChangeCount_;
+  return true;
+}
+
+std::vector<LeavingServer> BackendDirectory::announcedLeaving() const {
+  std::vector<LeavingServer> Servers;
+  for (const ServerId &Each : AnnouncedLeaving_)
+    Servers.push_back({Each, Entries_.at(Each).StartTimeMs_});
+  return Servers;
+}
+
 void BackendDirectory::remove(const ServerId &Id, TimePoint Now) {
   const auto Found = Entries_.find(Id);
   if (Found == Entries_.end())
@@ -66,20 +111,34 @@
 }
 
 void BackendDirectory::erase(const ServerId &Id) {
+  const BackendEntry &Entry = Entries_.at(Id);
+  remember({Id, Entry.StartTimeMs_, Entry.IsLeaving_});
   Entries_.erase(Id);
   LapseDeadlines_.erase(Id);
-  RecentlyRemoved_.push_back(Id);
-  if (RecentlyRemoved_.size() > MaxRememberedRemovals)
-    RecentlyRemoved_.pop_front();
+  AnnouncedLeaving_.erase(Id);
   ++ChangeCount_;
 }
 
+void BackendDirectory::remember(AbsentServer Server) {
+  std::erase_if(Absent_, [&Server](const AbsentServer &Each) {
+    return Each.Id_ == Server.Id_;
+  });
+  Absent_.push_back(std::move(Server));
+  if (Absent_.size() > MaxAbsentServers)
+    Absent_.pop_front();
+}
+
+const BackendDirectory::AbsentServer *
+BackendDirectory::findAbsent(const ServerId &Id) const {
+  const auto Found =
+      std::find_if(Absent_.begin(), Absent_.end(),
+                   [&Id](const AbsentServer &Each) { return Each.Id_ == Id; });
+  return Found == Absent_.end() ? nullptr : &*Found;
+}
+
 bool BackendDirectory::isLeavingOrRemoved(const ServerId &Id) const {
   const BackendEntry *Known = find(Id);
-  if (Known)
-    return Known->IsLeaving_;
-  return std::find(RecentlyRemoved_.begin(), RecentlyRemoved_.end(), Id) !=
-         RecentlyRemoved_.end();
+  return Known ? Known->IsLeaving_ : findAbsent(Id) != nullptr;
 }
 
 std::vector<ServerId> BackendDirectory::expire(TimePoint Now) {
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -498,7 +498,9 @@
     }
     if (IsKvReady) {
       Outcome = co_await decode(Grant.Decode_, KvSource);
-      if (Outcome == StepOutcome::Rejected && !KvSource.empty() &&
+      const bool IsLeaving =
+          Context_.Directory_.isLeavingOrRemoved(Grant.Decode_.Id_);
+      if (Outcome == StepOutcome::Rejected && !KvSource.empty() && !IsLeaving &&
           tryConsumeRetry()) {
         if (Grant.Prefill_)
           report(GenerationStep::HandleLost, *Grant.Prefill_);
--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -75,6 +75,22 @@
   return Limits;
 }
 
+template <typename T>
+void writeLeaving(T &Body, const std::vector<LeavingServer> &Servers) {
+  for (const LeavingServer &Source : Servers) {
+    auto &Server = *Body.add_leaving_servers();
+    Server.set_id(Source.Id_.Value_);
+    Server.set_start_time_ms(Source.StartTimeMs_);
+  }
+}
+
+template <typename T> std::vector<LeavingServer> readLeaving(const T &Body) {
+  std::vector<LeavingServer> Servers;
+  for (const auto &Server : Body.leaving_servers())
+    Servers.push_back({{Server.id()}, Server.start_time_ms()});
+  return Servers;
+}
+
 void write(wire::Home &Envelope, const HomeHeartbeat &Message) {
   auto &Body = *Envelope.mutable_heartbeat();
   Body.set_sequence(Message.Sequence_);
@@ -86,6 +102,7 @@
   writeUtilisation(Body, Message.Utilisation_);
   writeSuspects(Body, Message.CrashSuspects_);
   writeLimits(Body, Message.ServerLimits_);
+  writeLeaving(Body, Message.LeavingServers_);
   Body.set_is_leaving(Message.IsLeaving_);
   for (const auto &Used : Message.TokenUsage_) {
     auto &Usage = *Body.add_used();
@@ -116,6 +133,7 @@
   writeUtilisation(Body, Message.Utilisation_);
   writeSuspects(Body, Message.CrashSuspects_);
   writeLimits(Body, Message.ServerLimits_);
+  writeLeaving(Body, Message.LeavingServers_);
   for (const auto &Source : Message.Feeds_) {
     auto &Feed = *Body.add_feeds();
     Feed.set_version(Source.Version_);
@@ -234,6 +252,7 @@
   Message.Utilisation_ = readUtilisation(Body);
   Message.CrashSuspects_ = readSuspects(Body);
   Message.ServerLimits_ = readLimits(Body);
+  Message.LeavingServers_ = readLeaving(Body);
   Message.IsLeaving_ = Body.is_leaving();
   for (const auto &Usage : Body.used())
     Message.TokenUsage_.push_back(
@@ -260,6 +279,7 @@
   Message.Utilisation_ = readUtilisation(Body);
   Message.CrashSuspects_ = readSuspects(Body);
   Message.ServerLimits_ = readLimits(Body);
+  Message.LeavingServers_ = readLeaving(Body);
   // An instance of an earlier release states no feeds: they count as unread.
   const int FeedCount =
       std::min(Body.feeds_size(), static_cast<int>(SharedTableCount));
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -23,12 +23,12 @@
 } // namespace
 
 HomeLink::HomeLink(asio::io_context &Context, InstanceId Self,
-                   const BackendDirectory &Directory,
-                   const RateLimitBounds &Bounds, TableExchange &Tables,
-                   Callbacks Handlers)
-    : Context_(Context), Self_(std::move(Self)), Tables_(Tables),
-      Callbacks_(std::move(Handlers)), Coordinator_(Directory, Bounds),
-      Selector_(Self_, "pools"), Home_(Self_), LimitWindow_(Bounds.Window_),
+                   BackendDirectory &Directory, const RateLimitBounds &Bounds,
+                   TableExchange &Tables, Callbacks Handlers)
+    : Context_(Context), Self_(std::move(Self)), Directory_(Directory),
+      Tables_(Tables), Callbacks_(std::move(Handlers)),
+      Coordinator_(Directory, Bounds), Selector_(Self_, "pools"), Home_(Self_),
+      LimitWindow_(Bounds.Window_),
       ConfigurationRequests_(ConfigurationFeedTime) {}
 
 void HomeLink::setTransport(std::unique_ptr<PeerTransport> Transport) {
@@ -181,6 +181,7 @@
   Heartbeat.Utilisation_ = PreviousHomeUtilisation_;
   Heartbeat.CrashSuspects_ = CrashSuspects_;
   Heartbeat.ServerLimits_ = StatedLimits_.all();
+  Heartbeat.LeavingServers_ = Directory_.announcedLeaving();
   UnreportedUsage_.clear();
   for (const auto &[Request, Generation] : RunningGenerations_)
     Heartbeat.RunningGenerations_.push_back(Generation);
@@ -220,6 +221,7 @@
     HomeHeartbeat Message = makeHeartbeat();
     Message.IsAttached_ = Instance == Home_;
     if (Message.IsAttached_) {
+      Message.LeavingServers_ = Directory_.announcedLeaving();
       for (const auto &[Organisation, Tokens] : UnreportedUsage_)
         Message.TokenUsage_.push_back({Organisation, Tokens, {}});
       // An exhausted organisation sends no tokens. It is listed with 0 tokens
@@ -318,6 +320,16 @@
   }
 }
 
+// What one instance heard from a server spares the others a request to it.
+void HomeLink::handleLeaving(std::span<const LeavingServer> Servers,
+                             const InstanceId &Sender) {
+  for (const LeavingServer &Each : Servers)
+    if (Directory_.onLeaving(Each))
+      logLine(LogPart::Service, LogLevel::Info,
+              "Another instance says that a backend server leaves.",
+              {{"server", Each.Id_.Value_}, {"instance", Sender.Value_}});
+}
+
 void HomeLink::sendToAttached(const TableUpdate &Update) {
   const PlacementBytes Bytes = {encodeHomeMessage(Update)};
   for (const InstanceId &Each : Coordinator_.attachedInstances()) {
@@ -337,6 +349,7 @@
   const TimePoint Now = readBootClock();
   if (Message.IsLeaving_ && Sender != Self_)
     Selector_.onLeaving(Sender);
+  handleLeaving(Message.LeavingServers_, Sender);
   HomeReply Reply;
   Reply.Sequence_ = Message.Sequence_;
   Reply.ConfigurationVersion_ = configurationVersion();
@@ -350,6 +363,7 @@
     Reply.Utilisation_ = Coordinator_.utilisation(Now);
     Reply.CrashSuspects_ = Coordinator_.crashSuspects(Now);
     Reply.ServerLimits_ = Coordinator_.serverLimits();
+    Reply.LeavingServers_ = Directory_.announcedLeaving();
   }
   if (Sender == Self_) {
     handleReply(Self_, Reply);
@@ -381,6 +395,7 @@
     handleFeeds(Message);
   Utilisation_ = Message.Utilisation_;
   CrashSuspects_ = Message.CrashSuspects_;
+  handleLeaving(Message.LeavingServers_, Sender);
   StatedLimits_.assign(Message.ServerLimits_, readBootClock());
   ExhaustedOrganisations_.clear();
   ExhaustedOrganisations_.insert(Message.ExhaustedOrganisations_.begin(),
--- a/src/relayd/ServerCall.cpp
+++ b/src/relayd/ServerCall.cpp
@@ -34,14 +34,14 @@
          Info.RequestId_ != Request.CallerInfo_.RequestId_;
 }
 
-void logLeaving(const RelayContext &Context, const RelayRequest &Request,
-                const ServerId &Server) {
-  const bool IsKnown = Context.Directory_.isLeavingOrRemoved(Server);
+void recordLeaving(RelayContext &Context, const RelayRequest &Request,
+                   const ServerId &Server) {
+  if (!Context.Directory_.onLeaving(Server))
+    return;
   logLine(LogPart::Service, LogLevel::Info,
           "Backend server says that it leaves.",
           {{"server", Server.Value_},
-           {"request", Request.CallerInfo_.RequestId_.Value_},
-           {"registration", IsKnown ? "leaving" : "ready"}});
+           {"request", Request.CallerInfo_.RequestId_.Value_}});
 }
 
 } // namespace
@@ -71,7 +71,7 @@
     Response.Info_ = Context.Protocol_.parseServerResponse(Response.Head_);
     if (!isForeign(Response.Info_, Request)) {
       if (Response.Info_.IsLeaving_)
-        logLeaving(Context, Request, Target.RequestInfo_.Server_);
+        recordLeaving(Context, Request, Target.RequestInfo_.Server_);
       Context.Home_.onServerResponse(Target.RequestInfo_.Server_,
                                      Response.Info_.RequestsPerSecond_);
       co_return Response;
--- a/tests/BackendDirectoryTest.cpp
+++ b/tests/BackendDirectoryTest.cpp
@@ -38,6 +38,54 @@
     Directory.put(Leaving);
     CHECK(Directory.isLeavingOrRemoved({"a"}));
   }
+  SECTION("a server that says that it leaves") {
+    CHECK(Directory.onLeaving(ServerId{"a"}));
+    CHECK(Directory.find({"a"})->IsLeaving_);
+    CHECK(Directory.isLeavingOrRemoved({"a"}));
+    SECTION("is news once") { CHECK_FALSE(Directory.onLeaving(ServerId{"a"})); }
+    SECTION("leaves whatever an older registration says") {
+      Directory.put(makeEntry("a"));
+      CHECK(Directory.find({"a"})->IsLeaving_);
+      Directory.remove({"a"}, TimePoint(1s));
+      Directory.put(makeEntry("a"));
+      CHECK(Directory.find({"a"})->IsLeaving_);
+    }
+    SECTION("takes work again once its process has started again") {
+      BackendEntry Restarted = makeEntry("a");
+      Restarted.StartTimeMs_ = 7;
+      Directory.put(Restarted);
+      CHECK_FALSE(Directory.find({"a"})->IsLeaving_);
+      CHECK(Directory.announcedLeaving().empty());
+    }
+    SECTION("is told to other instances while it is registered") {
+      CHECK(Directory.announcedLeaving() ==
+            std::vector<LeavingServer>{{{"a"}, 0}});
+      Directory.remove({"a"}, TimePoint(1s));
+      CHECK(Directory.announcedLeaving().empty());
+    }
+  }
+  SECTION("a server that says so before it is registered here leaves") {
+    CHECK(Directory.onLeaving(ServerId{"c"}));
+    CHECK(Directory.isLeavingOrRemoved({"c"}));
+    Directory.put(makeEntry("c"));
+    CHECK(Directory.find({"c"})->IsLeaving_);
+  }
+  SECTION("another instance's word counts for the process that it heard only") {
+    CHECK(Directory.onLeaving(LeavingServer{{"a"}, 0}));
+    CHECK_FALSE(Directory.onLeaving(LeavingServer{{"b"}, 7}));
+    CHECK_FALSE(Directory.onLeaving(LeavingServer{{"c"}, 0}));
+    CHECK(Directory.find({"a"})->IsLeaving_);
+    CHECK_FALSE(Directory.find({"b"})->IsLeaving_);
+    CHECK_FALSE(Directory.isLeavingOrRemoved({"c"}));
+  }
+  SECTION("a registration that says ready does not undo one that says that the "
+          "same process leaves") {
+    BackendEntry Leaving = makeEntry("a");
+    Leaving.IsLeaving_ = true;
+    Directory.put(Leaving);
+    Directory.put(makeEntry("a"));
+    CHECK(Directory.find({"a"})->IsLeaving_);
+  }
   SECTION("an unknown server is not treated as removed, as a peer may learn of "
           "it first") {
     CHECK_FALSE(Directory.isLeavingOrRemoved({"c"}));
--- a/tests/HomeCodecTest.cpp
+++ b/tests/HomeCodecTest.cpp
@@ -29,6 +29,7 @@
         {{"r"}, {"acme"}, {"svc"}, {"d1"}, 5000, 630, 4400}};
     Message.CrashSuspects_ = {{{{"s1"}, {"s2"}}, 3, 5s}};
     Message.ServerLimits_ = {{{"s1"}, 1.5}, {{"s2"}, 0}};
+    Message.LeavingServers_ = {{{"s3"}, 1791444837026}};
     checkRoundTrip(Message);
     HomeReply Reply;
     Reply.Sequence_ = 4;
@@ -40,6 +41,7 @@
     Reply.Utilisation_ = {{{"acme"}, 0.5}};
     Reply.CrashSuspects_ = {{{{"s1"}}, 1, 80ms}};
     Reply.ServerLimits_ = {{{"s1"}, 1.5}};
+    Reply.LeavingServers_ = {{{"s3"}, 1791444837026}, {{"s4"}, 0}};
     checkRoundTrip(Reply);
   }
   SECTION("placement requests, grants and denials") {
--- a/tests/HomeLinkTest.cpp
+++ b/tests/HomeLinkTest.cpp
@@ -1,6 +1,7 @@
 #include "gooseberrybeam/relayd/HomeLink.h"
 
 #include "gooseberrybeam/relayd/HomeCodec.h"
+#include "support/FakeTables.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -40,25 +41,6 @@
   std::vector<HomeMessage> Sent_;
 };
 
-/// An instance's copies of the shared tables, which are always up to date.
-class FakeTables : public TableExchange {
-public:
-  FeedState feedState(SharedTableId) const override { return {}; }
-  std::optional<TableRequest> onHomeState(SharedTableId,
-                                          const FeedState &) override {
-    return std::nullopt;
-  }
-  std::optional<TableRequest> onPeerVersion(SharedTableId,
-                                            std::uint64_t) override {
-    return std::nullopt;
-  }
-  void onHomeChanged() override {}
-  std::optional<TableUpdate> answer(const TableRequest &) const override {
-    return std::nullopt;
-  }
-  void onUpdate(const TableUpdate &) override {}
-};
-
 /// An instance whose home is another instance.
 class AttachedInstance {
 public:
@@ -89,9 +71,12 @@
   /// Delivers a reply of the home to the latest heartbeat.
   /// \param Incarnation the incarnation of the home's process.
   /// \param Suspects the prompt segments that the home has found.
+  /// \param Leaving the servers that have told others that they leave.
   void replyFromHome(std::uint64_t Incarnation,
-                     std::vector<CrashSuspect> Suspects = {}) {
+                     std::vector<CrashSuspect> Suspects = {},
+                     std::vector<LeavingServer> Leaving = {}) {
     HomeReply Reply;
+    Reply.LeavingServers_ = std::move(Leaving);
     Reply.Sequence_ = heartbeats().back().Sequence_;
     Reply.CrashSuspects_ = std::move(Suspects);
     Transport_->deliver({Home_, Incarnation},
@@ -127,6 +112,7 @@
   std::optional<bool> mayCall() const { return MayCall_; }
 
   HomeLink &link() { return *Link_; }
+  BackendDirectory &directory() { return Directory_; }
   std::vector<HomeHeartbeat> heartbeats() const {
     return Transport_->sent<HomeHeartbeat>();
   }
@@ -184,6 +170,16 @@
     CHECK(Instance.heartbeats().back().ServerLimits_ ==
           std::vector<ServerLimit>{{{"s1"}, 2.5}});
   }
+  SECTION("with the servers that have said that they leave") {
+    BackendEntry Server;
+    Server.Id_ = {"s1"};
+    Instance.directory().put(Server);
+    Instance.directory().onLeaving(ServerId{"s1"});
+    Instance.replyFromHome(7);
+    Instance.replyFromHome(8);
+    CHECK(Instance.heartbeats().back().LeavingServers_ ==
+          std::vector<LeavingServer>{{{"s1"}, 0}});
+  }
   SECTION("again if the home restarted between two replies") {
     Instance.replyFromHome(7);
     Instance.replyFromHome(8);
@@ -200,6 +196,25 @@
   }
 }
 
+TEST_CASE("An instance does not use a server that told another one that it "
+          "leaves",
+          "[relay][leaving]") {
+  AttachedInstance Instance;
+  BackendEntry Server;
+  Server.Id_ = {"s1"};
+  Server.StartTimeMs_ = 5;
+  Instance.directory().put(Server);
+
+  SECTION("after a reply of the home") {
+    Instance.replyFromHome(7, {}, {{{"s1"}, 5}});
+    CHECK(Instance.directory().find({"s1"})->IsLeaving_);
+  }
+  SECTION("unless the server has started again since") {
+    Instance.replyFromHome(7, {}, {{{"s1"}, 4}});
+    CHECK_FALSE(Instance.directory().find({"s1"})->IsLeaving_);
+  }
+}
+
 TEST_CASE("Requests to a server with a limit wait for a token of the home",
           "[relay]") {
   AttachedInstance Instance;
--- /dev/null
+++ b/tests/support/RelayUnderTest.h
@@ -0,0 +1,182 @@
+/// \file
+/// One instance of the relay in front of scripted backend servers.
+#ifndef GOOSEBERRYBEAM_TESTS_SUPPORT_RELAYUNDERTEST_H
+#define GOOSEBERRYBEAM_TESTS_SUPPORT_RELAYUNDERTEST_H
+
+#include "PlatformProtocol.h"
+#include "PlatformStoreSchema.h"
+#include "gooseberrybeam/http/CallerServer.h"
+#include "gooseberrybeam/http/OpenAcceptor.h"
+#include "gooseberrybeam/relayd/RelayHandler.h"
+#include "support/FakeTables.h"
+#include "support/ScriptedBackend.h"
+
+#include <boost/beast/http/write.hpp>
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gooseberry {
+
+/// What a caller received.
+struct CallerAnswer {
+  int Status_ = 0; ///< 0 if no head was received.
+  std::string Body_;
+  HttpFields Fields_;
+  bool IsWhole_ = false; ///< False if the connection ended before the body.
+};
+
+/// An instance that is its own home. Its routes are `/check/` (idempotent, two
+/// attempts) and `/book/` (not idempotent) of the service `booking`, and
+/// `/write/` (a resumable stream, two attempts) of the service `writer`.
+class RelayUnderTest {
+public:
+  RelayUnderTest() {
+    Settings_.Name_ = Self;
+    Settings_.RetryBounds_.Slack_ = 100;
+    const std::vector<RelayMember> Members = {{{{Self, 1}, "", {}}, {}}};
+    Home_.setMembers(Members);
+    Relay_.Configuration_ = Schema_.parseConfiguration(ConfigurationText);
+    Relay_.Startup_.open();
+    Home_.configure(Relay_.Configuration_);
+    Home_.start();
+    asio::co_spawn(Context_, accept(), asio::detached);
+  }
+  ~RelayUnderTest() { Context_.stop(); }
+  RelayUnderTest(const RelayUnderTest &) = delete;
+  RelayUnderTest &operator=(const RelayUnderTest &) = delete;
+
+  /// Registers a server.
+  /// \param Id its id.
+  /// \param Role its role; none for a server of the plain service.
+  /// \param Answers its answers.
+  /// \returns the server.
+  ScriptedBackend &addServer(std::string_view Id,
+                             std::optional<EngineRole> Role,
+                             ScriptedBackend::Script Answers) {
+    Servers_.push_back(
+        std::make_unique<ScriptedBackend>(Context_, std::move(Answers)));
+    BackendEntry Entry;
+    Entry.Id_ = {std::string(Id)};
+    Entry.Address_ = {Servers_.back()->address()};
+    Entry.Service_ = {Role ? "writer" : "booking"};
+    Entry.Role_ = Role;
+    Entry.Slots_ = 4;
+    Entry.StartTimeMs_ = 1;
+    Directory_.put(Entry);
+    return *Servers_.back();
+  }
+
+  /// Sends a request as a caller and waits for its answer.
+  /// \param Path a path on one of the routes.
+  /// \param Id the id of the request.
+  CallerAnswer call(std::string_view Path, std::string_view Id) {
+    CallerAnswer Answer;
+    bool IsOver = false;
+    const auto Run = [&]() -> Task<void> {
+      co_await exchange(std::string(Path), std::string(Id), Answer);
+      IsOver = true;
+    };
+    asio::co_spawn(Context_, Run, asio::detached);
+    const TimePoint End = readBootClock() + CallTimeout;
+    while (!IsOver && readBootClock() < End)
+      Context_.run_one_for(std::chrono::milliseconds(10));
+    return Answer;
+  }
+
+  /// \returns the registered servers.
+  BackendDirectory &directory() { return Directory_; }
+
+private:
+  inline static const InstanceId Self = {"one"};
+  static constexpr Duration CallTimeout = std::chrono::seconds(10);
+  static constexpr std::string_view ConfigurationText = R"({
+    "version": 1,
+    "routes": [
+      {"name": "check", "host": "a.example", "path_prefix": "/check/",
+       "kind": "idempotent", "timeout_ms": 3000, "target_latency_ms": 1000,
+       "max_attempts": 2, "service": "booking"},
+      {"name": "book", "host": "a.example", "path_prefix": "/book/",
+       "kind": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 1000,
+       "max_attempts": 1, "service": "booking"},
+      {"name": "write", "host": "a.example", "path_prefix": "/write/",
+       "kind": "streaming", "timeout_ms": 5000, "target_latency_ms": 900,
+       "max_attempts": 2, "sticky": true, "resumable": true,
+       "service": "writer"}],
+    "services": [
+      {"name": "writer", "engine": {"slots": 4, "kv_tokens": 10000}},
+      {"name": "booking"}]
+  })";
+
+  static HomeLink::Callbacks makeCallbacks() {
+    HomeLink::Callbacks Handlers;
+    Handlers.OnConfiguration_ = [](std::string_view) {};
+    Handlers.IsStoreAvailable_ = [] { return true; };
+    return Handlers;
+  }
+
+  Task<void> accept() {
+    for (;;) {
+      auto [Error, Socket] = co_await Acceptor_.async_accept(AsTuple);
+      if (Error)
+        co_return;
+      Callers_.serve(std::move(Socket));
+    }
+  }
+
+  Task<void> exchange(std::string Path, std::string Id, CallerAnswer &Answer) {
+    namespace http = beast::http;
+    beast::tcp_stream Stream(Context_);
+    co_await Stream.async_connect(Acceptor_.local_endpoint(), AsTuple);
+    http::request<http::string_body> Request(http::verb::post, asBeast(Path),
+                                             11);
+    Request.set(http::field::host, "a.example");
+    Request.set("Request-Id", Id);
+    Request.set("Deadline-Ms", "3000");
+    Request.set("Token-Count", "100,20");
+    Request.prepare_payload();
+    co_await http::async_write(Stream, Request, AsTuple);
+    beast::flat_buffer Buffer;
+    http::response_parser<http::string_body> Parser;
+    Parser.eager(true);
+    auto [Error, Read] =
+        co_await http::async_read(Stream, Buffer, Parser, AsTuple);
+    if (!Parser.is_header_done())
+      co_return;
+    Answer.Status_ = static_cast<int>(Parser.get().result_int());
+    Answer.Fields_ = Parser.get().base();
+    Answer.Body_ = Parser.get().body();
+    Answer.IsWhole_ = !Error;
+  }
+
+  asio::io_context Context_;
+  RelaySettings Settings_;
+  platform::PlatformProtocol Protocol_;
+  platform::PlatformStoreSchema Schema_;
+  BackendDirectory Directory_;
+  FakeTables Tables_;
+  HomeLink Home_{Context_,          Self,    Directory_,
+                 RateLimitBounds(), Tables_, makeCallbacks()};
+  RelayContext Relay_{Context_,
+                      Settings_,
+                      Protocol_,
+                      Directory_,
+                      Home_,
+                      StartupGate(Context_, readBootClock()),
+                      ConnectionPool(PoolLimits()),
+                      {},
+                      {},
+                      {},
+                      {}};
+  RelayHandler Handler_{Relay_};
+  CallerServer Callers_{Context_, Handler_, CallerLimits(), "t-"};
+  tcp::acceptor Acceptor_{Context_,
+                          tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+  std::vector<std::unique_ptr<ScriptedBackend>> Servers_;
+};
+
+} // namespace gooseberry
+
+#endif // GOOSEBERRYBEAM_TESTS_SUPPORT_RELAYUNDERTEST_H
--- a/tools/gbsoak/SoakClient.cpp
+++ b/tools/gbsoak/SoakClient.cpp
@@ -61,6 +61,8 @@
     co_return 0;
   SoakRecord::Answer &Told = Record_.Answers_[Id];
   Told.Kind_ = Kind;
+  Told.Relay_ = Server;
+  Told.SentAt_ = std::chrono::steady_clock::now();
   const auto Request = makeCallerRequest(makeOrder(Id, Kind, Key));
   Stream_->expires_after(AnswerTimeout);
   auto [SendError, Sent] =
@@ -78,6 +80,9 @@
   }
   Told.Status_ = Answer.result_int();
   Told.IsWhole_ = true;
+  if (Answer["Server-Leaving"] == "1")
+    Record_.Leaving_.onAnswer(Server, std::string(Answer["Instance-Id"]),
+                              std::chrono::steady_clock::now());
   if (Told.Status_ == 200)
     checkBody(Id, Kind, Answer.body());
   if (!Answer.keep_alive())
--- a/tools/gbsoak/SoakClient.h
+++ b/tools/gbsoak/SoakClient.h
@@ -4,6 +4,7 @@
 #define TOOLS_GBSOAK_SOAKCLIENT_H
 
 #include "common/Net.h"
+#include "gbsoak/LeavingCheck.h"
 
 #include <cstdint>
 #include <functional>
@@ -23,9 +24,12 @@
     SoakKind Kind_ = SoakKind::Check;
     unsigned Status_ = 0; ///< 0: the connection ended without an answer.
     bool IsWhole_ = false;
+    std::string Relay_; ///< `ip:port`.
+    std::chrono::steady_clock::time_point SentAt_;
   };
   std::map<std::string, Answer> Answers_;
   std::vector<std::string> Faults_; ///< Sentences about what went wrong.
+  LeavingCheck Leaving_;
   std::uint64_t Served_ = 0;
 };
 
--- a/tools/gbsoak/SoakWorld.cpp
+++ b/tools/gbsoak/SoakWorld.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::steady_clock;
 
 constexpr std::uint16_t PortsPerRelay = 10;
 constexpr const char *KeyOne = "key-one";
@@ -76,7 +77,8 @@
   Row.Part_ = Of.Face_->part();
   Row.Service_ = Row.Part_ == BackendPart::Plain ? "booking" : "writer";
   Row.Address_ = Of.Proxy_->address();
-  Row.IsLeaving_ = Of.IsLeaving_;
+  Row.IsLeaving_ = Of.IsLeavingRegistered_;
+  Row.Starts_ = Of.Starts_;
   Store_.putServer(Of.Face_->id(), writeRegistration(Row));
 }
 
@@ -97,7 +99,7 @@
 
 asio::awaitable<void> SoakWorld::play() {
   for (const auto &Each : Relays_)
-    Each->start();
+    startRelay(*Each);
   asio::co_spawn(Context_, watchRelays(), asio::detached);
   for (std::size_t I = 0; I != Settings_.Clients_; ++I)
     asio::co_spawn(Context_, runClient(I), asio::detached);
@@ -157,12 +159,17 @@
         continue;
       co_await sleepFor(RestartPause);
       if (!IsStopping_)
-        Each->start();
+        startRelay(*Each);
     }
     co_await sleepFor(Poll);
   }
 }
 
+void SoakWorld::startRelay(RelayProcess &Relay) {
+  Record_.Leaving_.onRelayDisturbed(Relay.callers(), steady_clock::now());
+  Relay.start();
+}
+
 asio::awaitable<void> SoakWorld::killRelay() {
   anyRelay().signal(SIGKILL);
   co_return;
@@ -171,6 +178,7 @@
 asio::awaitable<void> SoakWorld::freezeRelay() {
   RelayProcess &Frozen = anyRelay();
   Frozen.signal(SIGSTOP);
+  Record_.Leaving_.onRelayDisturbed(Frozen.callers(), steady_clock::now());
   co_await sleepFor(drawMs(200, 1800));
   Frozen.signal(SIGCONT);
 }
@@ -235,10 +243,17 @@
   Backend &Of = anyBackend();
   if (Of.IsLeaving_)
     co_return;
+  // Some registrations never say that the server leaves.
   Of.IsLeaving_ = true;
+  Of.IsLeavingRegistered_ = draw(2) == 0;
+  Of.Face_->setLeaving(true);
   writeBackend(Of);
-  co_await sleepFor(drawMs(1000, 3000));
+  co_await sleepFor(drawMs(2000, 5000));
   Of.IsLeaving_ = false;
+  Of.IsLeavingRegistered_ = false;
+  ++Of.Starts_;
+  Of.Face_->setLeaving(false);
+  Record_.Leaving_.onServerStarted(Of.Face_->id(), steady_clock::now());
   writeBackend(Of);
 }
 
@@ -295,10 +310,20 @@
     const bool SaysNotRun = Answer.Status_ == 429 || Answer.Status_ == 503;
     if (Answer.Kind_ == SoakKind::Booking && SaysNotRun)
       Faults_.push_back(Request + " was refused as not run, and has run");
-    for (const auto &Run : Runs)
+    for (const auto &Run : Runs) {
       if (Run.Organisation_ != organisationOf(Request))
         Faults_.push_back(Request + " ran for " + Run.Organisation_);
+      checkLeaving(Request, Run);
+    }
   }
 }
 
+void SoakWorld::checkLeaving(const std::string &Request, const SeenRun &Run) {
+  const auto &Answer = Record_.Answers_.at(Request);
+  if (Record_.Leaving_.isForbidden(Answer.Relay_, Run.Server_, Answer.SentAt_,
+                                   Run.At_))
+    Faults_.push_back(Request + " reached " + Run.Server_ +
+                      ", which had told its relay that it leaves");
+}
+
 } // namespace gooseberry
--- a/tools/gbsoak/SoakWorld.h
+++ b/tools/gbsoak/SoakWorld.h
@@ -43,6 +43,8 @@
     std::unique_ptr<BackendFace> Face_;
     std::unique_ptr<TcpProxy> Proxy_;
     bool IsLeaving_ = false;
+    bool IsLeavingRegistered_ = false;
+    std::uint64_t Starts_ = 1; ///< Of its process.
   };
   using Fault = asio::awaitable<void> (SoakWorld::*)();
 
@@ -71,6 +73,8 @@
   void writeBackend(const Backend &Of);
   void putConfiguration();
   void checkRuns();
+  void checkLeaving(const std::string &Request, const SeenRun &Run);
+  void startRelay(RelayProcess &Relay);
   std::size_t draw(std::size_t Below);
   std::chrono::milliseconds drawMs(int From, int To);
   RelayProcess &anyRelay() { return *Relays_[draw(Relays_.size())]; }
--- a/tools/standin_platform/BackendFace.cpp
+++ b/tools/standin_platform/BackendFace.cpp
@@ -37,10 +37,19 @@
   Log_.Runs_[fieldOf(Call, "Request-Id")].push_back(std::move(Run));
 }
 
+void BackendFace::addFields(const FaceCall &Call, http::fields &Head) const {
+  Head.set("Request-Id", fieldOf(Call, "Request-Id"));
+  Head.set("Instance-Id", Id_);
+  if (!Limit_.empty())
+    Head.set("Server-Limit", Limit_);
+  if (IsLeaving_)
+    Head.set("Server-Leaving", "1");
+}
+
 asio::awaitable<void> BackendFace::reject(FaceCall &Call, unsigned Status) {
   auto Answer = makeReply(Status, "");
   Answer.set("Not-Executed", "1");
-  Answer.set("Request-Id", fieldOf(Call, "Request-Id"));
+  addFields(Call, Answer);
   co_await Call.reply(std::move(Answer));
 }
 
@@ -73,7 +82,7 @@
   const std::string Body = R"({"kv_handle":"h)" + std::to_string(++Handles_) +
                            R"(","tokens":100,"version":1})";
   auto Answer = makeReply(200, Body);
-  Answer.set("Request-Id", fieldOf(Call, "Request-Id"));
+  addFields(Call, Answer);
   co_await Call.reply(std::move(Answer));
 }
 
@@ -85,10 +94,8 @@
     co_return;
   }
   auto Answer = makeReply(200, "answer to " + fieldOf(Call, "Request-Id"));
-  Answer.set("Request-Id", fieldOf(Call, "Request-Id"));
+  addFields(Call, Answer);
   Answer.set("Response-Signature", Id_);
-  if (!Limit_.empty())
-    Answer.set("Server-Limit", Limit_);
   co_await Call.reply(std::move(Answer));
 }
 
@@ -97,11 +104,9 @@
   const std::string Request = fieldOf(Call, "Request-Id");
   const std::string Last = fieldOf(Call, "Last-Event-Id");
   http::response<http::empty_body> Head(http::status::ok, 11);
-  Head.set("Request-Id", Request);
+  addFields(Call, Head);
   Head.set("Response-Signature", Id_);
   Head.set("Content-Type", "text/event-stream");
-  if (!Limit_.empty())
-    Head.set("Server-Limit", Limit_);
   Head.chunked(true);
   http::response_serializer<http::empty_body> Serializer(Head);
   auto [HeadError, HeadSize] =
--- a/tools/standin_platform/BackendFace.h
+++ b/tools/standin_platform/BackendFace.h
@@ -38,6 +38,8 @@
   void setFailing(bool IsFailing) { IsFailing_ = IsFailing; }
   /// \param IsFull whether requests are rejected as not run.
   void setFull(bool IsFull) { IsFull_ = IsFull; }
+  /// \param IsLeaving whether all answers say that the server leaves.
+  void setLeaving(bool IsLeaving) { IsLeaving_ = IsLeaving; }
   /// \param Limit requests a second that answers state as limit; may be empty.
   void setLimit(std::string Limit) { Limit_ = std::move(Limit); }
 
@@ -47,6 +49,7 @@
   asio::awaitable<void> prefill(FaceCall &Call);
   asio::awaitable<void> stream(FaceCall &Call);
   asio::awaitable<void> plain(FaceCall &Call);
+  void addFields(const FaceCall &Call, http::fields &Head) const;
   void noteRun(const FaceCall &Call);
   void check(const FaceCall &Call);
   std::string fieldOf(const FaceCall &Call, const char *Name) const;
@@ -56,6 +59,7 @@
   RunLog &Log_;
   bool IsFailing_ = false;
   bool IsFull_ = false;
+  bool IsLeaving_ = false;
   std::string Limit_;
   int Handles_ = 0;
   HttpFace Face_;
--- a/tools/standin_platform/PlatformTexts.cpp
+++ b/tools/standin_platform/PlatformTexts.cpp
@@ -18,7 +18,8 @@
 std::string writeRegistration(const RegisteredBackend &Of) {
   std::string Row = R"({"service":")" + Of.Service_;
   Row += R"(","address":")" + Of.Address_ + R"(","zone":"dc-a",)";
-  Row += R"("slots":8,"born":1,"state":")";
+  Row += R"("slots":8,"born":)" + std::to_string(Of.Starts_);
+  Row += R"(,"state":")";
   Row += Of.IsLeaving_ ? "draining" : "ready";
   Row += R"(")";
   if (Of.Part_ == BackendPart::Prefill)
--- a/tools/standin_platform/PlatformTexts.h
+++ b/tools/standin_platform/PlatformTexts.h
@@ -16,6 +16,7 @@
   std::string Address_; ///< `ip:port`.
   BackendPart Part_ = BackendPart::Plain;
   bool IsLeaving_ = false;
+  std::uint64_t Starts_ = 1; ///< Of its process.
 };
 
 /// Where a process listens and what it uses.
