--- a/include/gooseberrybeam/relay/BackendDirectory.h
+++ b/include/gooseberrybeam/relay/BackendDirectory.h
@@ -22,6 +22,11 @@
 /// registrations say.
 class BackendDirectory {
 public:
+  /// \param Heartbeat the interval in which servers renew their registrations.
+  explicit BackendDirectory(
+      Duration Heartbeat = std::chrono::milliseconds(1200))
+      : Heartbeat_(Heartbeat) {}
+
   /// Records that the store cannot be read.
   void onStoreUnavailable();
   /// Records that the store can be read again. Has no effect unless it was
@@ -29,6 +34,11 @@
   /// \param Now the current time.
   void onStoreRestored(TimePoint Now);
 
+  /// Records that the store was restored from a copy. Registrations that are
+  /// missing from it are kept until the servers have had time to register
+  /// again. \param Now the current time.
+  void onStoreCopied(TimePoint Now);
+
   /// Replaces all entries with a snapshot of the store. Entries missing from
   /// the snapshot are handled as by `remove`.
   /// \param Entries all registrations in the store.
@@ -36,6 +46,10 @@
   void replace(const std::vector<BackendEntry> &Entries, TimePoint Now);
   /// Adds or updates a registration.
   void put(const BackendEntry &Entry);
+  /// Adds or updates a registration of a restored store. If the same process
+  /// was removed before, the registration may be its old one; it counts only
+  /// once the server must have renewed it. \param Now the current time.
+  void putRestored(const BackendEntry &Entry, TimePoint Now);
   /// Records that a server said in a response to this instance that it leaves.
   /// The server need not be registered here.
   /// \param Id the server.
@@ -52,8 +66,8 @@
   /// \param Id the server that is no longer registered.
   /// \param Now the current time.
   void remove(const ServerId &Id, TimePoint Now);
-  /// Removes registrations that were not renewed by their deadline. Removes
-  /// nothing while the store is unavailable.
+  /// Removes registrations that were not renewed by their deadline, and adds
+  /// restored ones that were. Has no effect while the store is unavailable.
   /// \param Now the current time.
   /// \returns the servers that were removed.
   std::vector<ServerId> expire(TimePoint Now);
@@ -84,12 +98,21 @@
     bool IsLeaving_ = false;
   };
 
+  /// A registration that may be the old one of a process that has ended.
+  struct RestoredEntry {
+    BackendEntry Entry_;
+    TimePoint ConfirmedAt_; ///< Removed before that unless renewed.
+  };
+
   void erase(const ServerId &Id);
+  void addConfirmed(TimePoint Now);
   void remember(AbsentServer Server);
   const AbsentServer *findAbsent(const ServerId &Id) const;
   bool isKnownToLeave(const BackendEntry &Entry) const;
 
+  Duration Heartbeat_;
   std::map<ServerId, BackendEntry> Entries_;
+  std::map<ServerId, RestoredEntry> RestoredEntries_;
   std::map<ServerId, TimePoint> LapseDeadlines_; ///< Renewal deadlines.
   std::deque<AbsentServer> Absent_;              ///< Oldest first.
   /// Registered servers that have said in a response that they leave.
--- a/include/gooseberrybeam/relay/CopyRequestSchedule.h
+++ b/include/gooseberrybeam/relay/CopyRequestSchedule.h
@@ -4,8 +4,8 @@
 #define GOOSEBERRYBEAM_RELAY_COPYREQUESTSCHEDULE_H
 
 #include "gooseberrybeam/base/Time.h"
+#include "gooseberrybeam/relay/StoreVersion.h"
 
-#include <cstdint>
 #include <optional>
 
 namespace gooseberry {
@@ -25,16 +25,17 @@
   /// Records that a peer has a version, and decides. If a request is due, it
   /// counts as sent.
   /// \param PeerVersion the version of the peer.
-  /// \param OwnVersion the version of this instance; 0 if it has none.
+  /// \param OwnVersion the version of this instance; unknown if it has none.
   /// \param IsStoreReadable whether the store answers this instance.
   /// \param Now the current time.
   /// \returns whether to request a copy from the peer now.
-  bool tryRequest(std::uint64_t PeerVersion, std::uint64_t OwnVersion,
-                  bool IsStoreReadable, TimePoint Now);
+  bool tryRequest(const StoreVersion &PeerVersion,
+                  const StoreVersion &OwnVersion, bool IsStoreReadable,
+                  TimePoint Now);
 
 private:
   Duration StoreFeedTime_;
-  std::uint64_t OwnVersion_ = 0;
+  StoreVersion OwnVersion_;
   /// When a newer version was first heard of; none since `OwnVersion_` changed.
   std::optional<TimePoint> BehindSince_;
   std::optional<TimePoint> RequestedAt_;
--- a/include/gooseberrybeam/relay/FeedSource.h
+++ b/include/gooseberrybeam/relay/FeedSource.h
@@ -21,7 +21,7 @@
   /// \param State as stated by the home.
   /// \param OwnVersion the version of this instance's copy.
   /// \param Now the current time.
-  void onHomeState(const FeedState &State, std::uint64_t OwnVersion,
+  void onHomeState(const FeedState &State, const StoreVersion &OwnVersion,
                    TimePoint Now);
   /// Records that another instance has become home.
   void onHomeChanged();
--- a/include/gooseberrybeam/relay/HomeMessages.h
+++ b/include/gooseberrybeam/relay/HomeMessages.h
@@ -42,7 +42,7 @@
   std::uint64_t Sequence_ = 0;
   std::uint64_t ConfigurationVersion_ = 0;
   /// The latest known change of the registered backend servers.
-  std::uint64_t ServersVersion_ = 0;
+  StoreVersion ServersVersion_;
   Duration Uptime_{0};      ///< Time since the sender's process started.
   bool IsAttached_ = false; ///< False: probes whether the receiver is alive.
   /// The number of times that the sender's process has attached to a home.
@@ -73,7 +73,7 @@
 struct HomeReply {
   std::uint64_t Sequence_ = 0;
   std::uint64_t ConfigurationVersion_ = 0;
-  std::uint64_t ServersVersion_ = 0; ///< As in the heartbeat.
+  StoreVersion ServersVersion_; ///< As in the heartbeat.
   /// The sender's copies of the shared tables, by `SharedTableId`.
   std::array<FeedState, SharedTableCount> Feeds_;
   bool IsLeaving_ = false; ///< The sender shuts down; select another home.
--- a/include/gooseberrybeam/relay/TableUpdate.h
+++ b/include/gooseberrybeam/relay/TableUpdate.h
@@ -4,6 +4,7 @@
 #define GOOSEBERRYBEAM_RELAY_TABLEUPDATE_H
 
 #include "gooseberrybeam/base/Time.h"
+#include "gooseberrybeam/relay/StoreVersion.h"
 
 #include <cstdint>
 #include <string>
@@ -21,9 +22,9 @@
 
 /// How current an instance's copy of a table is.
 struct FeedState {
-  std::uint64_t Version_ = 0;    ///< Complete up to here; 0 if never read.
-  std::uint64_t LastChange_ = 0; ///< The table has not changed since.
-  Duration Age_{0};              ///< Since the store last confirmed it.
+  StoreVersion Version_;    ///< Complete up to here; unknown if never read.
+  StoreVersion LastChange_; ///< The table has not changed since.
+  Duration Age_{0};         ///< Since the store last confirmed it.
   bool IsStoreAvailable_ = true; ///< False during an outage of the store.
 
   friend bool operator==(const FeedState &, const FeedState &) = default;
@@ -32,7 +33,7 @@
 /// Requests the changes of a table after `Version_`.
 struct TableRequest {
   SharedTableId Table_ = SharedTableId::Servers;
-  std::uint64_t Version_ = 0;
+  StoreVersion Version_;
 
   friend bool operator==(const TableRequest &, const TableRequest &) = default;
 };
@@ -42,16 +43,16 @@
   struct Row {
     std::string Key_;
     std::string Value_; ///< Empty if the row was removed.
-    std::uint64_t Version_ = 0;
+    StoreVersion Version_;
 
     friend bool operator==(const Row &, const Row &) = default;
   };
 
   SharedTableId Table_ = SharedTableId::Servers;
-  /// The rows are all changes after this version; 0 if they are the whole
+  /// The rows are all changes after this version; unknown if they are the whole
   /// table.
-  std::uint64_t BaseVersion_ = 0;
-  std::uint64_t Version_ = 0; ///< The rows are complete up to this version.
+  StoreVersion BaseVersion_;
+  StoreVersion Version_; ///< The rows are complete up to this version.
   /// The store is or was recently unavailable, so rows may have lapsed although
   /// their writers are alive.
   bool IsNearOutage_ = false;
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -164,7 +164,7 @@
   void handleAnswer(const InstanceId &Sender, const RequestId &Request,
                     const PlacementAnswer &Answer);
   void handleVersions(const InstanceId &Sender, std::uint64_t Configuration,
-                      std::uint64_t Servers);
+                      const StoreVersion &Servers);
   void handleFeeds(const HomeReply &Reply);
   void handleLeaving(std::span<const LeavingServer> Servers,
                      const InstanceId &Sender);
--- a/include/gooseberrybeam/relayd/RelayDaemon.h
+++ b/include/gooseberrybeam/relayd/RelayDaemon.h
@@ -4,6 +4,7 @@
 #define GOOSEBERRYBEAM_RELAYD_RELAYDAEMON_H
 
 #include "gooseberrybeam/http/CallerServer.h"
+#include "gooseberrybeam/relayd/InstanceRegistry.h"
 #include "gooseberrybeam/relayd/InstanceRows.h"
 #include "gooseberrybeam/relayd/QuarantineRow.h"
 #include "gooseberrybeam/relayd/RelayContext.h"
@@ -68,8 +69,8 @@
   void openWhenReady();
   void applyConfiguration(std::string_view Source, std::string_view Origin);
   void applyConfigurationRows(std::span<const StoreRow> Changed);
-  void applyServers(std::span<const StoreRow> Changed);
-  void applyInstances();
+  void applyServers(const TableFeeds::Changes &Changed);
+  void applyInstances(bool IsRestored);
   void registerSelf();
   void adoptPeerKey();
   HomeLink::Callbacks makeCallbacks();
@@ -85,6 +86,7 @@
   Adapter Adapter_;
   asio::io_context Context_;
   BackendDirectory Directory_;
+  InstanceRegistry Instances_;
   TableFeeds Feeds_;
   HomeLink Home_;
   RelayContext Relay_;
@@ -93,7 +95,7 @@
   std::unique_ptr<RowStore> Store_;
   std::vector<std::unique_ptr<Port>> Ports_;
   /// Versions of rows of unresponsive instances that are being removed.
-  std::map<InstanceId, std::uint64_t> RowsBeingRemoved_;
+  std::map<InstanceId, StoreVersion> RowsBeingRemoved_;
   std::string PeerKey_;
   std::uint64_t Incarnation_ = 0;
   TimePoint StartedAt_;
@@ -101,7 +103,7 @@
   asio::signal_set StopSignals_;
   asio::signal_set HangupSignals_;
   std::vector<CrashSuspect> SavedQuarantine_; ///< As its row holds it.
-  std::uint64_t QuarantineVersion_ = 0;       ///< Of its row; 0 if none.
+  StoreVersion QuarantineVersion_; ///< Of its row; unknown if there is none.
   bool IsQuarantineBeingWritten_ = false;
   bool IsInstanceRowBeingWritten_ = false;
   bool IsPeerKeyBeingCreated_ = false;
--- a/include/gooseberrybeam/relayd/RelayProtocol.h
+++ b/include/gooseberrybeam/relayd/RelayProtocol.h
@@ -51,7 +51,7 @@
   /// Requests per second that the server accepts from all instances together,
   /// for as long as its responses state it.
   std::optional<double> RequestsPerSecond_;
-  bool IsLeaving_ = false;     ///< The server leaves; no new work for it.
+  bool IsLeaving_ = false; ///< The server leaves; no new work for it.
   /// Has a content encoding: not the server's own body.
   bool IsEncoded_ = false;
 };
--- a/include/gooseberrybeam/relayd/RelaySettings.h
+++ b/include/gooseberrybeam/relayd/RelaySettings.h
@@ -26,6 +26,8 @@
   BackendId StoreAddress_;    ///< `ip:port` of the platform's store.
   Duration ShutdownTimeout_ =
       std::chrono::seconds(8); ///< From SIGTERM to exit.
+  /// The interval in which backend servers renew their registrations.
+  Duration ServerHeartbeat_ = std::chrono::milliseconds(1200);
   RetryWindowLimits RetryBounds_;
   RateLimitBounds LimitBounds_;
 };
--- a/include/gooseberrybeam/relayd/RowStore.h
+++ b/include/gooseberrybeam/relayd/RowStore.h
@@ -7,6 +7,7 @@
 #include "gooseberrybeam/base/Time.h"
 #include "gooseberrybeam/http/Asio.h"
 #include "gooseberrybeam/http/CancelScope.h"
+#include "gooseberrybeam/relay/StoreVersion.h"
 
 #include <cstdint>
 #include <string>
@@ -20,7 +21,7 @@
   std::string Table_;
   std::string Key_;
   std::string Value_;
-  std::uint64_t Version_ = 0;
+  StoreVersion Version_;
   bool IsRemoved_ = false; ///< Set only in results of `watch`, and to remove.
 
   friend bool operator==(const StoreRow &, const StoreRow &) = default;
@@ -29,7 +30,7 @@
 /// Rows as of one version of the store.
 struct StoreRows {
   std::vector<StoreRow> Rows_;
-  std::uint64_t Version_ = 0;
+  StoreVersion Version_;
 };
 
 /// Why a call to the store failed.
@@ -39,6 +40,7 @@
   HistoryGone, ///< The store no longer keeps changes that old.
   Conflict,    ///< The expected version did not match.
   Malformed,   ///< The response could not be parsed.
+  Restored,    ///< The store was restored from a copy since that version.
 };
 
 /// \param Failure the failure.
@@ -47,8 +49,8 @@
 
 /// A write of one row, optionally conditional on its version.
 struct RowWrite {
-  StoreRow Row_;                      ///< `IsRemoved_` removes it.
-  std::uint64_t ExpectedVersion_ = 0; ///< 0 if the row must not exist.
+  StoreRow Row_;                 ///< `IsRemoved_` removes it.
+  StoreVersion ExpectedVersion_; ///< Unknown if the row must not exist.
   bool IsConditional_ = true;
 };
 
@@ -56,7 +58,7 @@
 class RowStore {
 public:
   using ReadResult = Result<StoreRows, StoreFailure>;
-  using WriteResult = Result<std::uint64_t, StoreFailure>;
+  using WriteResult = Result<StoreVersion, StoreFailure>;
 
   virtual ~RowStore() = default;
 
@@ -70,9 +72,11 @@
   /// \param Timeout how long the store waits for a change.
   /// \param Scope aborts the call when cancelled.
   /// \returns the rows changed since then; empty if the timeout elapsed. Fails
-  /// with `HistoryGone` if that version is too old.
-  virtual Task<ReadResult> watch(std::string Table, std::uint64_t AfterVersion,
+  /// with `HistoryGone` if that version is too old, and with `Restored` if it
+  /// is of an earlier era.
+  virtual Task<ReadResult> watch(std::string Table, StoreVersion AfterVersion,
                                  Duration Timeout, CancelScope &Scope) = 0;
+  /// A condition on a version of an earlier era is not met.
   /// \param Write the row and its condition.
   /// \param Scope aborts the call when cancelled.
   /// \returns the version of the store after the write.
--- a/include/gooseberrybeam/relayd/SharedTable.h
+++ b/include/gooseberrybeam/relayd/SharedTable.h
@@ -38,7 +38,7 @@
                                           TimePoint Now);
   /// \copydoc TableExchange::onPeerVersion
   /// \param Now the current time.
-  std::optional<TableRequest> onPeerVersion(std::uint64_t LastChange,
+  std::optional<TableRequest> onPeerVersion(const StoreVersion &LastChange,
                                             TimePoint Now);
   /// Records that another instance has become home.
   void onHomeChanged() { Source_.onHomeChanged(); }
--- a/include/gooseberrybeam/relayd/TableCache.h
+++ b/include/gooseberrybeam/relayd/TableCache.h
@@ -15,7 +15,8 @@
 /// A copy of a table that is fed by the store and by other instances. Rows are
 /// ordered by their versions, so it does not matter who delivers a row first or
 /// again. Remembers removed rows, so that it can tell other instances what has
-/// changed since their version.
+/// changed since their version. All rows are of one era: a later one begins
+/// with the whole table.
 class TableCache {
 public:
   /// \param Id the table.
@@ -37,37 +38,37 @@
   std::vector<StoreRow> applyUpdate(const TableUpdate &Update);
   /// Records that the table had no changes that are unknown here.
   /// \param Version the version up to which the copy is complete.
-  void advance(std::uint64_t Version);
+  void advance(const StoreVersion &Version);
 
   /// \param Version the version that another instance has.
   /// \returns the changes since then, or the whole table if they are unknown.
-  TableUpdate changesSince(std::uint64_t Version) const;
-  /// \returns the version up to which the copy is complete; 0 if it was never
-  /// read.
-  std::uint64_t version() const { return Version_; }
+  TableUpdate changesSince(const StoreVersion &Version) const;
+  /// \returns the version up to which the copy is complete; unknown if it was
+  /// never read.
+  const StoreVersion &version() const { return Version_; }
   /// \returns the version of the latest change; the table may have changed
   /// before it in unknown ways only if it is not newer than the first snapshot.
-  std::uint64_t lastChange() const { return LastChange_; }
+  const StoreVersion &lastChange() const { return LastChange_; }
   /// \returns the rows by key, removed ones excluded.
   const std::map<std::string, StoreRow> &rows() const { return Rows_; }
 
 private:
   bool applyRow(StoreRow Row);
-  void markRemoved(const std::string &Key, std::uint64_t Version);
+  void markRemoved(const std::string &Key, const StoreVersion &Version);
   void forgetRemovals();
   std::vector<StoreRow> applyWhole(std::vector<StoreRow> Rows,
-                                   std::uint64_t Version);
+                                   const StoreVersion &Version);
   std::vector<StoreRow> applyRows(std::vector<StoreRow> Rows,
-                                  std::uint64_t Version);
+                                  const StoreVersion &Version);
 
   SharedTableId Id_;
   std::string Name_;
   std::map<std::string, StoreRow> Rows_;
-  std::map<std::string, std::uint64_t> RemovedVersions_; ///< By key.
-  std::uint64_t Version_ = 0;
-  std::uint64_t LastChange_ = 0;
+  std::map<std::string, StoreVersion> RemovedVersions_; ///< By key.
+  StoreVersion Version_;
+  StoreVersion LastChange_;
   /// Changes after this version are all known.
-  std::uint64_t HistoryStart_ = 0;
+  StoreVersion HistoryStart_;
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/relayd/TableExchange.h
+++ b/include/gooseberrybeam/relayd/TableExchange.h
@@ -29,7 +29,7 @@
   /// \param LastChange its version.
   /// \returns a request to send to that instance if it is newer.
   virtual std::optional<TableRequest>
-  onPeerVersion(SharedTableId Table, std::uint64_t LastChange) = 0;
+  onPeerVersion(SharedTableId Table, const StoreVersion &LastChange) = 0;
   /// Records that another instance has become home.
   virtual void onHomeChanged() = 0;
   /// \param Request the request of another instance.
--- a/include/gooseberrybeam/relayd/TableFeeds.h
+++ b/include/gooseberrybeam/relayd/TableFeeds.h
@@ -20,10 +20,18 @@
 /// thread-safe.
 class TableFeeds final : public TableExchange {
 public:
+  /// Rows that changed, with removed ones marked.
+  struct Changes {
+    SharedTableId Table_;
+    std::span<const StoreRow> Rows_;
+    /// The store was restored from a copy: rows may be as they were some time
+    /// ago, or missing until they are written again.
+    bool IsRestored_ = false;
+  };
+
   /// Functions of the instance; all must be set.
   struct Listener {
-    /// Receives the rows that changed, with removed ones marked.
-    std::function<void(SharedTableId, std::span<const StoreRow>)> OnChanges_;
+    std::function<void(const Changes &)> OnChanges_;
     /// Receives whether the registrations of servers can be read.
     std::function<void(bool IsAvailable)> OnAvailability_;
     /// \returns whether servers may be missing because of an outage.
@@ -64,8 +72,8 @@
   FeedState feedState(SharedTableId Table) const override;
   std::optional<TableRequest> onHomeState(SharedTableId Table,
                                           const FeedState &State) override;
-  std::optional<TableRequest> onPeerVersion(SharedTableId Table,
-                                            std::uint64_t LastChange) override;
+  std::optional<TableRequest>
+  onPeerVersion(SharedTableId Table, const StoreVersion &LastChange) override;
   void onHomeChanged() override;
   std::optional<TableUpdate> answer(const TableRequest &Request) const override;
   void onUpdate(const TableUpdate &Update) override;
@@ -77,8 +85,10 @@
   void applyFromStore(SharedTableId Table, const StoreRows &Rows,
                       bool IsSnapshot);
   void setAvailable(SharedTableId Table, bool IsAvailable);
-  void handOn(SharedTableId Table, std::uint64_t PreviousVersion) const;
-  TableUpdate changesSince(SharedTableId Table, std::uint64_t Version) const;
+  bool noteEra(SharedTableId Table, const StoreVersion &Previous) const;
+  void handOn(SharedTableId Table, const StoreVersion &PreviousVersion) const;
+  TableUpdate changesSince(SharedTableId Table,
+                           const StoreVersion &Version) const;
 
   asio::io_context &Context_;
   double LinkMbps_;
--- a/include/gooseberrybeam/relayd/TableWatcher.h
+++ b/include/gooseberrybeam/relayd/TableWatcher.h
@@ -40,7 +40,7 @@
     /// \returns whether changes are received from elsewhere.
     std::function<bool()> IsPaused_;
     /// \returns the version up to which changes were received.
-    std::function<std::uint64_t()> KnownVersion_;
+    std::function<StoreVersion()> KnownVersion_;
   };
 
   /// \param Context runs the watcher; outlives it.
@@ -72,7 +72,7 @@
   asio::steady_timer PauseTimer_; ///< Cancelled to continue after a pause.
   Listener Listener_;
   CancelScope Scope_;
-  std::uint64_t Version_ = 0;
+  StoreVersion Version_;
   std::uint32_t ConsecutiveFailures_ = 0; ///< Reset by a success.
   bool IsUnavailable_ = false;
 };
--- a/src/relay/BackendDirectory.cpp
+++ b/src/relay/BackendDirectory.cpp
@@ -9,6 +9,9 @@
 
 /// Servers register again within 2 s after the store is restored.
 constexpr Duration RenewalTime = std::chrono::milliseconds(2300);
+/// A registration that was not renewed for so many heartbeats has been removed,
+/// with one to spare for the removal to arrive.
+constexpr int LapseHeartbeats = 4;
 /// Maximum number of absent servers that `isLeavingOrRemoved` recognises.
 constexpr std::size_t MaxAbsentServers = 512;
 
@@ -25,6 +28,12 @@
     Deadline = Now + RenewalTime;
 }
 
+void BackendDirectory::onStoreCopied(TimePoint Now) {
+  StoreRestoredAt_ = Now;
+  for (auto &[Id, Deadline] : LapseDeadlines_)
+    Deadline = Now + RenewalTime;
+}
+
 bool BackendDirectory::isNearOutage(TimePoint Now) const {
   return IsStoreUnavailable_ || Now < StoreRestoredAt_ + RenewalTime;
 }
@@ -48,6 +57,7 @@
   BackendEntry Known = Entry;
   Known.IsLeaving_ = Entry.IsLeaving_ || isKnownToLeave(Entry);
   LapseDeadlines_.erase(Entry.Id_);
+  RestoredEntries_.erase(Entry.Id_);
   std::erase_if(Absent_, [&Entry](const AbsentServer &Each) {
     return Each.Id_ == Entry.Id_;
   });
@@ -60,6 +70,24 @@
   ++ChangeCount_;
 }
 
+void BackendDirectory::putRestored(const BackendEntry &Entry, TimePoint Now) {
+  const AbsentServer *Absent = findAbsent(Entry.Id_);
+  if (!Absent || Absent->StartTimeMs_ != Entry.StartTimeMs_) {
+    put(Entry);
+    return;
+  }
+  RestoredEntries_[Entry.Id_] = {Entry, Now + Heartbeat_ * LapseHeartbeats};
+}
+
+void BackendDirectory::addConfirmed(TimePoint Now) {
+  std::vector<BackendEntry> Confirmed;
+  for (const auto &[Id, Each] : RestoredEntries_)
+    if (Each.ConfirmedAt_ <= Now)
+      Confirmed.push_back(Each.Entry_);
+  for (const BackendEntry &Each : Confirmed)
+    put(Each);
+}
+
 bool BackendDirectory::isKnownToLeave(const BackendEntry &Entry) const {
   if (const BackendEntry *Known = find(Entry.Id_))
     return Known->IsLeaving_ && Known->StartTimeMs_ == Entry.StartTimeMs_;
@@ -99,6 +127,7 @@
 }
 
 void BackendDirectory::remove(const ServerId &Id, TimePoint Now) {
+  RestoredEntries_.erase(Id);
   const auto Found = Entries_.find(Id);
   if (Found == Entries_.end())
     return;
@@ -145,6 +174,7 @@
   std::vector<ServerId> Dropped;
   if (IsStoreUnavailable_)
     return Dropped;
+  addConfirmed(Now);
   for (const auto &[Id, Deadline] : LapseDeadlines_)
     if (Deadline <= Now)
       Dropped.push_back(Id);
--- a/src/relay/CopyRequestSchedule.cpp
+++ b/src/relay/CopyRequestSchedule.cpp
@@ -10,8 +10,8 @@
 
 } // namespace
 
-bool CopyRequestSchedule::tryRequest(std::uint64_t PeerVersion,
-                                     std::uint64_t OwnVersion,
+bool CopyRequestSchedule::tryRequest(const StoreVersion &PeerVersion,
+                                     const StoreVersion &OwnVersion,
                                      bool IsStoreReadable, TimePoint Now) {
   if (std::exchange(OwnVersion_, OwnVersion) != OwnVersion)
     BehindSince_.reset();
--- a/src/relay/FeedSource.cpp
+++ b/src/relay/FeedSource.cpp
@@ -12,15 +12,16 @@
 /// must stop using a server that leaves.
 constexpr Duration MaxFeedAge = std::chrono::milliseconds(1300);
 
-bool isUsable(const FeedState &State, std::uint64_t OwnVersion) {
-  return State.Version_ != 0 && State.IsStoreAvailable_ &&
-         State.Age_ <= MaxFeedAge && OwnVersion >= State.LastChange_;
+bool isUsable(const FeedState &State, const StoreVersion &OwnVersion) {
+  return State.Version_.isKnown() && State.IsStoreAvailable_ &&
+         State.Age_ <= MaxFeedAge && State.Version_.Era_ == OwnVersion.Era_ &&
+         OwnVersion >= State.LastChange_;
 }
 
 } // namespace
 
-void FeedSource::onHomeState(const FeedState &State, std::uint64_t OwnVersion,
-                             TimePoint Now) {
+void FeedSource::onHomeState(const FeedState &State,
+                             const StoreVersion &OwnVersion, TimePoint Now) {
   if (!isUsable(State, OwnVersion)) {
     UsableSince_.reset();
     return;
--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -95,7 +95,8 @@
   auto &Body = *Envelope.mutable_heartbeat();
   Body.set_sequence(Message.Sequence_);
   Body.set_configuration_version(Message.ConfigurationVersion_);
-  Body.set_servers_version(Message.ServersVersion_);
+  Body.set_servers_version(Message.ServersVersion_.Number_);
+  Body.set_servers_era(Message.ServersVersion_.Era_);
   Body.set_uptime_us(Message.Uptime_.count());
   Body.set_is_attached(Message.IsAttached_);
   Body.set_attachment(Message.Attachment_);
@@ -126,7 +127,8 @@
   auto &Body = *Envelope.mutable_reply();
   Body.set_sequence(Message.Sequence_);
   Body.set_configuration_version(Message.ConfigurationVersion_);
-  Body.set_servers_version(Message.ServersVersion_);
+  Body.set_servers_version(Message.ServersVersion_.Number_);
+  Body.set_servers_era(Message.ServersVersion_.Era_);
   Body.set_is_leaving(Message.IsLeaving_);
   for (const auto &Organisation : Message.ExhaustedOrganisations_)
     Body.add_exhausted(Organisation.Value_);
@@ -136,8 +138,9 @@
   writeLeaving(Body, Message.LeavingServers_);
   for (const auto &Source : Message.Feeds_) {
     auto &Feed = *Body.add_feeds();
-    Feed.set_version(Source.Version_);
-    Feed.set_last_change(Source.LastChange_);
+    Feed.set_era(Source.Version_.Era_);
+    Feed.set_version(Source.Version_.Number_);
+    Feed.set_last_change(Source.LastChange_.Number_);
     Feed.set_age_us(Source.Age_.count());
     Feed.set_is_store_available(Source.IsStoreAvailable_);
   }
@@ -205,20 +208,22 @@
 void write(wire::Home &Envelope, const TableRequest &Message) {
   auto &Body = *Envelope.mutable_table_request();
   Body.set_table(static_cast<std::uint32_t>(Message.Table_));
-  Body.set_version(Message.Version_);
+  Body.set_version(Message.Version_.Number_);
+  Body.set_era(Message.Version_.Era_);
 }
 
 void write(wire::Home &Envelope, const TableUpdate &Message) {
   auto &Body = *Envelope.mutable_table_update();
   Body.set_table(static_cast<std::uint32_t>(Message.Table_));
-  Body.set_base_version(Message.BaseVersion_);
-  Body.set_version(Message.Version_);
+  Body.set_era(Message.Version_.Era_);
+  Body.set_base_version(Message.BaseVersion_.Number_);
+  Body.set_version(Message.Version_.Number_);
   Body.set_is_near_outage(Message.IsNearOutage_);
   for (const auto &Source : Message.Rows_) {
     auto &Row = *Body.add_rows();
     Row.set_key(Source.Key_);
     Row.set_value(Source.Value_);
-    Row.set_version(Source.Version_);
+    Row.set_version(Source.Version_.Number_);
   }
 }
 
@@ -245,7 +250,7 @@
   HomeHeartbeat Message;
   Message.Sequence_ = Body.sequence();
   Message.ConfigurationVersion_ = Body.configuration_version();
-  Message.ServersVersion_ = Body.servers_version();
+  Message.ServersVersion_ = {Body.servers_version(), Body.servers_era()};
   Message.Uptime_ = Duration(Body.uptime_us());
   Message.IsAttached_ = Body.is_attached();
   Message.Attachment_ = Body.attachment();
@@ -272,7 +277,7 @@
   HomeReply Message;
   Message.Sequence_ = Body.sequence();
   Message.ConfigurationVersion_ = Body.configuration_version();
-  Message.ServersVersion_ = Body.servers_version();
+  Message.ServersVersion_ = {Body.servers_version(), Body.servers_era()};
   Message.IsLeaving_ = Body.is_leaving();
   for (const auto &Organisation : Body.exhausted())
     Message.ExhaustedOrganisations_.push_back({Organisation});
@@ -286,7 +291,9 @@
   for (int I = 0; I != FeedCount; ++I) {
     const auto &Feed = Body.feeds(I);
     Message.Feeds_[static_cast<std::size_t>(I)] = {
-        Feed.version(), Feed.last_change(), Duration(Feed.age_us()),
+        {Feed.version(), Feed.era()},
+        {Feed.last_change(), Feed.era()},
+        Duration(Feed.age_us()),
         Feed.is_store_available()};
   }
   return Message;
@@ -356,7 +363,7 @@
   const auto Table = readTable(Body.table());
   if (!Table)
     return std::nullopt;
-  return TableRequest{*Table, Body.version()};
+  return TableRequest{*Table, {Body.version(), Body.era()}};
 }
 
 std::optional<HomeMessage> read(const wire::HomeTableUpdate &Body) {
@@ -365,11 +372,13 @@
     return std::nullopt;
   TableUpdate Message;
   Message.Table_ = *Table;
-  Message.BaseVersion_ = Body.base_version();
-  Message.Version_ = Body.version();
+  if (Body.base_version() != 0)
+    Message.BaseVersion_ = {Body.base_version(), Body.era()};
+  Message.Version_ = {Body.version(), Body.era()};
   Message.IsNearOutage_ = Body.is_near_outage();
   for (const auto &Row : Body.rows())
-    Message.Rows_.push_back({Row.key(), Row.value(), Row.version()});
+    Message.Rows_.push_back(
+        {Row.key(), Row.value(), {Row.version(), Body.era()}});
   return Message;
 }
 
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -302,7 +302,7 @@
 
 void HomeLink::handleVersions(const InstanceId &Sender,
                               std::uint64_t Configuration,
-                              std::uint64_t Servers) {
+                              const StoreVersion &Servers) {
   const TimePoint Now = readBootClock();
   if (ConfigurationRequests_.tryRequest(Configuration, configurationVersion(),
                                         Callbacks_.IsStoreAvailable_(), Now))
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -67,6 +67,7 @@
 
 RelayDaemon::RelayDaemon(RelaySettings Settings, Adapter AdapterParts)
     : Settings_(std::move(Settings)), Adapter_(std::move(AdapterParts)),
+      Directory_(Settings_.ServerHeartbeat_),
       Feeds_(Context_,
              {Adapter_.Schema_->serversTable(), std::string(RelayTable),
               Adapter_.Schema_->configurationTable()},
@@ -105,14 +106,13 @@
 
 TableFeeds::Listener RelayDaemon::makeFeedListener() {
   TableFeeds::Listener Handlers;
-  Handlers.OnChanges_ = [this](SharedTableId Table,
-                               std::span<const StoreRow> Changed) {
-    if (Table == SharedTableId::Servers)
+  Handlers.OnChanges_ = [this](const TableFeeds::Changes &Changed) {
+    if (Changed.Table_ == SharedTableId::Servers)
       applyServers(Changed);
-    else if (Table == SharedTableId::Instances)
-      applyInstances();
+    else if (Changed.Table_ == SharedTableId::Instances)
+      applyInstances(Changed.IsRestored_);
     else
-      applyConfigurationRows(Changed);
+      applyConfigurationRows(Changed.Rows_);
   };
   Handlers.OnAvailability_ = [this](bool IsAvailable) {
     if (IsAvailable)
@@ -247,12 +247,16 @@
     Relay_.Startup_.open();
 }
 
-void RelayDaemon::applyServers(std::span<const StoreRow> Changed) {
+void RelayDaemon::applyServers(const TableFeeds::Changes &Changed) {
   const TimePoint Now = readBootClock();
-  for (const auto &Row : Changed) {
+  if (Changed.IsRestored_)
+    Directory_.onStoreCopied(Now);
+  for (const auto &Row : Changed.Rows_) {
     const auto Entry =
         Row.IsRemoved_ ? std::nullopt : Adapter_.Schema_->parseServer(Row);
-    if (Entry)
+    if (Entry && Changed.IsRestored_)
+      Directory_.putRestored(*Entry, Now);
+    else if (Entry)
       Directory_.put(*Entry);
     else
       Directory_.remove({Row.Key_}, Now);
@@ -263,7 +267,7 @@
              {"state", !Entry              ? "gone"
                        : Entry->IsLeaving_ ? "leaving"
                                            : "ready"},
-             {"version", std::to_string(Row.Version_)}});
+             {"version", asText(Row.Version_)}});
   }
   if (!std::exchange(HasServers_, true))
     logLine(LogPart::Service, LogLevel::Info, "Backend servers loaded.",
@@ -284,7 +288,10 @@
   return Feeds_.table(SharedTableId::Instances).cache().rows();
 }
 
-void RelayDaemon::applyInstances() {
+void RelayDaemon::applyInstances(bool IsRestored) {
+  if (IsRestored)
+    Instances_.onRestored(Feeds_.feedState(SharedTableId::Instances).Version_,
+                          readBootClock());
   registerSelf();
   adoptPeerKey();
   updateMembers();
@@ -293,10 +300,14 @@
 
 void RelayDaemon::loadQuarantine() {
   const auto Row = instanceRows().find(std::string(QuarantineRowKey));
-  if (Row == instanceRows().end() || Row->second.Version_ == QuarantineVersion_)
+  const bool IsPresent = Row != instanceRows().end();
+  const StoreVersion Version =
+      IsPresent ? Row->second.Version_ : StoreVersion();
+  if (Version == QuarantineVersion_)
     return;
-  QuarantineVersion_ = Row->second.Version_;
-  SavedQuarantine_ = parseQuarantineRow(Row->second);
+  QuarantineVersion_ = Version;
+  SavedQuarantine_ =
+      IsPresent ? parseQuarantineRow(Row->second) : std::vector<CrashSuspect>();
   Home_.mergeCrashSuspects(SavedQuarantine_);
 }
 
@@ -346,6 +357,7 @@
 void RelayDaemon::adoptPeerKey() {
   const auto Row = instanceRows().find(std::string(PeerKeyRow));
   if (Row != instanceRows().end()) {
+    IsPeerKeyBeingCreated_ = false;
     if (std::exchange(PeerKey_, Row->second.Value_) != Row->second.Value_)
       openPeerTransport();
     return;
@@ -355,12 +367,11 @@
 }
 
 void RelayDaemon::updateMembers() {
+  Instances_.update(instanceRows(), readBootClock());
   std::vector<RelayMember> Members = {self()};
-  for (const auto &[Key, Row] : instanceRows()) {
-    const auto Member = parseInstanceRow(Row);
-    if (Member && Member->Peer_.Id_.Name_ != Settings_.Name_)
-      Members.push_back(*Member);
-  }
+  for (RelayMember &Each : Instances_.members())
+    if (Each.Peer_.Id_.Name_ != Settings_.Name_)
+      Members.push_back(std::move(Each));
   Home_.setMembers(Members);
 }
 
@@ -384,7 +395,9 @@
 }
 
 Task<void> RelayDaemon::createPeerKey() {
-  const auto Secret = makePeerNonce();
+  // A key that the store has lost is written again; all instances hold it.
+  const auto Secret =
+      PeerKey_.empty() ? makePeerNonce() : std::optional<std::string>(PeerKey_);
   CancelScope Scope;
   RowWrite Write;
   Write.Row_.Table_ = RelayTable;
@@ -404,8 +417,7 @@
   Timer.expires_after(WriteRetryInterval);
   co_await Timer.async_wait(AsTuple);
   IsPeerKeyBeingCreated_ = false;
-  if (PeerKey_.empty())
-    adoptPeerKey();
+  adoptPeerKey();
 }
 
 void RelayDaemon::openPeerTransport() {
@@ -439,6 +451,8 @@
         return Directory_.find(Id) != nullptr;
       });
     Feeds_.tick();
+    if (Instances_.hasJustSettled(Now))
+      updateMembers();
     removeUnresponsiveMembers();
     saveQuarantine();
   }
@@ -456,7 +470,7 @@
     const auto Row = instanceRows().find(makeInstanceRowKey(Instance));
     if (Row == instanceRows().end())
       continue;
-    const std::uint64_t Version = Row->second.Version_;
+    const StoreVersion Version = Row->second.Version_;
     if (std::exchange(RowsBeingRemoved_[Instance], Version) == Version)
       continue;
     logLine(LogPart::Membership, LogLevel::Info,
--- a/src/relayd/SharedTable.cpp
+++ b/src/relayd/SharedTable.cpp
@@ -31,14 +31,17 @@
 
 std::optional<TableRequest> SharedTable::onHomeState(const FeedState &State,
                                                      TimePoint Now) {
-  if (Cache_.version() != 0 && Cache_.version() >= State.LastChange_)
+  const bool IsComplete = Cache_.version().isKnown() &&
+                          Cache_.version() >= State.LastChange_ &&
+                          Cache_.version().Era_ == State.Version_.Era_;
+  if (IsComplete)
     Cache_.advance(State.Version_);
   Source_.onHomeState(State, Cache_.version(), Now);
   return onPeerVersion(State.LastChange_, Now);
 }
 
-std::optional<TableRequest> SharedTable::onPeerVersion(std::uint64_t LastChange,
-                                                       TimePoint Now) {
+std::optional<TableRequest>
+SharedTable::onPeerVersion(const StoreVersion &LastChange, TimePoint Now) {
   // A copy of a large configuration is requested in another way, and later.
   if (Id_ == SharedTableId::Configuration)
     return std::nullopt;
--- a/src/relayd/TableCache.cpp
+++ b/src/relayd/TableCache.cpp
@@ -24,30 +24,33 @@
 }
 
 std::vector<StoreRow> TableCache::applyUpdate(const TableUpdate &Update) {
-  if (Update.Version_ <= Version_ || Update.BaseVersion_ > Version_)
+  const bool IsWhole = !Update.BaseVersion_.isKnown();
+  const bool IsNextEra = Update.Version_.Era_ > Version_.Era_;
+  if (Update.Version_ <= Version_ || Update.BaseVersion_ > Version_ ||
+      (IsNextEra && !IsWhole))
     return {};
   std::vector<StoreRow> Rows;
   for (const TableUpdate::Row &Each : Update.Rows_)
     Rows.push_back(
         {Name_, Each.Key_, Each.Value_, Each.Version_, Each.Value_.empty()});
-  return Update.BaseVersion_ == 0 ? applyWhole(std::move(Rows), Update.Version_)
-                                  : applyRows(std::move(Rows), Update.Version_);
+  return IsWhole ? applyWhole(std::move(Rows), Update.Version_)
+                 : applyRows(std::move(Rows), Update.Version_);
 }
 
-void TableCache::advance(std::uint64_t Version) {
+void TableCache::advance(const StoreVersion &Version) {
   Version_ = std::max(Version_, Version);
 }
 
 // A snapshot may be older than the copy if another instance was faster.
 std::vector<StoreRow> TableCache::applyWhole(std::vector<StoreRow> Rows,
-                                             std::uint64_t Version) {
+                                             const StoreVersion &Version) {
   std::set<std::string> Present;
   for (const StoreRow &Each : Rows)
     Present.insert(Each.Key_);
   for (const auto &[Key, Row] : Rows_)
     if (!Present.contains(Key) && Row.Version_ <= Version)
       Rows.push_back({Name_, Key, {}, Version, true});
-  if (HistoryStart_ == 0 || Version_ == 0)
+  if (!HistoryStart_.isKnown() || HistoryStart_.Era_ < Version.Era_)
     HistoryStart_ = Version;
   std::vector<StoreRow> Changed = applyRows(std::move(Rows), Version);
   // Rows may have come and gone since the last version.
@@ -56,7 +59,7 @@
 }
 
 std::vector<StoreRow> TableCache::applyRows(std::vector<StoreRow> Rows,
-                                            std::uint64_t Version) {
+                                            const StoreVersion &Version) {
   std::vector<StoreRow> Changed;
   for (StoreRow &Each : Rows)
     if (applyRow(Each))
@@ -68,6 +71,8 @@
 }
 
 bool TableCache::applyRow(StoreRow Row) {
+  if (Row.Version_.Era_ < Version_.Era_)
+    return false;
   const auto Known = Rows_.find(Row.Key_);
   const auto Removed = RemovedVersions_.find(Row.Key_);
   if (Known != Rows_.end() && Known->second.Version_ >= Row.Version_)
@@ -80,11 +85,16 @@
     return Known != Rows_.end();
   }
   RemovedVersions_.erase(Row.Key_);
+  // A restored store has most rows as they were.
+  const bool IsSame = Known != Rows_.end() &&
+                      Known->second.Version_.Era_ < Row.Version_.Era_ &&
+                      Known->second.Value_ == Row.Value_;
   Rows_[Row.Key_] = std::move(Row);
-  return true;
+  return !IsSame;
 }
 
-void TableCache::markRemoved(const std::string &Key, std::uint64_t Version) {
+void TableCache::markRemoved(const std::string &Key,
+                             const StoreVersion &Version) {
   Rows_.erase(Key);
   RemovedVersions_[Key] = Version;
 }
@@ -94,13 +104,13 @@
   HistoryStart_ = Version_;
 }
 
-TableUpdate TableCache::changesSince(std::uint64_t Version) const {
-  const bool IsKnown = Version != 0 && Version >= HistoryStart_;
+TableUpdate TableCache::changesSince(const StoreVersion &Version) const {
+  const bool IsKnown = Version.isKnown() && Version >= HistoryStart_;
   TableUpdate Update;
   Update.Table_ = Id_;
-  Update.BaseVersion_ = IsKnown ? Version : 0;
+  Update.BaseVersion_ = IsKnown ? Version : StoreVersion();
   Update.Version_ = Version_;
-  const std::uint64_t After = Update.BaseVersion_;
+  const StoreVersion After = Update.BaseVersion_;
   for (const auto &[Key, Row] : Rows_)
     if (Row.Version_ > After)
       Update.Rows_.push_back({Key, Row.Value_, Row.Version_});
--- a/src/relayd/TableFeeds.cpp
+++ b/src/relayd/TableFeeds.cpp
@@ -1,5 +1,7 @@
 #include "gooseberrybeam/relayd/TableFeeds.h"
 
+#include "gooseberrybeam/log/Log.h"
+
 #include <utility>
 
 namespace gooseberry {
@@ -102,18 +104,32 @@
 
 void TableFeeds::applyFromStore(SharedTableId Table, const StoreRows &Rows,
                                 bool IsSnapshot) {
-  const std::uint64_t Previous = table(Table).cache().version();
+  const StoreVersion Previous = table(Table).cache().version();
   const TimePoint Now = readBootClock();
   const auto Changed = IsSnapshot ? table(Table).onStoreSnapshot(Rows, Now)
                                   : table(Table).onStoreChanges(Rows, Now);
-  if (!Changed.empty() && Previous != 0)
+  const bool IsRestored = noteEra(Table, Previous);
+  if ((!Changed.empty() || IsRestored) && Previous.isKnown())
     handOn(Table, Previous);
   if (!Changed.empty() || IsSnapshot)
-    Listener_.OnChanges_(Table, Changed);
+    Listener_.OnChanges_({Table, Changed, IsRestored});
+}
+
+/// \returns whether a later era has begun since the copy had \p Previous.
+bool TableFeeds::noteEra(SharedTableId Table,
+                         const StoreVersion &Previous) const {
+  const StoreVersion &Version = table(Table).cache().version();
+  if (!Previous.isKnown() || Version.Era_ == Previous.Era_)
+    return false;
+  logLine(LogPart::Table, LogLevel::Warn, "Store was restored from a copy.",
+          {{"table", table(Table).name()},
+           {"version", asText(Version)},
+           {"before", asText(Previous)}});
+  return true;
 }
 
 void TableFeeds::handOn(SharedTableId Table,
-                        std::uint64_t PreviousVersion) const {
+                        const StoreVersion &PreviousVersion) const {
   const std::size_t Receivers = Listener_.AttachedInstanceCount_();
   if (Receivers == 0)
     return;
@@ -136,7 +152,7 @@
 }
 
 TableUpdate TableFeeds::changesSince(SharedTableId Table,
-                                     std::uint64_t Version) const {
+                                     const StoreVersion &Version) const {
   TableUpdate Update = table(Table).cache().changesSince(Version);
   Update.IsNearOutage_ = Listener_.IsNearOutage_();
   return Update;
@@ -163,7 +179,7 @@
 }
 
 std::optional<TableRequest>
-TableFeeds::onPeerVersion(SharedTableId Table, std::uint64_t LastChange) {
+TableFeeds::onPeerVersion(SharedTableId Table, const StoreVersion &LastChange) {
   return table(Table).onPeerVersion(LastChange, readBootClock());
 }
 
@@ -188,9 +204,11 @@
     Listener_.OnAvailability_(false);
     Listener_.OnAvailability_(true);
   }
+  const StoreVersion Previous = table(Update.Table_).cache().version();
   const auto Changed = table(Update.Table_).onUpdate(Update);
-  if (!Changed.empty())
-    Listener_.OnChanges_(Update.Table_, Changed);
+  const bool IsRestored = noteEra(Update.Table_, Previous);
+  if (!Changed.empty() || IsRestored)
+    Listener_.OnChanges_({Update.Table_, Changed, IsRestored});
 }
 
 } // namespace gooseberry
--- a/src/relayd/TableWatcher.cpp
+++ b/src/relayd/TableWatcher.cpp
@@ -19,8 +19,9 @@
 } // namespace
 
 std::string_view asCode(StoreFailure Failure) {
-  constexpr std::string_view Codes[] = {
-      "unreachable", "refused", "history_gone", "conflict", "malformed"};
+  constexpr std::string_view Codes[] = {"unreachable",  "refused",
+                                        "history_gone", "conflict",
+                                        "malformed",    "restored"};
   return Codes[static_cast<std::size_t>(Failure)];
 }
 
@@ -48,14 +49,14 @@
     co_return;
   handleSuccess(); // Changes arrive, so an outage of the store is over here.
   logLine(LogPart::Table, LogLevel::Info, "Home feeds the table.",
-          {{"table", Table_}, {"version", std::to_string(Version_)}});
+          {{"table", Table_}, {"version", asText(Version_)}});
   while (Control_.IsPaused_()) {
     PauseTimer_.expires_at(asio::steady_timer::time_point::max());
     co_await PauseTimer_.async_wait(AsTuple);
   }
   Version_ = std::max(Version_, Control_.KnownVersion_());
   logLine(LogPart::Table, LogLevel::Info, "Following the store.",
-          {{"table", Table_}, {"version", std::to_string(Version_)}});
+          {{"table", Table_}, {"version", asText(Version_)}});
 }
 
 void TableWatcher::resumeIfNeeded() {
@@ -82,13 +83,17 @@
                                : Control_.Pace_().PollTime_;
   const auto Rows = co_await Store_.watch(Table_, Version_, Timeout, Scope_);
   if (!isOk(Rows)) {
-    if (errorOf(Rows) == StoreFailure::HistoryGone) {
+    const StoreFailure Failure = errorOf(Rows);
+    if (Failure == StoreFailure::HistoryGone ||
+        Failure == StoreFailure::Restored) {
       logLine(LogPart::Table, LogLevel::Info,
               "Store no longer has the changes; reading the whole table.",
-              {{"table", Table_}, {"version", std::to_string(Version_)}});
+              {{"table", Table_},
+               {"version", asText(Version_)},
+               {"failure", asCode(Failure)}});
       co_return false;
     }
-    co_await handleFailure(errorOf(Rows));
+    co_await handleFailure(Failure);
     co_return true;
   }
   handleSuccess();
@@ -104,7 +109,7 @@
   if (!std::exchange(IsUnavailable_, false))
     return;
   logLine(LogPart::Table, LogLevel::Info, "Store is reachable again.",
-          {{"table", Table_}, {"version", std::to_string(Version_)}});
+          {{"table", Table_}, {"version", asText(Version_)}});
   Listener_.OnAvailable_();
 }
 
@@ -117,7 +122,7 @@
             "Store is unreachable; keeping the last known rows.",
             {{"table", Table_},
              {"failure", asCode(Failure)},
-             {"version", std::to_string(Version_)}});
+             {"version", asText(Version_)}});
     Listener_.OnUnavailable_();
   }
   const std::uint32_t Doublings =
--- a/tests/BackendDirectoryTest.cpp
+++ b/tests/BackendDirectoryTest.cpp
@@ -100,6 +100,50 @@
     Directory.put(makeEntry("a"));
     CHECK(Directory.changeCount() == Before);
   }
+  SECTION("after the store was restored from a copy") {
+    SECTION("registrations that it lost are kept until they are renewed") {
+      Directory.onStoreCopied(TimePoint(10s));
+      Directory.remove({"a"}, TimePoint(10s));
+      CHECK(Directory.find({"a"}) != nullptr);
+      CHECK(Directory.expire(TimePoint(12s)).empty());
+      CHECK(Directory.expire(TimePoint(12500ms)).size() == 1);
+    }
+    SECTION("a server that had gone does not come back") {
+      Directory.remove({"a"}, TimePoint(1s));
+      Directory.onStoreCopied(TimePoint(10s));
+      Directory.putRestored(makeEntry("a"), TimePoint(10s));
+      CHECK(Directory.isLeavingOrRemoved({"a"}));
+      SECTION("and is forgotten when its old registration lapses") {
+        Directory.remove({"a"}, TimePoint(13s));
+        Directory.expire(TimePoint(60s));
+        CHECK(Directory.find({"a"}) == nullptr);
+      }
+      SECTION("unless it renews its registration") {
+        Directory.expire(TimePoint(14s));
+        CHECK(Directory.find({"a"}) == nullptr);
+        Directory.expire(TimePoint(15s));
+        CHECK(Directory.find({"a"}) != nullptr);
+      }
+      SECTION("unless its registration changes") {
+        Directory.put(makeEntry("a"));
+        CHECK(Directory.find({"a"}) != nullptr);
+      }
+    }
+    SECTION("a server that had gone and has started again is used") {
+      Directory.remove({"a"}, TimePoint(1s));
+      BackendEntry Restarted = makeEntry("a");
+      Restarted.StartTimeMs_ = 7;
+      Directory.putRestored(Restarted, TimePoint(10s));
+      CHECK(Directory.find({"a"}) != nullptr);
+    }
+    SECTION("a server that leaves is not ready again") {
+      BackendEntry Leaving = makeEntry("a");
+      Leaving.IsLeaving_ = true;
+      Directory.put(Leaving);
+      Directory.putRestored(makeEntry("a"), TimePoint(10s));
+      CHECK(Directory.find({"a"})->IsLeaving_);
+    }
+  }
   SECTION("during a store outage") {
     Directory.onStoreUnavailable();
     SECTION("expired registrations are kept") {
--- a/tests/FeedFleetTest.cpp
+++ b/tests/FeedFleetTest.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <random>
 
@@ -24,27 +25,45 @@
 class FakeStore {
 public:
   void change(TimePoint Now) {
-    ++Version_;
-    Rows_.push_back(
-        {"servers", "s" + std::to_string(Version_), "v", Version_, false});
+    const StoreVersion Version(Rows_.size() + 1, Era_);
+    Rows_.push_back({"servers", "s" + std::to_string(Version.Number_),
+                     std::to_string(Now.time_since_epoch().count()), Version,
+                     false});
     ChangedAt_.push_back(Now);
   }
-  StoreRows changesAfter(std::uint64_t Version) {
+  /// Comes back from a copy that misses the latest changes.
+  void restore(std::size_t LostChanges, bool BeginsEra, TimePoint Now) {
+    Era_ += BeginsEra ? 1 : 0;
+    Rows_.resize(Rows_.size() - LostChanges);
+    ChangedAt_.assign(Rows_.size(), Now);
+    for (StoreRow &Each : Rows_)
+      Each.Version_.Era_ = Era_;
+  }
+  /// Updates a copy as a client of the store does: by the changes after its
+  /// version, or by the whole table if that is of an earlier era.
+  void feed(SharedTable &Table, TimePoint Now) {
     ++Calls_;
-    StoreRows Changes;
-    Changes.Version_ = Version_;
-    for (std::size_t I = Version; I < Rows_.size(); ++I)
-      Changes.Rows_.push_back(Rows_[I]);
-    return Changes;
+    const StoreVersion Known = Table.cache().version();
+    const bool IsWhole = Known.Era_ != Era_;
+    StoreRows Answer;
+    Answer.Version_ = version();
+    for (std::size_t I = IsWhole ? 0 : Known.Number_; I < Rows_.size(); ++I)
+      Answer.Rows_.push_back(Rows_[I]);
+    if (IsWhole)
+      Table.onStoreSnapshot(Answer, Now);
+    else
+      Table.onStoreChanges(Answer, Now);
   }
-  std::uint64_t version() const { return Version_; }
+  StoreVersion version() const { return {Rows_.size(), Era_}; }
+  const std::vector<StoreRow> &rows() const { return Rows_; }
   std::size_t calls() const { return Calls_; }
-  TimePoint changedAt(std::uint64_t Version) const {
-    return ChangedAt_[Version - 1];
+  /// \returns when the first change that a copy misses was made.
+  TimePoint missedSince(const StoreVersion &Known) const {
+    return Known.Era_ == Era_ ? ChangedAt_[Known.Number_] : ChangedAt_.front();
   }
 
 private:
-  std::uint64_t Version_ = 0;
+  std::uint64_t Era_ = 1;
   std::vector<StoreRow> Rows_;
   std::vector<TimePoint> ChangedAt_;
   std::size_t Calls_ = 0;
@@ -58,6 +77,11 @@
   std::function<bool(TimePoint)> IsHomeCutFromStore_ = [](TimePoint) {
     return false;
   };
+  /// How many changes the store loses as it is restored at this time.
+  std::function<std::size_t(TimePoint)> LostChanges_ = [](TimePoint) {
+    return std::size_t{0};
+  };
+  bool AreErasUnstated_ = false;
   double PushLoss_ = 0;
   bool DoesHomeLie_ = false; ///< States that its copy is current.
 };
@@ -71,7 +95,7 @@
       Instances_.push_back(
           {SharedTable(SharedTableId::Servers, "servers"), TimePoint(0s)});
     for (Instance &Each : Instances_)
-      Each.Table_.onStoreSnapshot(Store_.changesAfter(0), TimePoint(0s));
+      Store_.feed(Each.Table_, TimePoint(0s));
     StartCalls_ = Store_.calls();
   }
 
@@ -79,6 +103,8 @@
     for (TimePoint Now(0s); Now < TimePoint(Period); Now += Step) {
       if (Now.time_since_epoch() % 1500ms == 0ms)
         Store_.change(Now);
+      if (const std::size_t Lost = Faults_.LostChanges_(Now))
+        Store_.restore(Lost, !Faults_.AreErasUnstated_, Now);
       pollHome(Now);
       for (std::size_t I = 1; I != Instances_.size(); ++I)
         playInstance(Instances_[I], Now);
@@ -87,6 +113,20 @@
   }
 
   Duration longestDelay() const { return LongestDelay_; }
+  /// \returns whether all instances have the rows of the store and no others.
+  bool haveSameRows() const {
+    return std::all_of(
+        Instances_.begin(), Instances_.end(), [this](const Instance &Each) {
+          const auto &Rows = Each.Table_.cache().rows();
+          return Rows.size() == Store_.rows().size() &&
+                 std::all_of(Store_.rows().begin(), Store_.rows().end(),
+                             [&Rows](const StoreRow &Row) {
+                               const auto Found = Rows.find(Row.Key_);
+                               return Found != Rows.end() &&
+                                      Found->second.Value_ == Row.Value_;
+                             });
+        });
+  }
   /// \returns the calls since all instances read the table first.
   std::size_t calls() const { return Store_.calls() - StartCalls_; }
 
@@ -101,12 +141,12 @@
   void pollHome(TimePoint Now) {
     if (Faults_.IsHomeFrozen_(Now) || Faults_.IsHomeCutFromStore_(Now))
       return;
-    const std::uint64_t Previous = home().Table_.cache().version();
+    const StoreVersion Previous = home().Table_.cache().version();
     const bool IsDue = Now >= home().PolledAt_ + HomePollTime;
     if (!IsDue && Store_.version() == Previous)
       return;
     home().PolledAt_ = Now;
-    home().Table_.onStoreChanges(Store_.changesAfter(Previous), Now);
+    Store_.feed(home().Table_, Now);
     if (home().Table_.cache().version() != Previous)
       push(home().Table_.cache().changesSince(Previous));
   }
@@ -125,17 +165,17 @@
       receiveState(Each, Now);
     if (Each.Table_.isFedByHome(Now))
       return;
-    const std::uint64_t Known = Each.Table_.cache().version();
+    const StoreVersion Known = Each.Table_.cache().version();
     if (Store_.version() == Known && Now < Each.PolledAt_ + PollTime)
       return;
     Each.PolledAt_ = Now;
-    Each.Table_.onStoreChanges(Store_.changesAfter(Known), Now);
+    Store_.feed(Each.Table_, Now);
   }
 
   void receiveState(Instance &Each, TimePoint Now) {
     FeedState State = home().Table_.feedState(Now);
     if (Faults_.DoesHomeLie_)
-      State = {Each.Table_.cache().version(), 1, 0ms, true};
+      State = {Each.Table_.cache().version(), {1, 1}, 0ms, true};
     const auto Request = Each.Table_.onHomeState(State, Now);
     if (Request && !Faults_.DoesHomeLie_)
       Each.Table_.onUpdate(
@@ -144,10 +184,10 @@
 
   void checkDelays(TimePoint Now) {
     for (std::size_t I = 1; I != Instances_.size(); ++I) {
-      const std::uint64_t Known = Instances_[I].Table_.cache().version();
+      const StoreVersion Known = Instances_[I].Table_.cache().version();
       if (Known < Store_.version())
         LongestDelay_ =
-            std::max(LongestDelay_, Now - Store_.changedAt(Known + 1));
+            std::max(LongestDelay_, Now - Store_.missedSince(Known));
     }
   }
 
@@ -205,6 +245,41 @@
     Fleet.run(Period);
     CHECK(Fleet.longestDelay() <= MaxDelay);
   }
+  SECTION("when the store is restored from a copy, again and again") {
+    Faults Scenario;
+    Scenario.PushLoss_ = 0.2;
+    Scenario.LostChanges_ = [](TimePoint Now) {
+      const Duration Time = Now.time_since_epoch();
+      return Time > 0s && Time % 10s == 0s ? std::size_t{4} : std::size_t{0};
+    };
+    SECTION("while the home hears of it") {}
+    SECTION("while the home hears of it late") {
+      Scenario.IsHomeCutFromStore_ = [](TimePoint Now) {
+        return isBetween(Now, 19s, 24s) || isBetween(Now, 40s, 42s);
+      };
+    }
+    SECTION("while the home is frozen") {
+      Scenario.IsHomeFrozen_ = [](TimePoint Now) {
+        return isBetween(Now, 29s, 33s);
+      };
+    }
+    for (std::uint64_t Seed = 1; Seed != 4; ++Seed) {
+      FeedFleet Fleet(300, Scenario, Seed);
+      Fleet.run(Period);
+      CHECK(Fleet.longestDelay() <= MaxDelay);
+      CHECK(Fleet.haveSameRows());
+    }
+  }
+  SECTION("and this check finds versions that are given out again unnoticed") {
+    Faults Scenario;
+    Scenario.AreErasUnstated_ = true;
+    Scenario.LostChanges_ = [](TimePoint Now) {
+      return Now == TimePoint(30s) ? std::size_t{4} : std::size_t{0};
+    };
+    FeedFleet Fleet(30, Scenario, 1);
+    Fleet.run(Period);
+    CHECK((Fleet.longestDelay() > MaxDelay || !Fleet.haveSameRows()));
+  }
   SECTION("and this check finds a home that withholds changes") {
     Faults Scenario;
     Scenario.DoesHomeLie_ = true;
--- a/tests/FeedSourceTest.cpp
+++ b/tests/FeedSourceTest.cpp
@@ -36,6 +36,15 @@
     SECTION("not if it falls silent") {
       CHECK_FALSE(Source.isFedByHome(Last + 700ms));
     }
+    SECTION("not if its copy is from before the store was restored") {
+      Source.onHomeState(Current, {5, 2}, Last + 150ms);
+      CHECK_FALSE(Source.isFedByHome(Last + 160ms));
+    }
+    SECTION("not if the store was restored since this instance read it") {
+      Source.onHomeState({{101, 2}, {90, 2}, 200ms, true}, OwnVersion,
+                         Last + 150ms);
+      CHECK_FALSE(Source.isFedByHome(Last + 160ms));
+    }
     SECTION("not if the store has not confirmed its copy lately") {
       Source.onHomeState({101, 90, 1400ms, true}, OwnVersion, Last + 150ms);
       CHECK_FALSE(Source.isFedByHome(Last + 150ms));
--- a/tests/HomeCodecTest.cpp
+++ b/tests/HomeCodecTest.cpp
@@ -20,7 +20,7 @@
     HomeHeartbeat Message;
     Message.Sequence_ = 4;
     Message.ConfigurationVersion_ = 17;
-    Message.ServersVersion_ = 99;
+    Message.ServersVersion_ = {99, 4};
     Message.Uptime_ = 12s;
     Message.IsAttached_ = true;
     Message.Attachment_ = 3;
@@ -34,8 +34,8 @@
     HomeReply Reply;
     Reply.Sequence_ = 4;
     Reply.ConfigurationVersion_ = 17;
-    Reply.ServersVersion_ = 99;
-    Reply.Feeds_ = {{{101, 99, 80ms, true}, {102, 7, 2s, false}, {}}};
+    Reply.ServersVersion_ = {99, 4};
+    Reply.Feeds_ = {{{101, 99, 80ms, true}, {{102, 3}, {7, 3}, 2s, false}, {}}};
     Reply.IsLeaving_ = true;
     Reply.ExhaustedOrganisations_ = {{"acme"}};
     Reply.Utilisation_ = {{{"acme"}, 0.5}};
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -13,7 +13,7 @@
 constexpr std::string_view SettingsText = R"({
   "node_name": "edge-1", "zone": "dc-a", "ip": "10.1.0.3",
   "listen": {"front": "10.1.0.3:8360", "ready": "10.1.0.3:8365"},
-  "port_range": [7500, 7515],
+  "port_range": [7500, 7515], "heartbeat_ms": 900,
   "bounds": {"grace_s": 8, "quota_window_s": 5, "retry_budget_ratio": 0.3,
              "budget_slack": 56, "fail_closed": false},
   "provider": {"address": "10.200.1.7:8361", "form": "table"},
@@ -58,6 +58,7 @@
   CHECK(Settings.PeerListen_ == "10.1.0.3:7500");
   CHECK(Settings.StoreAddress_.Value_ == "10.200.1.7:8361");
   CHECK(Settings.ShutdownTimeout_ == 8s);
+  CHECK(Settings.ServerHeartbeat_ == 900ms);
   CHECK(Settings.LimitBounds_.Window_ == 5s);
   CHECK(Settings.RetryBounds_.RetriesPerRequest_ == 0.3);
 
--- a/tests/TableCacheTest.cpp
+++ b/tests/TableCacheTest.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-StoreRow makeRow(const std::string &Key, std::uint64_t Version) {
-  return {"servers", Key, "value-" + std::to_string(Version), Version, false};
+StoreRow makeRow(const std::string &Key, const StoreVersion &Version) {
+  return {"servers", Key, "value-" + std::to_string(Version.Number_), Version,
+          false};
 }
 
 StoreRow makeRemoval(const std::string &Key, std::uint64_t Version) {
@@ -104,3 +105,56 @@
     CHECK(Other.version() == Version + 1);
   }
 }
+
+TEST_CASE(
+    "A store that was restored from an older copy gives out versions again",
+    "[relay][feeds][restored]") {
+  constexpr std::uint64_t Era = 2;
+  TableCache Copy(SharedTableId::Servers, "servers");
+  Copy.applySnapshot({{makeRow("a", 3), makeRow("b", 9)}, 10});
+  Copy.applyChanges({{makeRow("lost", 12), makeRemoval("b", 13)}, 13});
+  TableCache Other(SharedTableId::Servers, "servers");
+  Other.applyUpdate(Copy.changesSince(0));
+  const auto Changed = Copy.applySnapshot(
+      {{makeRow("a", {3, Era}), makeRow("b", {9, Era})}, {10, Era}});
+
+  SECTION("its rows replace newer numbers of before") {
+    CHECK(keysOf(Changed) == Keys{"b", "lost"});
+    CHECK(Copy.version() == StoreVersion(10, Era));
+    CHECK(Copy.rows().at("b").Value_ == "value-9");
+    CHECK_FALSE(Copy.rows().contains("lost"));
+  }
+  SECTION("changes with numbers that were given out before are taken") {
+    CHECK(keysOf(Copy.applyChanges({{makeRow("a", {11, Era})}, {11, Era}})) ==
+          Keys{"a"});
+    CHECK(keysOf(Copy.applyChanges(
+              {{makeRow("lost", {12, Era})}, {12, Era}})) == Keys{"lost"});
+  }
+  SECTION("rows of before that arrive late undo nothing") {
+    CHECK(Copy.applyChanges({{makeRow("a", 20)}, 20}).empty());
+    CHECK(Copy.applySnapshot({{makeRow("c", 20)}, 20}).empty());
+    CHECK(Copy.version() == StoreVersion(10, Era));
+    CHECK(Copy.rows().size() == 2);
+  }
+  SECTION("another instance, whose numbers are higher, gets the whole table") {
+    const TableUpdate Update = Copy.changesSince(Other.version());
+    CHECK_FALSE(Update.BaseVersion_.isKnown());
+    CHECK(keysOf(Other.applyUpdate(Update)) == Keys{"b", "lost"});
+    CHECK(Other.version() == StoreVersion(10, Era));
+    SECTION("and changes after that") {
+      Copy.applyChanges({{makeRow("a", {11, Era})}, {11, Era}});
+      CHECK(keysOf(Other.applyUpdate(Copy.changesSince(Other.version()))) ==
+            Keys{"a"});
+    }
+    SECTION("and gives nothing of before to this one") {
+      TableCache Late(SharedTableId::Servers, "servers");
+      Late.applySnapshot({{makeRow("a", 3)}, 30});
+      CHECK(Copy.applyUpdate(Late.changesSince(0)).empty());
+    }
+  }
+  SECTION("another instance does not take single changes for the whole table") {
+    Copy.applyChanges({{makeRow("a", {11, Era})}, {11, Era}});
+    CHECK(Other.applyUpdate(Copy.changesSince({10, Era})).empty());
+    CHECK(Other.version() == 13);
+  }
+}
--- a/tests/support/FakeTables.h
+++ b/tests/support/FakeTables.h
@@ -16,7 +16,7 @@
     return std::nullopt;
   }
   std::optional<TableRequest> onPeerVersion(SharedTableId,
-                                            std::uint64_t) override {
+                                            const StoreVersion &) override {
     return std::nullopt;
   }
   void onHomeChanged() override {}
--- a/tools/gbsoak/SoakClient.cpp
+++ b/tools/gbsoak/SoakClient.cpp
@@ -18,17 +18,19 @@
 }
 
 CallerOrder makeOrder(const std::string &Id, SoakKind Kind,
-                      const std::string &Key) {
-  constexpr const char *Paths[] = {"/check/1", "/book/1", "/stream/1"};
+                      const std::string &Key, int ConfigurationVersion) {
+  const std::string Paths[] = {"/check/1", "/book/1", "/stream/1",
+                               "/" + newestRoute(ConfigurationVersion) + "/1"};
+  const bool IsCheck = Kind == SoakKind::Check || Kind == SoakKind::Newest;
   CallerOrder Order;
-  Order.Verb_ = Kind == SoakKind::Check ? http::verb::get : http::verb::post;
+  Order.Verb_ = IsCheck ? http::verb::get : http::verb::post;
   Order.Path_ = Paths[static_cast<int>(Kind)];
   Order.Id_ = Id;
   Order.Key_ = Key;
   Order.DeadlineMs_ = DeadlineMs;
   if (Kind == SoakKind::Stream)
     Order.Tokens_ = "100,200";
-  if (Kind != SoakKind::Check)
+  if (!IsCheck)
     Order.Body_ = "{}";
   return Order;
 }
@@ -63,7 +65,8 @@
   Told.Kind_ = Kind;
   Told.Relay_ = Server;
   Told.SentAt_ = std::chrono::steady_clock::now();
-  const auto Request = makeCallerRequest(makeOrder(Id, Kind, Key));
+  const auto Request = makeCallerRequest(
+      makeOrder(Id, Kind, Key, Record_.ConfigurationVersion_));
   Stream_->expires_after(AnswerTimeout);
   auto [SendError, Sent] =
       co_await http::async_write(*Stream_, Request, Awaiting);
--- a/tools/gbsoak/SoakClient.h
+++ b/tools/gbsoak/SoakClient.h
@@ -16,7 +16,12 @@
 namespace gooseberry {
 
 /// What is sent.
-enum class SoakKind { Check, Booking, Stream };
+enum class SoakKind {
+  Check,
+  Booking,
+  Stream,
+  Newest, ///< A check on a route of the newest configuration only.
+};
 
 /// What the callers were told, by request id.
 struct SoakRecord {
@@ -30,6 +35,7 @@
   std::map<std::string, Answer> Answers_;
   std::vector<std::string> Faults_; ///< Sentences about what went wrong.
   LeavingCheck Leaving_;
+  int ConfigurationVersion_ = 0; ///< Of the newest one.
   std::uint64_t Served_ = 0;
 };
 
--- a/tools/gbsoak/SoakWorld.cpp
+++ b/tools/gbsoak/SoakWorld.cpp
@@ -83,7 +83,12 @@
 }
 
 void SoakWorld::putConfiguration() {
-  Store_.putConfiguration(writeConfiguration(++ConfigurationVersion_));
+  ++Record_.ConfigurationVersion_;
+  writeNewestConfiguration();
+}
+
+void SoakWorld::writeNewestConfiguration() {
+  Store_.putConfiguration(writeConfiguration(Record_.ConfigurationVersion_));
 }
 
 std::vector<std::string> SoakWorld::run() {
@@ -109,20 +114,22 @@
   IsOver_ = true;
   while (RunningFaults_ > 0)
     co_await sleepFor(Poll);
+  co_await restoreStore();
+  putConfiguration();
   co_await checkRecovery();
   co_await stopRelays();
   Context_.stop();
 }
 
 asio::awaitable<void> SoakWorld::injectFaults() {
-  constexpr std::array<Fault, 13> Faults = {
-      &SoakWorld::killRelay,          &SoakWorld::freezeRelay,
-      &SoakWorld::terminateRelay,     &SoakWorld::hangUpRelay,
-      &SoakWorld::takeStoreDown,      &SoakWorld::compactStore,
-      &SoakWorld::harmStoreLink,      &SoakWorld::harmBackendLink,
-      &SoakWorld::failBackend,        &SoakWorld::fillBackend,
-      &SoakWorld::limitBackend,       &SoakWorld::drainBackend,
-      &SoakWorld::changeConfiguration};
+  constexpr std::array<Fault, 14> Faults = {
+      &SoakWorld::killRelay,       &SoakWorld::freezeRelay,
+      &SoakWorld::terminateRelay,  &SoakWorld::hangUpRelay,
+      &SoakWorld::takeStoreDown,   &SoakWorld::compactStore,
+      &SoakWorld::restoreStore,    &SoakWorld::harmStoreLink,
+      &SoakWorld::harmBackendLink, &SoakWorld::failBackend,
+      &SoakWorld::fillBackend,     &SoakWorld::limitBackend,
+      &SoakWorld::drainBackend,    &SoakWorld::changeConfiguration};
   co_await sleepFor(milliseconds(800));
   while (!IsOver_) {
     ++RunningFaults_;
@@ -204,6 +211,23 @@
   co_return;
 }
 
+asio::awaitable<void> SoakWorld::restoreStore() {
+  constexpr std::uint64_t OtherChanges = 100;
+  const RowTable Copy = Store_.rows();
+  Store_.rows().skipVersions(OtherChanges);
+  putConfiguration();
+  co_await sleepFor(drawMs(300, 2500));
+  Store_.setDown(true);
+  co_await sleepFor(drawMs(100, 1500));
+  Store_.rows().restore(Copy);
+  Store_.setDown(false);
+  co_await sleepFor(drawMs(0, 600));
+  // The operator and the servers write again what they wrote.
+  writeNewestConfiguration();
+  for (const Backend &Each : Backends_)
+    writeBackend(Each);
+}
+
 asio::awaitable<void> SoakWorld::harmStoreLink() {
   TcpProxy &Link = *StoreLinks_[draw(StoreLinks_.size())];
   Link.setFault(static_cast<ProxyFault>(1 + draw(4)));
@@ -266,8 +290,8 @@
   SoakClient Client(Context_, "c1000", Record_);
   const auto End = std::chrono::steady_clock::now() + RecoveryTime;
   for (const auto &Relay : Relays_) {
-    for (const auto Kind :
-         {SoakKind::Check, SoakKind::Booking, SoakKind::Stream}) {
+    for (const auto Kind : {SoakKind::Check, SoakKind::Booking,
+                            SoakKind::Stream, SoakKind::Newest}) {
       unsigned Status = 0;
       while (Status != 200 && std::chrono::steady_clock::now() < End) {
         Status = co_await Client.send(Relay->callers(), Kind, KeyOne);
--- a/tools/gbsoak/SoakWorld.h
+++ b/tools/gbsoak/SoakWorld.h
@@ -61,6 +61,7 @@
   asio::awaitable<void> hangUpRelay();
   asio::awaitable<void> takeStoreDown();
   asio::awaitable<void> compactStore();
+  asio::awaitable<void> restoreStore();
   asio::awaitable<void> harmStoreLink();
   asio::awaitable<void> harmBackendLink();
   asio::awaitable<void> failBackend();
@@ -72,6 +73,7 @@
   void addBackend(const char *Id, BackendPart Part);
   void writeBackend(const Backend &Of);
   void putConfiguration();
+  void writeNewestConfiguration();
   void checkRuns();
   void checkLeaving(const std::string &Request, const SeenRun &Run);
   void startRelay(RelayProcess &Relay);
@@ -91,7 +93,6 @@
   std::vector<std::unique_ptr<RelayProcess>> Relays_;
   std::vector<std::string> Faults_;
   std::size_t RunningFaults_ = 0;
-  int ConfigurationVersion_ = 0;
   bool IsOver_ = false;     ///< No more faults.
   bool IsStopping_ = false; ///< Relays are not started again.
 };
--- a/tools/standin_platform/PlatformTexts.cpp
+++ b/tools/standin_platform/PlatformTexts.cpp
@@ -29,6 +29,10 @@
   return Row + "}";
 }
 
+std::string newestRoute(int Version) {
+  return "version-" + std::to_string(Version);
+}
+
 std::string writeConfiguration(int Version) {
   return R"({"version":)" + std::to_string(Version) + R"(,"routes":[)" +
          writeRoute("check", "idempotent", "booking", R"(,"max_attempts":2)") +
@@ -38,6 +42,8 @@
          "," +
          writeRoute("stream", "streaming", "writer",
                     R"(,"max_attempts":2,"sticky":true,"resumable":true)") +
+         "," +
+         writeRoute(newestRoute(Version).c_str(), "idempotent", "booking", "") +
          R"(],"services":[{"name":"booking"},{"name":"writer","engine":)"
          R"({"slots":8,"kv_tokens":100000,"stride":4,"kv_hold_s":0.5}}],)"
          R"("tenants":[{"name":"one","api_keys":["key-one"]},)"
--- a/tools/standin_platform/PlatformTexts.h
+++ b/tools/standin_platform/PlatformTexts.h
@@ -47,10 +47,14 @@
 /// \returns its row.
 std::string writeRegistration(const RegisteredBackend &Of);
 /// \param Version the version.
-/// \returns a configuration with the routes `/check/`, `/book/` and `/stream/`,
+/// \returns a configuration with the routes `/check/`, `/book/`, `/stream/` and
+/// `newestRoute`,
 /// the services `booking` and `writer`, and organisations `one` and `two` with
 /// the keys `key-one` and `key-two`.
 std::string writeConfiguration(int Version);
+/// \param Version the version of a configuration.
+/// \returns the name of the route that only this version has.
+std::string newestRoute(int Version);
 /// \param Of a process.
 /// \returns its settings file.
 std::string writeNodeSettings(const NodePlace &Of);
--- a/tools/standin_platform/RowTable.cpp
+++ b/tools/standin_platform/RowTable.cpp
@@ -14,6 +14,12 @@
     Rows_[{Table, Key}] = {Table, Key, "", ++Version_, true};
 }
 
+void RowTable::restore(const RowTable &Copy) {
+  const std::uint64_t NextEra = Era_ + 1;
+  *this = Copy;
+  Era_ = NextEra;
+}
+
 std::uint64_t RowTable::versionOf(const std::string &Table,
                                   const std::string &Key) const {
   const auto Found = Rows_.find({Table, Key});
@@ -32,7 +38,7 @@
 
 std::optional<std::vector<PlatformRow>>
 RowTable::changes(const std::string &Table, std::uint64_t After) const {
-  if (After < HistoryStart_)
+  if (After < HistoryStart_ || After > Version_)
     return std::nullopt;
   std::vector<PlatformRow> Out;
   for (const auto &[Name, Row] : Rows_)
--- a/tools/standin_platform/RowTable.h
+++ b/tools/standin_platform/RowTable.h
@@ -39,6 +39,14 @@
                                                   std::uint64_t After) const;
   /// Forgets all changes so far.
   void compact() { HistoryStart_ = Version_; }
+  /// Lets versions grow as by changes of other tables.
+  void skipVersions(std::uint64_t Count) { Version_ += Count; }
+  /// Comes back from a copy, in a new era: later changes are lost, and their
+  /// versions are given out again.
+  /// \param Copy the table as it was some time ago.
+  void restore(const RowTable &Copy);
+  /// \returns how often the table was restored, plus one.
+  std::uint64_t era() const { return Era_; }
   /// \returns the newest version.
   std::uint64_t version() const { return Version_; }
 
@@ -46,6 +54,7 @@
   std::map<std::pair<std::string, std::string>, PlatformRow> Rows_;
   std::uint64_t Version_ = 0;
   std::uint64_t HistoryStart_ = 0;
+  std::uint64_t Era_ = 1;
 };
 
 } // namespace gooseberry
--- a/tools/standin_platform/StoreFace.cpp
+++ b/tools/standin_platform/StoreFace.cpp
@@ -42,24 +42,31 @@
 
 asio::awaitable<void> StoreFace::serve(FaceCall &Call) {
   if (IsDown_) {
-    co_await Call.reply(makeReply(503, ""));
+    co_await reply(Call, 503, "");
     co_return;
   }
   const std::string Target(Call.Request_.target());
   if (Target.starts_with("/gooseberrybeam/rows-get")) {
-    co_await Call.reply(makeReply(
-        200, writeRows(Rows_.read(Call.query("table")), Rows_.version())));
+    co_await reply(Call, 200,
+                   writeRows(Rows_.read(Call.query("table")), Rows_.version()));
   } else if (Target.starts_with("/gooseberrybeam/rows-feed")) {
     co_await feed(Call);
   } else if (Target.starts_with("/gooseberrybeam/rows-tx")) {
     unsigned Status = 200;
     std::string Body = transact(Call.Request_.body(), Status);
-    co_await Call.reply(makeReply(Status, std::move(Body)));
+    co_await reply(Call, Status, std::move(Body));
   } else {
-    co_await Call.reply(makeReply(404, ""));
+    co_await reply(Call, 404, "");
   }
 }
 
+asio::awaitable<void> StoreFace::reply(FaceCall &Call, unsigned Status,
+                                       std::string Body) const {
+  auto Answer = makeReply(Status, std::move(Body));
+  Answer.set("Store-Era", std::to_string(Rows_.era()));
+  co_await Call.reply(std::move(Answer));
+}
+
 asio::awaitable<void> StoreFace::feed(FaceCall &Call) {
   const std::string Table = Call.query("table");
   const std::uint64_t After = std::stoull(Call.query("after"));
@@ -69,11 +76,11 @@
     const auto Changes = Rows_.changes(Table, After);
     const bool IsOver = std::chrono::steady_clock::now() >= End;
     if (!Changes || IsDown_) {
-      co_await Call.reply(makeReply(IsDown_ ? 503 : 410, ""));
+      co_await reply(Call, IsDown_ ? 503 : 410, "");
       co_return;
     }
     if (!Changes->empty() || IsOver) {
-      co_await Call.reply(makeReply(200, writeRows(*Changes, Rows_.version())));
+      co_await reply(Call, 200, writeRows(*Changes, Rows_.version()));
       co_return;
     }
     co_await sleepFor(FeedStep);
--- a/tools/standin_platform/StoreFace.h
+++ b/tools/standin_platform/StoreFace.h
@@ -37,6 +37,8 @@
 private:
   asio::awaitable<void> serve(FaceCall &Call);
   asio::awaitable<void> feed(FaceCall &Call);
+  asio::awaitable<void> reply(FaceCall &Call, unsigned Status,
+                              std::string Body) const;
   std::string transact(const std::string &Body, unsigned &Status);
 
   RowTable Rows_;
