Send a request to the same server again on a new connection only

Another operator's report: a faulty engine wrote an earlier rejection once more on a kept connection; callers were told 'not run' for requests that ran, or they ran at a second engine.

Cause, shown by FaultyServerTest on the code before: (1) a decode engine that rejects a call for its KV cache is called again for the same request, on the connection just kept. The late copy of the rejection has the same id, so the running call counted as rejected and the engine was called 5 times. (2) A response without an id counted as any request's: a caller got 503 'not run' for a booking that ran.

Fix: a call of a request to a server that it was sent to before takes a new connection; a response without an id is taken as the first one on its connection only, and the connection is not kept.

--- a/include/gooseberrybeam/http/ClientConnection.h
+++ b/include/gooseberrybeam/http/ClientConnection.h
@@ -71,6 +71,11 @@
   /// the server keeps the connection, and nothing has arrived since.
   bool isReusable();
 
+  /// Makes `isReusable` return false from now on.
+  void preventReuse() { MayBeReused_ = false; }
+  /// \returns whether an earlier call was answered on this connection.
+  bool wasReused() const { return Calls_ > 1; }
+
   /// \returns how long the server keeps the connection idle, if it has said so.
   std::optional<Duration> idleLimit() const { return IdleLimit_; }
 
@@ -83,7 +88,9 @@
   beast::flat_buffer Buffer_;
   std::optional<Parser> Parser_;
   std::optional<Duration> IdleLimit_;
+  std::uint64_t Calls_ = 0; ///< Requests sent.
   bool IsOpen_ = true;
+  bool MayBeReused_ = true;
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/http/ConnectionPool.h
+++ b/include/gooseberrybeam/http/ConnectionPool.h
@@ -18,6 +18,12 @@
   Duration ConnectTimeout_ = std::chrono::milliseconds(500);
 };
 
+/// Which connections a call may use.
+enum class ConnectionUse : std::uint8_t {
+  Any,
+  New, ///< None on which an earlier call was answered.
+};
+
 /// Keeps connections for reuse. Used on one thread only.
 class ConnectionPool {
 public:
@@ -27,9 +33,11 @@
   /// Takes an idle connection or makes one.
   /// \param Server `ip:port`.
   /// \param Scope aborts the attempt when cancelled.
+  /// \param Use which connections may be taken.
   /// \returns a connection or a failure.
   Task<ClientConnection::Made> acquire(const BackendId &Server,
-                                       CancelScope &Scope);
+                                       CancelScope &Scope,
+                                       ConnectionUse Use = ConnectionUse::Any);
 
   /// Takes a connection back; it is closed unless it can be reused.
   /// \param Server whose connection it is.
--- a/include/gooseberrybeam/relayd/RelayRequest.h
+++ b/include/gooseberrybeam/relayd/RelayRequest.h
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace gooseberry {
 
@@ -26,6 +27,7 @@
   std::string Target_;
   HttpFields Fields_; ///< Without hop-by-hop fields.
   std::string Body_;
+  std::vector<BackendId> CalledServers_; ///< Servers that it was sent to.
 
   /// \returns the name of the organisation; empty on public routes.
   OrganisationId organisationName() const {
--- a/include/gooseberrybeam/relayd/ServerCall.h
+++ b/include/gooseberrybeam/relayd/ServerCall.h
@@ -24,17 +24,20 @@
   ServerRequestInfo RequestInfo_;
 };
 
-/// Sends a request and waits for the head of its response. Responses that carry
-/// the id of another request are read and discarded.
+/// Sends a request and waits for the head of its response. A faulty server may
+/// write a response once more, late, where the next one is due. Responses that
+/// cannot be told to be this request's are read and discarded, and a request
+/// that is sent to a server again is sent on a new connection, as its earlier
+/// response has the same id.
 /// \param Context state of the instance.
-/// \param Request the caller's request.
+/// \param Request the caller's request; remembers the servers called.
 /// \param Target the server.
 /// \param ResponseTimeout limit on the wait for the head of each response.
 /// \param Scope aborts the call when cancelled.
 /// \returns the response, or an error that tells whether the request may have
 /// run.
 Task<Result<ServerResponse, CallError>> callServer(RelayContext &Context,
-                                                   const RelayRequest &Request,
+                                                   RelayRequest &Request,
                                                    const ServerTarget &Target,
                                                    Duration ResponseTimeout,
                                                    CancelScope &Scope);
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -99,6 +99,7 @@
   if (Scope.isCancelled())
     co_return failed(CallFailure::Cancelled, false);
   CancelScope::Guard Guard(Scope, [this] { close(); });
+  ++Calls_;
   Stream_.expires_after(IdleTimeout);
   auto [SendError, Sent] =
       co_await beast::http::async_write(Stream_, Request, AsTuple);
@@ -154,7 +155,7 @@
 }
 
 bool ClientConnection::isReusable() {
-  if (!IsOpen_)
+  if (!IsOpen_ || !MayBeReused_)
     return false;
   if (Parser_ && (!Parser_->is_done() || !Parser_->keep_alive()))
     return false;
--- a/src/http/ConnectionPool.cpp
+++ b/src/http/ConnectionPool.cpp
@@ -39,9 +39,11 @@
 }
 
 Task<ClientConnection::Made> ConnectionPool::acquire(const BackendId &Server,
-                                                     CancelScope &Scope) {
-  if (auto Connection = takeIdle(Server))
-    co_return std::move(Connection);
+                                                     CancelScope &Scope,
+                                                     ConnectionUse Use) {
+  if (Use == ConnectionUse::Any)
+    if (auto Connection = takeIdle(Server))
+      co_return std::move(Connection);
   const auto Endpoint = parseEndpoint(Server.Value_);
   if (!Endpoint)
     co_return CallError{CallFailure::Connect, false};
--- a/src/relayd/RelayHandler.cpp
+++ b/src/relayd/RelayHandler.cpp
@@ -109,6 +109,7 @@
                           Exchange.head().method(),
                           std::string(asStd(Exchange.head().target())),
                           Exchange.head(),
+                          {},
                           {}};
   auto Body = co_await Exchange.readBody();
   if (!isOk(Body)) {
--- a/src/relayd/ServerCall.cpp
+++ b/src/relayd/ServerCall.cpp
@@ -3,6 +3,8 @@
 #include "gooseberrybeam/http/HttpCall.h"
 #include "gooseberrybeam/log/Log.h"
 
+#include <algorithm>
+
 namespace gooseberry {
 namespace {
 
@@ -29,9 +31,21 @@
   return ServerRequest;
 }
 
-bool isForeign(const ServerResponseInfo &Info, const RelayRequest &Request) {
-  return !Info.RequestId_.isEmpty() &&
-         Info.RequestId_ != Request.CallerInfo_.RequestId_;
+// Without an id, only the first response on a connection is certain to be the
+// request's own.
+bool isForeign(const ServerResponse &Response, const RelayRequest &Request) {
+  const RequestId &Id = Response.Info_.RequestId_;
+  if (Id.isEmpty())
+    return Response.Connection_->wasReused();
+  return Id != Request.CallerInfo_.RequestId_;
+}
+
+ConnectionUse recordCall(RelayRequest &Request, const BackendId &Server) {
+  auto &Called = Request.CalledServers_;
+  if (std::find(Called.begin(), Called.end(), Server) != Called.end())
+    return ConnectionUse::New;
+  Called.push_back(Server);
+  return ConnectionUse::Any;
 }
 
 void recordLeaving(RelayContext &Context, const RelayRequest &Request,
@@ -47,11 +61,12 @@
 } // namespace
 
 Task<Result<ServerResponse, CallError>> callServer(RelayContext &Context,
-                                                   const RelayRequest &Request,
+                                                   RelayRequest &Request,
                                                    const ServerTarget &Target,
                                                    Duration ResponseTimeout,
                                                    CancelScope &Scope) {
-  auto Acquired = co_await Context.Pool_.acquire(Target.Address_, Scope);
+  const ConnectionUse Use = recordCall(Request, Target.Address_);
+  auto Acquired = co_await Context.Pool_.acquire(Target.Address_, Scope, Use);
   if (!isOk(Acquired))
     co_return errorOf(Acquired);
   ServerResponse Response;
@@ -69,7 +84,9 @@
     }
     Response.Head_ = takeValue(std::move(Head));
     Response.Info_ = Context.Protocol_.parseServerResponse(Response.Head_);
-    if (!isForeign(Response.Info_, Request)) {
+    if (!isForeign(Response, Request)) {
+      if (Response.Info_.RequestId_.isEmpty())
+        Response.Connection_->preventReuse();
       if (Response.Info_.IsLeaving_)
         recordLeaving(Context, Request, Target.RequestInfo_.Server_);
       Context.Home_.onServerResponse(Target.RequestInfo_.Server_,
--- /dev/null
+++ b/tests/FaultyServerTest.cpp
@@ -0,0 +1,100 @@
+#include "support/RelayUnderTest.h"
+#include "support/ServerAnswers.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberry;
+
+namespace {
+
+ScriptedBackend::Script prefillAll() {
+  return [](const ScriptedRequest &Request) {
+    return ScriptedAnswer{makePrefilled(Request.Id_)};
+  };
+}
+
+/// Sends the same bytes for each request and closes the connection.
+ScriptedBackend::Script closeAfter(std::string Bytes) {
+  return [Bytes](const ScriptedRequest &) {
+    return ScriptedAnswer{Bytes, true};
+  };
+}
+
+} // namespace
+
+TEST_CASE("A server writes an earlier rejection once more on a kept connection",
+          "[relay][faulty]") {
+  RelayUnderTest Relay;
+
+  SECTION("as the answer to the second call of the same request") {
+    Relay.addServer("prefill", EngineRole::Prefill, prefillAll());
+    // The first call is rejected as its KV cache cannot be had.
+    ScriptedBackend &Decode = Relay.addServer(
+        "decode", EngineRole::Decode, [](const ScriptedRequest &Request) {
+          if (!Request.KvSource_.empty())
+            return ScriptedAnswer{makeRejection(Request.Id_)};
+          std::string Bytes;
+          if (Request.NumberOnConnection_ > 1)
+            Bytes = makeRejection(Request.Id_);
+          Bytes += makeStreamHead(Request.Id_) + makeChunk(makeEvent(1)) +
+                   std::string(LastChunk);
+          return ScriptedAnswer{Bytes};
+        });
+    const CallerAnswer Answer = Relay.call("/write/1", "r1");
+    CHECK(Answer.Status_ == 200);
+    CHECK(Answer.IsWhole_);
+    CHECK(Answer.Body_ == makeEvent(1));
+    CHECK(Decode.requests().size() == 2);
+  }
+  SECTION("as the answer to another request, with the id of the first") {
+    ScriptedBackend &Server = Relay.addServer(
+        "server", std::nullopt, [](const ScriptedRequest &Request) {
+          if (Request.Id_ == "r1")
+            return ScriptedAnswer{makeRejection("r1")};
+          return ScriptedAnswer{makeRejection("r1") +
+                                makeSuccess(Request.Id_, "booked")};
+        });
+    CHECK(Relay.call("/book/1", "r1").Status_ == 503);
+    CHECK(Relay.call("/book/1", "r2").Body_ == "booked");
+    CHECK(Server.requests().size() == 2);
+  }
+  SECTION("as the answer to another request, without an id") {
+    const std::string Rejection = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+                                  "Content-Length: 0\r\n\r\n";
+    ScriptedBackend &Server = Relay.addServer(
+        "server", std::nullopt, [&](const ScriptedRequest &Request) {
+          if (Request.Id_ == "r1")
+            return ScriptedAnswer{Rejection};
+          std::string Bytes;
+          if (Request.NumberOnConnection_ > 1)
+            Bytes = Rejection;
+          return ScriptedAnswer{Bytes + makeSuccess(Request.Id_, "booked")};
+        });
+    CHECK(Relay.call("/book/1", "r1").Status_ == 503);
+    CHECK(Relay.call("/book/1", "r2").Body_ == "booked");
+    CHECK(Relay.call("/book/1", "r3").Body_ == "booked");
+    CHECK(Server.requests().size() == 3);
+  }
+}
+
+TEST_CASE("A server stops in the middle of the head of its answer and closes",
+          "[relay][faulty]") {
+  const std::string Head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+                           "Response-Signature: s\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n";
+  // Every place at which the head may stop, a few bytes apart.
+  for (std::size_t Size = 5; Size < Head.size(); Size += 7) {
+    const std::string Part = Head.substr(0, Size);
+    DYNAMIC_SECTION("after " << Size << " bytes") {
+      RelayUnderTest Relay;
+      Relay.addServer("server", std::nullopt, closeAfter(Part));
+      Relay.addServer("prefill", EngineRole::Prefill, prefillAll());
+      Relay.addServer("decode", EngineRole::Decode, closeAfter(Part));
+      CHECK(Relay.call("/book/1", "r1").Status_ == 502);
+      const CallerAnswer Stream = Relay.call("/write/1", "r1");
+      CHECK((Stream.Status_ >= 500 || !Stream.IsWhole_));
+      CHECK(Stream.Status_ != 429);
+      CHECK(Stream.Status_ != 503);
+    }
+  }
+}
