Pass only events on in the middle of a stream; a resumed one must state its end

Another operator's report: a stream had begun and broke off, the next engine answered with an error, and callers found its text, at times its whole head, in their stream, or the stream ended as if it were complete.

Cause, shown by FaultyServerTest on the code before: whatever ended with a blank line in the body of a success was an event, so an error's text or another response's head was passed on; and a resumed stream whose body had no length counted as complete without any event, as the events of the engine before were counted.

Fix: once events have ids, only events with an id and comments are passed on, and anything else is a failure of the engine; a resumed stream without an event must say that it has ended. An error with a status of its own was kept out already.

Ruled out: fields besides the event's own, and comments, are still passed on (a test).

--- a/include/gooseberrybeam/http/ClientConnection.h
+++ b/include/gooseberrybeam/http/ClientConnection.h
@@ -71,6 +71,10 @@
   /// the server keeps the connection, and nothing has arrived since.
   bool isReusable();
 
+  /// \returns whether the answer states where it ends; otherwise it ends with
+  /// the connection, also if the server fails.
+  bool statesEnd() const { return Parser_ && !Parser_->need_eof(); }
+
   /// Makes `isReusable` return false from now on.
   void preventReuse() { MayBeReused_ = false; }
   /// \returns whether an earlier call was answered on this connection.
--- a/include/gooseberrybeam/relay/EventSplitter.h
+++ b/include/gooseberrybeam/relay/EventSplitter.h
@@ -15,6 +15,7 @@
   std::string_view Bytes_; ///< Valid until the next call of `append`.
   /// The `id` field if it is a decimal number.
   std::optional<std::uint64_t> Id_;
+  bool IsComment_ = false; ///< Has no field, e.g. to keep the stream alive.
 };
 
 /// Buffers a `text/event-stream` body and returns complete events only, so that
--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -45,7 +45,16 @@
                                 ServerResponse Response);
   Task<StepOutcome> relayFailure(const ChosenServer &Engine,
                                  ServerResponse Response);
-  Task<bool> writeEvents(EventSplitter &Splitter);
+  /// Outcome of passing events on.
+  enum class WriteOutcome : std::uint8_t {
+    Written,
+    CallerGone,
+    NoEvent, ///< The engine sent something else in the middle of the stream.
+  };
+
+  Task<WriteOutcome> writeEvents(EventSplitter &Splitter);
+  StepOutcome failStream(const ChosenServer &Engine, std::string_view Reason,
+                         CallFailure Failure);
   ServerTarget makeTarget(const ChosenServer &Engine) const;
   bool mayRetry(StepOutcome Outcome) const;
   void reportFailure(const ChosenServer &Engine, CallFailure Failure);
--- a/src/relay/EventSplitter.cpp
+++ b/src/relay/EventSplitter.cpp
@@ -37,6 +37,7 @@
 
 std::optional<StreamEvent> EventSplitter::next() {
   StreamEvent Event;
+  Event.IsComment_ = true;
   std::size_t LineStart = ReadOffset_;
   for (;;) {
     const std::size_t LineEnd = Buffer_.find('\n', LineStart);
@@ -47,6 +48,7 @@
     LineStart = LineEnd + 1;
     if (Line.empty() || Line == "\r")
       break;
+    Event.IsComment_ = Event.IsComment_ && Line.starts_with(':');
     if (const auto Id = parseId(Line))
       Event.Id_ = Id;
   }
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -203,10 +203,17 @@
                  asio::detached);
 }
 
-Task<bool> GenerationCall::writeEvents(EventSplitter &Splitter) {
+Task<GenerationCall::WriteOutcome>
+GenerationCall::writeEvents(EventSplitter &Splitter) {
   std::string Bytes;
+  WriteOutcome Outcome = WriteOutcome::Written;
   const TimePoint Now = readBootClock();
   while (const auto Event = Splitter.next()) {
+    // The text of an error, or the head of another response.
+    if (LastEventId_ && !Event->Id_ && !Event->IsComment_) {
+      Outcome = WriteOutcome::NoEvent;
+      break;
+    }
     if (Event->Id_ && LastEventId_ && *Event->Id_ <= *LastEventId_)
       continue;
     if (Event->Id_)
@@ -221,9 +228,10 @@
       EngineFirstEventAt_ = Now;
   }
   if (Bytes.empty())
-    co_return true;
+    co_return Outcome;
   LastEventAt_ = Now;
-  co_return co_await Request_.Exchange_.write(Bytes);
+  const bool IsAccepted = co_await Request_.Exchange_.write(Bytes);
+  co_return IsAccepted ? Outcome : WriteOutcome::CallerGone;
 }
 
 void GenerationCall::reportProgress(const ChosenServer &Engine, bool IsDue) {
@@ -249,6 +257,14 @@
            {"elapsed_ms", elapsedMs(Request_.Exchange_)}});
 }
 
+GenerationCall::StepOutcome
+GenerationCall::failStream(const ChosenServer &Engine, std::string_view Reason,
+                           CallFailure Failure) {
+  logEngineFailure(Engine, Reason);
+  reportFailure(Engine, Failure);
+  return StepOutcome::Failed;
+}
+
 Task<GenerationCall::StepOutcome>
 GenerationCall::relayEvents(const ChosenServer &Engine,
                             ServerResponse Response) {
@@ -274,21 +290,20 @@
                                                               Exchange.scope());
     if (Exchange.scope().isCancelled())
       co_return StepOutcome::Stopped;
-    if (!isOk(ReadResult) || Splitter.bufferedBytes() > MaxEventBytes) {
-      logEngineFailure(Engine, isOk(ReadResult)
-                                   ? "event too large"
-                                   : asCode(errorOf(ReadResult).Failure_));
-      reportFailure(Engine, isOk(ReadResult) ? CallFailure::Malformed
-                                             : errorOf(ReadResult).Failure_);
-      co_return StepOutcome::Failed;
-    }
+    if (!isOk(ReadResult))
+      co_return failStream(Engine, asCode(errorOf(ReadResult).Failure_),
+                           errorOf(ReadResult).Failure_);
+    if (Splitter.bufferedBytes() > MaxEventBytes)
+      co_return failStream(Engine, "event too large", CallFailure::Malformed);
     if (valueOf(ReadResult) == 0)
       break;
     Splitter.append({Buffer.data(), valueOf(ReadResult)});
     const std::uint32_t PreviousEvents = EngineEvents_;
-    const bool IsAccepted = co_await writeEvents(Splitter);
-    if (!IsAccepted)
+    const WriteOutcome Written = co_await writeEvents(Splitter);
+    if (Written == WriteOutcome::CallerGone)
       co_return StepOutcome::Stopped;
+    if (Written == WriteOutcome::NoEvent)
+      co_return failStream(Engine, "not an event", CallFailure::Malformed);
     if (EngineEvents_ != PreviousEvents)
       Stall.onEvent(readBootClock());
     // Tells the home that the engine is producing events. The rate follows in
@@ -299,14 +314,14 @@
       reportProgress(Engine, PreviousEvents < AnsweringEvents &&
                                  EngineEvents_ >= AnsweringEvents);
   }
-  // A stream without a length ends with its connection, also if its engine
-  // crashes before the first event.
-  if (Splitter.hasPartialEvent() || EventsSent_ == 0) {
-    logEngineFailure(Engine, EventsSent_ == 0 ? "ended without an event"
-                                              : "ended inside an event");
-    reportFailure(Engine, CallFailure::Receive);
-    co_return StepOutcome::Failed;
-  }
+  // A resumed stream may have no further event, but must say so.
+  const bool HasEnded = EventsSent_ > 0 && (EngineEvents_ > 0 ||
+                                            Response.Connection_->statesEnd());
+  if (!HasEnded)
+    co_return failStream(Engine, "ended without an event",
+                         CallFailure::Receive);
+  if (Splitter.hasPartialEvent())
+    co_return failStream(Engine, "ended inside an event", CallFailure::Receive);
   reportProgress(Engine, true);
   Context_.Pool_.release(Engine.Address_, std::move(Response.Connection_));
   IsComplete_ = true;
--- a/tests/EventSplitterTest.cpp
+++ b/tests/EventSplitterTest.cpp
@@ -31,6 +31,13 @@
     Events.append("id:7\r\ndata: a\r\n\r\n");
     CHECK(Events.next()->Id_ == 7);
   }
+  SECTION("comments and blank lines are told from events") {
+    Events.append(": alive\n\n\n: a\nid: 2\n\nsome text\n\n");
+    CHECK(Events.next()->IsComment_);
+    CHECK(Events.next()->IsComment_);
+    CHECK_FALSE(Events.next()->IsComment_);
+    CHECK_FALSE(Events.next()->IsComment_);
+  }
   SECTION("a non-numeric id is ignored") {
     Events.append("id: x1\ndata: a\n\n");
     CHECK_FALSE(Events.next()->Id_);
--- a/tests/FaultyServerTest.cpp
+++ b/tests/FaultyServerTest.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr std::string_view ErrorBody = R"({"error":"out of memory"})";
+
 ScriptedBackend::Script prefillAll() {
   return [](const ScriptedRequest &Request) {
     return ScriptedAnswer{makePrefilled(Request.Id_)};
@@ -14,12 +16,32 @@
 }
 
 /// Sends the same bytes for each request and closes the connection.
-ScriptedBackend::Script closeAfter(std::string Bytes) {
+ScriptedBackend::Script closeAfter(const std::string &Bytes) {
   return [Bytes](const ScriptedRequest &) {
     return ScriptedAnswer{Bytes, true};
   };
 }
 
+/// Streams one event for a new request; answers a resumed one with \p Resumed.
+ScriptedBackend::Script breakOffThen(const std::string &Resumed) {
+  return [Resumed](const ScriptedRequest &Request) {
+    if (!Request.LastEventId_.empty())
+      return ScriptedAnswer{Resumed, true};
+    return ScriptedAnswer{makeStreamHead(Request.Id_) + makeChunk(makeEvent(1)),
+                          true};
+  };
+}
+
+std::string makeHead(int Status, std::string_view Fields) {
+  return "HTTP/1.1 " + std::to_string(Status) +
+         " Some\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n" +
+         std::string(Fields) + "\r\n";
+}
+
+std::string withLength(std::string_view Body) {
+  return "Content-Length: " + std::to_string(Body.size()) + "\r\n";
+}
+
 } // namespace
 
 TEST_CASE("A server writes an earlier rejection once more on a kept connection",
@@ -77,6 +99,68 @@
   }
 }
 
+TEST_CASE("A stream breaks off and the next engine answers with an error",
+          "[relay][faulty]") {
+  RelayUnderTest Relay;
+  Relay.addServer("prefill", EngineRole::Prefill, prefillAll());
+  std::string Resumed;
+
+  SECTION("with a status of its own") {
+    Resumed = makeHead(500, withLength(ErrorBody)) + std::string(ErrorBody);
+  }
+  SECTION("as a success whose text is no event") {
+    Resumed = makeHead(200, withLength(ErrorBody)) + std::string(ErrorBody);
+  }
+  SECTION("as a success whose text ends like an event") {
+    const std::string Text = std::string(ErrorBody) + "\n\n";
+    Resumed = makeHead(200, withLength(Text)) + Text;
+  }
+  SECTION("whose head stands in the body of a success") {
+    Resumed = makeHead(200, "") + makeHead(500, withLength(ErrorBody)) +
+              std::string(ErrorBody);
+  }
+  SECTION("as a success without a length that ends before an event") {
+    Resumed = makeHead(200, "");
+  }
+  SECTION("whose head stops in the middle") {
+    Resumed = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Sign";
+  }
+  for (const char *Id : {"a", "b"})
+    Relay.addServer(Id, EngineRole::Decode, breakOffThen(Resumed));
+  const CallerAnswer Answer = Relay.call("/write/1", "r1");
+  CHECK(Answer.Status_ == 200);
+  CHECK(Answer.Body_ == makeEvent(1));
+  CHECK_FALSE(Answer.IsWhole_);
+}
+
+TEST_CASE("A stream that breaks off after its last event is completed",
+          "[relay][faulty]") {
+  RelayUnderTest Relay;
+  Relay.addServer("prefill", EngineRole::Prefill, prefillAll());
+  const std::string Resumed = makeStreamHead("r1") + std::string(LastChunk);
+  for (const char *Id : {"a", "b"})
+    Relay.addServer(Id, EngineRole::Decode, breakOffThen(Resumed));
+  const CallerAnswer Answer = Relay.call("/write/1", "r1");
+  CHECK(Answer.Body_ == makeEvent(1));
+  CHECK(Answer.IsWhole_);
+}
+
+TEST_CASE("A stream may contain comments and fields besides its events",
+          "[relay][faulty]") {
+  RelayUnderTest Relay;
+  Relay.addServer("prefill", EngineRole::Prefill, prefillAll());
+  const std::string Events = ": still here\n\nweight-versions: 2\nid: 1\n"
+                             "event: piece\ndata: a\ndata: b\n\n";
+  Relay.addServer(
+      "decode", EngineRole::Decode, [Events](const ScriptedRequest &Request) {
+        return ScriptedAnswer{makeStreamHead(Request.Id_) + makeChunk(Events) +
+                              std::string(LastChunk)};
+      });
+  const CallerAnswer Answer = Relay.call("/write/1", "r1");
+  CHECK(Answer.Body_ == Events);
+  CHECK(Answer.IsWhole_);
+}
+
 TEST_CASE("A server stops in the middle of the head of its answer and closes",
           "[relay][faulty]") {
   const std::string Head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
