Drop the streams of an instance's former process at its home

Callers: after several instances were killed and were back within 0.6 s, most generations were refused after 3.5 s of waiting, for as long as the home lived: idle engines got no work.

Cause: a home drops the streams of an instance after 0.8 s of silence. A process that is back sooner was never silent, so its predecessor's streams stayed booked.

Fix: the home compares the incarnation that every message bears.

HomeCoordinatorTest fails with an empty onProcess. Ruled out: quarantined prompts (24 of 256 refusals), the limits (20).

--- a/include/gooseberrybeam/relay/HomeCoordinator.h
+++ b/include/gooseberrybeam/relay/HomeCoordinator.h
@@ -31,6 +31,12 @@
   /// \param Count the number of instances that share the limits; at least 1.
   void setInstanceCount(std::size_t Count);
 
+  /// Records which process of an instance sends. If the instance has restarted,
+  /// the generations of its former process have ended, and their engines are
+  /// released. Called before each message is processed.
+  /// \param Instance the instance that sent the message.
+  /// \param Incarnation its process.
+  void onProcess(const InstanceId &Instance, std::uint64_t Incarnation);
   /// Processes a heartbeat: attaches or detaches the sender and records its
   /// usage and running generations.
   /// \param Sender the instance that sent the message.
@@ -120,6 +126,8 @@
   GenerationPlacer Placer_;
   RelayRateLimiter Limits_;
   std::map<InstanceId, AttachedInstance> AttachedInstances_;
+  /// Incarnations of the processes heard last.
+  std::unordered_map<InstanceId, std::uint64_t> Processes_;
   std::vector<PlacementDecision> PendingDenials_;
   std::unordered_map<RequestId, PendingCharge> PendingCharges_;
   std::vector<LimitUtilisation> Utilisation_;
--- a/src/relay/HomeCoordinator.cpp
+++ b/src/relay/HomeCoordinator.cpp
@@ -1,6 +1,7 @@
 #include "gooseberrybeam/relay/HomeCoordinator.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace gooseberry {
 namespace {
@@ -74,6 +75,13 @@
   });
 }
 
+void HomeCoordinator::onProcess(const InstanceId &Instance,
+                                std::uint64_t Incarnation) {
+  const auto [Known, IsNew] = Processes_.try_emplace(Instance, Incarnation);
+  if (!IsNew && std::exchange(Known->second, Incarnation) != Incarnation)
+    dropInstance(Instance);
+}
+
 std::vector<OrganisationId>
 HomeCoordinator::onHeartbeat(const InstanceId &Sender,
                              const HomeHeartbeat &Message, TimePoint Now) {
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -38,6 +38,7 @@
     if (!Bytes)
       return;
     MemberIds_[Sender.Name_] = Sender;
+    Coordinator_.onProcess(Sender.Name_, Sender.Incarnation_);
     if (const auto Parsed = parseHomeMessage(Bytes->Bytes_))
       handle(Sender.Name_, *Parsed);
   });
--- a/tests/HomeCoordinatorTest.cpp
+++ b/tests/HomeCoordinatorTest.cpp
@@ -19,7 +19,8 @@
 constexpr double Slack = 120'000;
 constexpr std::uint32_t RequestTokens = 6'750;
 
-std::shared_ptr<const RelayConfiguration> makeConfiguration() {
+std::shared_ptr<const RelayConfiguration>
+makeConfiguration(std::uint32_t Slots = 1000) {
   RelayConfigurationParts Parts;
   Parts.Version_ = 1;
   RelayOrganisation Organisation;
@@ -27,7 +28,7 @@
   Organisation.Limit_ = TokenLimit{Rate, Burst};
   Parts.Organisations_ = {Organisation};
   EngineTraits Traits;
-  Traits.Slots_ = 1000;
+  Traits.Slots_ = Slots;
   Traits.KvTokens_ = 10'000'000'000;
   Parts.Services_ = {{{"writer"}, 100, Traits}};
   return std::make_shared<const RelayConfiguration>(std::move(Parts));
@@ -258,6 +259,55 @@
   }
 }
 
+TEST_CASE("A killed instance that is back before its silence is noticed does "
+          "not leave its streams on the engines",
+          "[relay]") {
+  BackendDirectory Directory;
+  BackendEntry Engine;
+  Engine.Id_ = {"d"};
+  Engine.Service_ = {"writer"};
+  Engine.Role_ = EngineRole::Decode;
+  Directory.put(Engine);
+  HomeCoordinator Coordinator(Directory, {Window, 0});
+  Coordinator.configure(makeConfiguration(2), TimePoint(100s));
+  TimePoint Now(100s);
+  const auto Attach = [&](const char *Instance, std::uint64_t Incarnation) {
+    HomeHeartbeat Message;
+    Message.IsAttached_ = true;
+    Message.Attachment_ = 1;
+    Coordinator.onProcess({Instance}, Incarnation);
+    Coordinator.onHeartbeat({Instance}, Message, Now);
+  };
+  const auto IsGranted = [&](const char *Instance, const char *Request) {
+    PlacementRequest Placement;
+    Placement.Request_ = {Request};
+    Placement.Service_ = {"writer"};
+    Placement.PromptTokens_ = 100;
+    Placement.TargetLeft_ = 1s;
+    Placement.TimeLeft_ = 10s;
+    Coordinator.onPlacementRequest({Instance}, Placement, Now);
+    const auto Decisions = Coordinator.decide(Now);
+    return Decisions.size() == 1 &&
+           std::holds_alternative<PlacementGrant>(Decisions.front().Answer_);
+  };
+  Attach("one", 7);
+  Attach("two", 1);
+  REQUIRE(IsGranted("one", "first"));
+  REQUIRE(IsGranted("two", "second"));
+  REQUIRE_FALSE(IsGranted("one", "third"));
+  Now += 500ms;
+
+  SECTION("whose places other requests get at once") {
+    Attach("one", 8);
+    CHECK(IsGranted("one", "fourth"));
+    CHECK(Coordinator.placer().bookedCount() == 2);
+  }
+  SECTION("unlike one that goes on") {
+    Attach("one", 7);
+    CHECK_FALSE(IsGranted("one", "fourth"));
+  }
+}
+
 TEST_CASE("Usage beyond the limit is reported as exhausted",
           "[relay][limits]") {
   BackendDirectory Directory;
