Give a backend server the pause that it asks for as it rejects a request

A server that turns a request away with 503 may state in Retry-After how long it wants nothing from that instance. The field was read on no path: the server got every further request, and callers who were turned away everywhere were told to come back after 100 ms.

ServerPauses lies in RelayContext beside the directory, the limits and the balancers: the directory says what holds for all instances (leaving), a pause binds the one that was told. Plain calls choose another server, wait if the answer can still meet its target, or are refused at once as not run, with the time until the first server is back; placement requests exclude paused engines, grants and the second call of a decode engine are checked again. After a pause one plain request at a time is sent until the server has taken one. A next process of the server knows nothing of it.

--- a/include/gooseberrybeam/metrics/Metrics.h
+++ b/include/gooseberrybeam/metrics/Metrics.h
@@ -32,11 +32,12 @@
   StreamsMoved,
   Hedges,
   IdempotencyReplays,
+  ServerPauses,
 };
 
 /// Number of counters without labels.
 inline constexpr std::size_t CountCount =
-    static_cast<std::size_t>(Count::IdempotencyReplays) + 1;
+    static_cast<std::size_t>(Count::ServerPauses) + 1;
 
 /// Latencies.
 enum class Latency : std::uint8_t {
--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -59,7 +59,10 @@
   bool mayRetry(StepOutcome Outcome) const;
   void reportFailure(const ChosenServer &Engine, CallFailure Failure);
   bool tryConsumeRetry();
-  bool excludeLeavingEngines(const PlacementGrant &Grant);
+  bool excludeUnusableEngines(const PlacementGrant &Grant);
+  bool isPaused(const ServerId &Server) const;
+  Duration timeUntilDecodeEngine() const;
+  Task<std::optional<PlacementAnswer>> place();
   void logEngineFailure(const ChosenServer &Engine,
                         std::string_view Reason) const;
   void reportProgress(const ChosenServer &Engine, bool IsDue);
--- a/include/gooseberrybeam/relayd/PlainCall.h
+++ b/include/gooseberrybeam/relayd/PlainCall.h
@@ -6,6 +6,7 @@
 #include "gooseberrybeam/relayd/ServerCall.h"
 
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -32,10 +33,11 @@
   };
   using AttemptResult = Result<BufferedResponse, CallError>;
 
+  std::vector<const BackendEntry *> usableServers() const;
   std::vector<const BackendEntry *> untriedServers() const;
   Task<std::optional<BackendEntry>> chooseServer();
-  std::optional<Duration> timeUntilAvailable() const;
-  Task<void> wait(Duration Time);
+  std::optional<Duration>
+  timeUntilAvailable(std::span<const BackendEntry *const> Servers) const;
   Task<AttemptResult> attempt(const BackendEntry &Server);
   Task<AttemptResult> exchange(const BackendEntry &Server);
   AttemptOutcome classify(const AttemptResult &Attempt) const;
--- a/include/gooseberrybeam/relayd/RelayContext.h
+++ b/include/gooseberrybeam/relayd/RelayContext.h
@@ -8,6 +8,7 @@
 #include "gooseberrybeam/relay/BackendDirectory.h"
 #include "gooseberrybeam/relay/RelayConfiguration.h"
 #include "gooseberrybeam/relay/RetryWindow.h"
+#include "gooseberrybeam/relay/ServerPauses.h"
 #include "gooseberrybeam/relay/ServiceBalancer.h"
 #include "gooseberrybeam/relayd/HomeLink.h"
 #include "gooseberrybeam/relayd/RelayProtocol.h"
@@ -36,9 +37,19 @@
   std::unordered_map<ServiceId, ServiceBalancer> Balancers_;
   std::unordered_map<ServiceId, RetryWindow> RetryBudgets_;
   std::minstd_rand Random_{std::random_device()()};
+  /// Beside the directory, which says what holds for all instances: a pause
+  /// binds this one only.
+  ServerPauses Pauses_{Directory_};
   std::uint64_t InFlight_ = 0;
   bool IsDraining_ = false;
 
+  /// \param Server a server.
+  /// \returns when this instance may send it a request, as far as its limit and
+  /// a pause are known; in the past if now.
+  TimePoint availableAt(const ServerId &Server) const {
+    return std::max(Home_.availableAt(Server),
+                    Pauses_.availableAt(Server, readBootClock()));
+  }
   /// \param Service a service.
   /// \returns its retry budget, which is created on first use.
   RetryWindow &retryBudget(const ServiceId &Service) {
--- a/include/gooseberrybeam/relayd/RelayProtocol.h
+++ b/include/gooseberrybeam/relayd/RelayProtocol.h
@@ -51,6 +51,9 @@
   /// Requests per second that the server accepts from all instances together,
   /// for as long as its responses state it.
   std::optional<double> RequestsPerSecond_;
+  /// The server rejected the request and wants none from this instance for so
+  /// long.
+  std::optional<Duration> PauseTime_;
   bool IsLeaving_ = false; ///< The server leaves; no new work for it.
   /// Has a content encoding: not the server's own body.
   bool IsEncoded_ = false;
--- a/src/metrics/Metrics.cpp
+++ b/src/metrics/Metrics.cpp
@@ -31,6 +31,8 @@
     {"gooseberry_hedges_total", "Second attempts sent before an answer."},
     {"gooseberry_idempotency_replays_total",
      "Answers repeated from the idempotency ledger."},
+    {"gooseberry_server_pauses_total",
+     "Rejections in which a backend server asked for a pause."},
 }};
 
 constexpr std::array<Naming, LatencyCount> LatencyNames = {{
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -4,6 +4,7 @@
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/relay/EventStallTimer.h"
 #include "gooseberrybeam/relayd/RelayResponse.h"
+#include "relayd/ScopedWait.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -87,6 +88,8 @@
   Placement.IsCharged_ = Placements_ > 1;
   Placement.OutputTokens_ = EventsSent_ * Engine_.TokensPerEvent_;
   Placement.ExcludedEngines_ = ExcludedServers_;
+  for (const ServerId &Each : Context_.Pauses_.paused(readBootClock()))
+    Placement.ExcludedEngines_.push_back(Each);
   Placement.SharedSegments_ = Request_.CallerInfo_.SharedSegments_;
   if (LastEventId_) {
     Placement.NeedsPrefill_ = false;
@@ -131,14 +134,20 @@
       .tryRetry(Context_.Home_.instanceCount(), readBootClock());
 }
 
+bool GenerationCall::isPaused(const ServerId &Server) const {
+  return Context_.Pauses_.pausedUntil(Server) > readBootClock();
+}
+
 // The home may have lost its connection to the store and therefore not know
-// that an engine is leaving.
-bool GenerationCall::excludeLeavingEngines(const PlacementGrant &Grant) {
+// that an engine is leaving, and does not know of pauses.
+bool GenerationCall::excludeUnusableEngines(const PlacementGrant &Grant) {
   bool IsRejected = false;
   const auto Reject = [&](const ChosenServer &Engine) {
-    if (!Context_.Directory_.isLeavingOrRemoved(Engine.Id_))
+    const bool IsLeaving = Context_.Directory_.isLeavingOrRemoved(Engine.Id_);
+    if (!IsLeaving && !isPaused(Engine.Id_))
       return;
-    report(GenerationStep::ServerReplaced, Engine);
+    if (IsLeaving)
+      report(GenerationStep::ServerReplaced, Engine);
     ExcludedServers_.push_back(Engine.Id_);
     IsRejected = true;
   };
@@ -148,6 +157,34 @@
   return IsRejected;
 }
 
+// Zero if a decode engine takes requests of this instance, or there is none.
+Duration GenerationCall::timeUntilDecodeEngine() const {
+  std::optional<Duration> Least;
+  const TimePoint Now = readBootClock();
+  for (const auto &[Id, Entry] : Context_.Directory_.entries()) {
+    if (Entry.Service_ != Request_.Service_ || Entry.IsLeaving_ ||
+        Entry.Role_ != EngineRole::Decode)
+      continue;
+    const Duration Wait = Context_.Pauses_.pausedUntil(Id) - Now;
+    Least = std::min(Least.value_or(Wait), Wait);
+  }
+  return std::max(Least.value_or(Duration()), Duration());
+}
+
+// While all decode engines want no request, the request waits here if its
+// caller does, and is refused at once otherwise.
+Task<std::optional<PlacementAnswer>> GenerationCall::place() {
+  const Duration Wait = timeUntilDecodeEngine();
+  const PlacementRequest Placement = makePlacementRequest();
+  if (Wait > std::min(Placement.PatienceLeft_, Placement.TimeLeft_) / 2)
+    co_return PlacementDenial{Placement.Request_, RefusalReason::QueueFull,
+                              Wait};
+  if (Wait > Duration::zero())
+    co_await waitFor(Context_.IoContext_, Wait, Request_.Exchange_.scope());
+  co_return co_await Context_.Home_.place(makePlacementRequest(),
+                                          Request_.Exchange_.scope());
+}
+
 bool GenerationCall::mayRetry(StepOutcome Outcome) const {
   if (Outcome == StepOutcome::Succeeded || Outcome == StepOutcome::Stopped)
     return false;
@@ -356,6 +393,8 @@
 GenerationCall::decode(const ChosenServer &Engine,
                        const std::string &KvSource) {
   CallerExchange &Exchange = Request_.Exchange_;
+  if (isPaused(Engine.Id_))
+    co_return StepOutcome::Rejected;
   ++DecodeCalls_;
   EngineEvents_ = 0;
   DecodeAt_ = readBootClock();
@@ -483,8 +522,7 @@
     if (DecodeCalls_ > 0 && !tryConsumeRetry())
       break;
     ++Placements_;
-    auto Placement = co_await Context_.Home_.place(makePlacementRequest(),
-                                                   Request_.Exchange_.scope());
+    auto Placement = co_await place();
     if (!Placement) {
       Outcome = StepOutcome::Stopped;
       break;
@@ -495,7 +533,7 @@
     }
     const auto &Grant = std::get<PlacementGrant>(*Placement);
     PlacedAt_ = readBootClock();
-    if (excludeLeavingEngines(Grant)) {
+    if (excludeUnusableEngines(Grant)) {
       report(GenerationStep::Ended, Grant.Decode_);
       continue;
     }
@@ -513,10 +551,11 @@
     }
     if (IsKvReady) {
       Outcome = co_await decode(Grant.Decode_, KvSource);
-      const bool IsLeaving =
-          Context_.Directory_.isLeavingOrRemoved(Grant.Decode_.Id_);
-      if (Outcome == StepOutcome::Rejected && !KvSource.empty() && !IsLeaving &&
-          tryConsumeRetry()) {
+      const bool TakesRequests =
+          !Context_.Directory_.isLeavingOrRemoved(Grant.Decode_.Id_) &&
+          !isPaused(Grant.Decode_.Id_);
+      if (Outcome == StepOutcome::Rejected && !KvSource.empty() &&
+          TakesRequests && tryConsumeRetry()) {
         if (Grant.Prefill_)
           report(GenerationStep::HandleLost, *Grant.Prefill_);
         // The engine may have rejected the call because it could not fetch the
--- a/src/relayd/PlainCall.cpp
+++ b/src/relayd/PlainCall.cpp
@@ -3,8 +3,7 @@
 #include "gooseberrybeam/http/HttpCall.h"
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/relayd/RelayResponse.h"
-
-#include <boost/asio/steady_timer.hpp>
+#include "relayd/ScopedWait.h"
 
 #include <algorithm>
 
@@ -33,51 +32,51 @@
 
 } // namespace
 
-std::vector<const BackendEntry *> PlainCall::untriedServers() const {
+std::vector<const BackendEntry *> PlainCall::usableServers() const {
   std::vector<const BackendEntry *> Servers;
-  for (const auto &[Id, Entry] : Context_.Directory_.entries()) {
-    const bool IsTried = std::find(TriedServers_.begin(), TriedServers_.end(),
-                                   Id) != TriedServers_.end();
-    if (Entry.Service_ == Request_.Service_ && !Entry.IsLeaving_ && !IsTried)
+  for (const auto &[Id, Entry] : Context_.Directory_.entries())
+    if (Entry.Service_ == Request_.Service_ && !Entry.IsLeaving_)
       Servers.push_back(&Entry);
-  }
   return Servers;
 }
 
-// None if there is no server whose limit admits a request later on.
-std::optional<Duration> PlainCall::timeUntilAvailable() const {
+std::vector<const BackendEntry *> PlainCall::untriedServers() const {
+  std::vector<const BackendEntry *> Servers = usableServers();
+  std::erase_if(Servers, [this](const BackendEntry *Each) {
+    return std::find(TriedServers_.begin(), TriedServers_.end(), Each->Id_) !=
+           TriedServers_.end();
+  });
+  return Servers;
+}
+
+// None if there is no server that takes a request later on.
+std::optional<Duration> PlainCall::timeUntilAvailable(
+    std::span<const BackendEntry *const> Servers) const {
   std::optional<Duration> Least;
   const TimePoint Now = readBootClock();
-  for (const BackendEntry *Each : untriedServers()) {
+  for (const BackendEntry *Each : Servers) {
     const Duration Wait =
-        std::max(Duration::zero(), Context_.Home_.availableAt(Each->Id_) - Now);
+        std::max(Duration::zero(), Context_.availableAt(Each->Id_) - Now);
     Least = std::min(Least.value_or(Wait), Wait);
   }
   return Least;
 }
 
-Task<void> PlainCall::wait(Duration Time) {
-  asio::steady_timer Timer(Context_.IoContext_, Time);
-  CancelScope::Guard Guard(Request_.Exchange_.scope(),
-                           [&Timer] { Timer.cancel(); });
-  co_await Timer.async_wait(AsTuple);
-}
-
-// Waits for a server whose limit admits a request, if the answer can still
-// meet its target then.
+// Waits for a server that takes a request, if the answer can still meet its
+// target then.
 Task<std::optional<BackendEntry>> PlainCall::chooseServer() {
   const TimePoint LatestStart =
       Request_.Exchange_.arrival() + Request_.Route_.TargetLatency_ / 2;
   while (!Request_.Exchange_.scope().isCancelled()) {
     auto Servers = untriedServers();
     std::erase_if(Servers, [this](const BackendEntry *Each) {
-      return Context_.Home_.availableAt(Each->Id_) > readBootClock();
+      return Context_.availableAt(Each->Id_) > readBootClock();
     });
     if (Servers.empty()) {
-      const auto Wait = timeUntilAvailable();
+      const auto Wait = timeUntilAvailable(untriedServers());
       if (!Wait || readBootClock() + *Wait > LatestStart)
         co_return std::nullopt;
-      co_await wait(*Wait);
+      co_await waitFor(Context_.IoContext_, *Wait, Request_.Exchange_.scope());
       continue;
     }
     BackendEntry Server = Context_.Balancers_[Request_.Service_].choose(
@@ -201,12 +200,12 @@
 }
 
 Task<void> PlainCall::refuseUnsent() {
-  const auto Wait = timeUntilAvailable();
+  const auto Wait = timeUntilAvailable(usableServers());
   co_await refuse(
       Context_, Request_.Exchange_,
       {Wait ? RefusalReason::QueueFull : RefusalReason::NoBackendServer,
        Execution::NotRun, std::max(RetryAfterFull, Wait.value_or(Duration()))},
-      Wait ? "all backend servers of the service are at their limits"
+      Wait ? "all backend servers of the service want no request now"
            : "no backend server registered for the service");
 }
 
@@ -235,10 +234,12 @@
                                          bool MayHaveRun) {
   CallerExchange &Exchange = Request_.Exchange_;
   if (!MayHaveRun) {
-    co_await refuse(
-        Context_, Exchange,
-        {RefusalReason::QueueFull, Execution::NotRun, RetryAfterFull},
-        "no backend server accepted the request");
+    const Duration Wait =
+        timeUntilAvailable(usableServers()).value_or(Duration());
+    co_await refuse(Context_, Exchange,
+                    {RefusalReason::QueueFull, Execution::NotRun,
+                     std::max(RetryAfterFull, Wait)},
+                    "no backend server accepted the request");
     co_return;
   }
   RefusalReason Reason = RefusalReason::BackendFailed;
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -446,6 +446,10 @@
           LogPart::Service, LogLevel::Info,
           "Backend server dropped: registration lapsed and was not renewed.",
           {{"server", Server.Value_}});
+    for (const ServerId &Server : Relay_.Pauses_.takeEnded(Now))
+      logLine(LogPart::Service, LogLevel::Info,
+              "Pause of a backend server is over.",
+              {{"server", Server.Value_}});
     for (auto &[Service, Balancer] : Relay_.Balancers_)
       Balancer.retainIf([this](const ServerId &Id) {
         return Directory_.find(Id) != nullptr;
--- a/src/relayd/ServerCall.cpp
+++ b/src/relayd/ServerCall.cpp
@@ -40,14 +40,6 @@
   return Id != Request.CallerInfo_.RequestId_;
 }
 
-ConnectionUse recordCall(RelayRequest &Request, const BackendId &Server) {
-  auto &Called = Request.CalledServers_;
-  if (std::find(Called.begin(), Called.end(), Server) != Called.end())
-    return ConnectionUse::New;
-  Called.push_back(Server);
-  return ConnectionUse::Any;
-}
-
 void recordLeaving(RelayContext &Context, const RelayRequest &Request,
                    const ServerId &Server) {
   if (!Context.Directory_.onLeaving(Server))
@@ -58,6 +50,33 @@
            {"request", Request.CallerInfo_.RequestId_.Value_}});
 }
 
+// What the response says of the server's readiness for further requests.
+void recordReadiness(RelayContext &Context, const RelayRequest &Request,
+                     const ServerId &Server, const ServerResponseInfo &Info) {
+  if (Info.IsLeaving_)
+    recordLeaving(Context, Request, Server);
+  Context.Home_.onServerResponse(Server, Info.RequestsPerSecond_);
+  if (!Info.PauseTime_) {
+    Context.Pauses_.onEnd(Server, true);
+    return;
+  }
+  Context.Metrics_.add(Count::ServerPauses);
+  if (Context.Pauses_.onPause(Server, *Info.PauseTime_, readBootClock()))
+    logLine(
+        LogPart::Service, LogLevel::Info, "Backend server asks for a pause.",
+        {{"server", Server.Value_},
+         {"request", Request.CallerInfo_.RequestId_.Value_},
+         {"pause_ms", std::to_string(wholeMilliseconds(*Info.PauseTime_))}});
+}
+
+ConnectionUse recordCall(RelayRequest &Request, const BackendId &Server) {
+  auto &Called = Request.CalledServers_;
+  if (std::find(Called.begin(), Called.end(), Server) != Called.end())
+    return ConnectionUse::New;
+  Called.push_back(Server);
+  return ConnectionUse::Any;
+}
+
 } // namespace
 
 Task<Result<ServerResponse, CallError>> callServer(RelayContext &Context,
@@ -69,6 +88,8 @@
   auto Acquired = co_await Context.Pool_.acquire(Target.Address_, Scope, Use);
   if (!isOk(Acquired))
     co_return errorOf(Acquired);
+  const ServerId &Server = Target.RequestInfo_.Server_;
+  Context.Pauses_.onSent(Server, readBootClock());
   ServerResponse Response;
   Response.Connection_ = takeValue(std::move(Acquired));
   HttpRequest ServerRequest = makeRequest(Context, Request, Target);
@@ -80,6 +101,7 @@
       // do not work either.
       if (errorOf(Head).Failure_ == CallFailure::Timeout)
         Context.Pool_.discard(Target.Address_);
+      Context.Pauses_.onEnd(Server, false);
       co_return errorOf(Head);
     }
     Response.Head_ = takeValue(std::move(Head));
@@ -87,10 +109,7 @@
     if (!isForeign(Response, Request)) {
       if (Response.Info_.RequestId_.isEmpty())
         Response.Connection_->preventReuse();
-      if (Response.Info_.IsLeaving_)
-        recordLeaving(Context, Request, Target.RequestInfo_.Server_);
-      Context.Home_.onServerResponse(Target.RequestInfo_.Server_,
-                                     Response.Info_.RequestsPerSecond_);
+      recordReadiness(Context, Request, Server, Response.Info_);
       co_return Response;
     }
     if (ForeignResponses == MaxForeignResponses)
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -203,6 +203,22 @@
     CHECK(Protocol.parseServerResponse(Head).IsNotExecuted_);
     CHECK(Protocol.parseServerResponse(Head).IsWrongServer_);
   }
+  SECTION("a rejection may state a delay in seconds") {
+    Head.Status_ = 503;
+    CHECK_FALSE(Protocol.parseServerResponse(Head).PauseTime_);
+    Head.Fields_.set("Retry-After", "2.5");
+    CHECK(Protocol.parseServerResponse(Head).PauseTime_ == 2500ms);
+    Head.Fields_.set("Retry-After", "1e300");
+    CHECK(Protocol.parseServerResponse(Head).PauseTime_ == 1h);
+    for (const char *Text : {"", "0", "-1", "nan", "-inf", "soon", "2 s",
+                             "Fri, 04 Dec 2026 23:40:00 GMT"}) {
+      Head.Fields_.set("Retry-After", Text);
+      CHECK_FALSE(Protocol.parseServerResponse(Head).PauseTime_);
+    }
+    Head.Status_ = 500;
+    Head.Fields_.set("Retry-After", "2.5");
+    CHECK_FALSE(Protocol.parseServerResponse(Head).PauseTime_);
+  }
   SECTION("a server that leaves says so, but not for the one that was meant") {
     CHECK_FALSE(Info.IsLeaving_);
     Head.Fields_.set("Server-Leaving", "1");
--- a/tools/gbsoak/SoakClient.h
+++ b/tools/gbsoak/SoakClient.h
@@ -5,6 +5,7 @@
 
 #include "common/Net.h"
 #include "gbsoak/LeavingCheck.h"
+#include "gbsoak/PauseCheck.h"
 
 #include <cstdint>
 #include <functional>
@@ -35,6 +36,7 @@
   std::map<std::string, Answer> Answers_;
   std::vector<std::string> Faults_; ///< Sentences about what went wrong.
   LeavingCheck Leaving_;
+  PauseCheck Pauses_;
   int ConfigurationVersion_ = 0; ///< Of the newest one.
   std::uint64_t Served_ = 0;
 };
--- a/tools/gbsoak/SoakWorld.cpp
+++ b/tools/gbsoak/SoakWorld.cpp
@@ -95,6 +95,7 @@
   asio::co_spawn(Context_, play(), asio::detached);
   Context_.run();
   checkRuns();
+  checkPauses();
   for (const auto &Each : Record_.Faults_)
     Faults_.push_back(Each);
   for (const auto &Each : Log_.Faults_)
@@ -122,14 +123,15 @@
 }
 
 asio::awaitable<void> SoakWorld::injectFaults() {
-  constexpr std::array<Fault, 14> Faults = {
-      &SoakWorld::killRelay,       &SoakWorld::freezeRelay,
-      &SoakWorld::terminateRelay,  &SoakWorld::hangUpRelay,
-      &SoakWorld::takeStoreDown,   &SoakWorld::compactStore,
-      &SoakWorld::restoreStore,    &SoakWorld::harmStoreLink,
-      &SoakWorld::harmBackendLink, &SoakWorld::failBackend,
-      &SoakWorld::fillBackend,     &SoakWorld::limitBackend,
-      &SoakWorld::drainBackend,    &SoakWorld::changeConfiguration};
+  constexpr std::array<Fault, 15> Faults = {
+      &SoakWorld::killRelay,          &SoakWorld::freezeRelay,
+      &SoakWorld::terminateRelay,     &SoakWorld::hangUpRelay,
+      &SoakWorld::takeStoreDown,      &SoakWorld::compactStore,
+      &SoakWorld::restoreStore,       &SoakWorld::harmStoreLink,
+      &SoakWorld::harmBackendLink,    &SoakWorld::failBackend,
+      &SoakWorld::fillBackend,        &SoakWorld::limitBackend,
+      &SoakWorld::pauseBackend,       &SoakWorld::drainBackend,
+      &SoakWorld::changeConfiguration};
   co_await sleepFor(milliseconds(800));
   while (!IsOver_) {
     ++RunningFaults_;
@@ -173,10 +175,15 @@
 }
 
 void SoakWorld::startRelay(RelayProcess &Relay) {
-  Record_.Leaving_.onRelayDisturbed(Relay.callers(), steady_clock::now());
+  noteDisturbed(Relay);
   Relay.start();
 }
 
+void SoakWorld::noteDisturbed(const RelayProcess &Relay) {
+  Record_.Leaving_.onRelayDisturbed(Relay.callers(), steady_clock::now());
+  Record_.Pauses_.onRelayDisturbed(Relay.callers(), steady_clock::now());
+}
+
 asio::awaitable<void> SoakWorld::killRelay() {
   anyRelay().signal(SIGKILL);
   co_return;
@@ -185,7 +192,7 @@
 asio::awaitable<void> SoakWorld::freezeRelay() {
   RelayProcess &Frozen = anyRelay();
   Frozen.signal(SIGSTOP);
-  Record_.Leaving_.onRelayDisturbed(Frozen.callers(), steady_clock::now());
+  noteDisturbed(Frozen);
   co_await sleepFor(drawMs(200, 1800));
   Frozen.signal(SIGCONT);
 }
@@ -256,6 +263,13 @@
   Face.setFull(false);
 }
 
+asio::awaitable<void> SoakWorld::pauseBackend() {
+  BackendFace &Face = *anyBackend().Face_;
+  Face.setFull(true, drawMs(700, 4000));
+  co_await sleepFor(drawMs(200, 2500));
+  Face.setFull(false);
+}
+
 asio::awaitable<void> SoakWorld::limitBackend() {
   BackendFace &Face = *anyBackend().Face_;
   Face.setLimit(std::to_string(drawMs(1000, 9000).count() / 1000.0));
@@ -342,6 +356,15 @@
   }
 }
 
+void SoakWorld::checkPauses() {
+  const auto FindRelay = [this](const std::string &Request) {
+    const auto Found = Record_.Answers_.find(Request);
+    return Found == Record_.Answers_.end() ? "" : Found->second.Relay_;
+  };
+  for (auto &Each : Record_.Pauses_.findFaults(Log_.Arrivals_, FindRelay))
+    Faults_.push_back(std::move(Each));
+}
+
 void SoakWorld::checkLeaving(const std::string &Request, const SeenRun &Run) {
   const auto &Answer = Record_.Answers_.at(Request);
   if (Record_.Leaving_.isForbidden(Answer.Relay_, Run.Server_, Answer.SentAt_,
--- a/tools/gbsoak/SoakWorld.h
+++ b/tools/gbsoak/SoakWorld.h
@@ -66,6 +66,7 @@
   asio::awaitable<void> harmBackendLink();
   asio::awaitable<void> failBackend();
   asio::awaitable<void> fillBackend();
+  asio::awaitable<void> pauseBackend();
   asio::awaitable<void> limitBackend();
   asio::awaitable<void> drainBackend();
   asio::awaitable<void> changeConfiguration();
@@ -75,8 +76,10 @@
   void putConfiguration();
   void writeNewestConfiguration();
   void checkRuns();
+  void checkPauses();
   void checkLeaving(const std::string &Request, const SeenRun &Run);
   void startRelay(RelayProcess &Relay);
+  void noteDisturbed(const RelayProcess &Relay);
   std::size_t draw(std::size_t Below);
   std::chrono::milliseconds drawMs(int From, int To);
   RelayProcess &anyRelay() { return *Relays_[draw(Relays_.size())]; }
--- a/tools/standin_platform/BackendFace.cpp
+++ b/tools/standin_platform/BackendFace.cpp
@@ -50,6 +50,8 @@
   auto Answer = makeReply(Status, "");
   Answer.set("Not-Executed", "1");
   addFields(Call, Answer);
+  if (Status == 503 && Pause_.count() != 0)
+    Answer.set("Retry-After", std::to_string(Pause_.count() / 1000.0));
   co_await Call.reply(std::move(Answer));
 }
 
@@ -63,6 +65,9 @@
     co_await reject(Call, 421);
     co_return;
   }
+  Log_.Arrivals_.push_back({fieldOf(Call, "Request-Id"), Id_,
+                            std::chrono::steady_clock::now(),
+                            IsFull_ ? Pause_ : std::chrono::milliseconds(0)});
   if (IsFull_) {
     co_await reject(Call, 503);
     co_return;
--- a/tools/standin_platform/BackendFace.h
+++ b/tools/standin_platform/BackendFace.h
@@ -37,7 +37,11 @@
   /// \param IsFailing whether streams break off and plain answers are lost.
   void setFailing(bool IsFailing) { IsFailing_ = IsFailing; }
   /// \param IsFull whether requests are rejected as not run.
-  void setFull(bool IsFull) { IsFull_ = IsFull; }
+  /// \param Pause the pause that rejections ask for; zero for none.
+  void setFull(bool IsFull, std::chrono::milliseconds Pause = {}) {
+    IsFull_ = IsFull;
+    Pause_ = Pause;
+  }
   /// \param IsLeaving whether all answers say that the server leaves.
   void setLeaving(bool IsLeaving) { IsLeaving_ = IsLeaving; }
   /// \param Limit requests a second that answers state as limit; may be empty.
@@ -60,6 +64,7 @@
   bool IsFailing_ = false;
   bool IsFull_ = false;
   bool IsLeaving_ = false;
+  std::chrono::milliseconds Pause_{0};
   std::string Limit_;
   int Handles_ = 0;
   HttpFace Face_;
--- a/tools/standin_platform/RunLog.h
+++ b/tools/standin_platform/RunLog.h
@@ -18,10 +18,19 @@
   std::uint64_t LastEvent_ = 0; ///< It went on after this event.
 };
 
+/// One request that a backend server got, whether it ran or not.
+struct SeenArrival {
+  std::string Request_;
+  std::string Server_;
+  std::chrono::steady_clock::time_point At_;
+  std::chrono::milliseconds Pause_{0}; ///< That the server asked for; or zero.
+};
+
 /// Runs by request id, and what must never be seen.
 struct RunLog {
   std::map<std::string, std::vector<SeenRun>> Runs_;
-  std::vector<std::string> Faults_; ///< Sentences about what went wrong.
+  std::vector<SeenArrival> Arrivals_; ///< Oldest first.
+  std::vector<std::string> Faults_;   ///< Sentences about what went wrong.
 };
 
 } // namespace gooseberry
