--- a/include/gooseberrybeam/relay/BackendDirectory.h
+++ b/include/gooseberrybeam/relay/BackendDirectory.h
@@ -34,9 +34,9 @@
   /// \param Now the current time.
   void onStoreRestored(TimePoint Now);
 
-  /// Records that the store was restored from a copy. Registrations that are
-  /// missing from it are kept until the servers have had time to register
-  /// again. \param Now the current time.
+  /// Records that the store was restored from a copy. Registrations that it
+  /// misses are kept until the servers have had time to register again.
+  /// \param Now the current time.
   void onStoreCopied(TimePoint Now);
 
   /// Replaces all entries with a snapshot of the store. Entries missing from
@@ -47,8 +47,9 @@
   /// Adds or updates a registration.
   void put(const BackendEntry &Entry);
   /// Adds or updates a registration of a restored store. If the same process
-  /// was removed before, the registration may be its old one; it counts only
-  /// once the server must have renewed it. \param Now the current time.
+  /// was removed before, the registration may be its old one, and counts only
+  /// once it would have lapsed without a renewal.
+  /// \param Now the current time.
   void putRestored(const BackendEntry &Entry, TimePoint Now);
   /// Records that a server said in a response to this instance that it leaves.
   /// The server need not be registered here.
@@ -101,7 +102,7 @@
   /// A registration that may be the old one of a process that has ended.
   struct RestoredEntry {
     BackendEntry Entry_;
-    TimePoint ConfirmedAt_; ///< Removed before that unless renewed.
+    TimePoint ConfirmedAt_; ///< Lapses before that unless renewed.
   };
 
   void erase(const ServerId &Id);
--- a/include/gooseberrybeam/relayd/TableFeeds.h
+++ b/include/gooseberrybeam/relayd/TableFeeds.h
@@ -85,6 +85,7 @@
   void applyFromStore(SharedTableId Table, const StoreRows &Rows,
                       bool IsSnapshot);
   void setAvailable(SharedTableId Table, bool IsAvailable);
+  /// \returns whether a later era has begun since the copy had \p Previous.
   bool noteEra(SharedTableId Table, const StoreVersion &Previous) const;
   void handOn(SharedTableId Table, const StoreVersion &PreviousVersion) const;
   TableUpdate changesSince(SharedTableId Table,
--- a/src/relayd/TableFeeds.cpp
+++ b/src/relayd/TableFeeds.cpp
@@ -115,7 +115,6 @@
     Listener_.OnChanges_({Table, Changed, IsRestored});
 }
 
-/// \returns whether a later era has begun since the copy had \p Previous.
 bool TableFeeds::noteEra(SharedTableId Table,
                          const StoreVersion &Previous) const {
   const StoreVersion &Version = table(Table).cache().version();
