--- a/tools/gbsoak/PauseCheck.cpp
+++ b/tools/gbsoak/PauseCheck.cpp
@@ -17,7 +17,7 @@
   const auto Found = Disturbances_.find(Relay);
   return Found != Disturbances_.end() &&
          std::any_of(Found->second.begin(), Found->second.end(),
-                     [&](Time At) { return At >= Begin && At <= End; });
+                     [&](Time Each) { return Each >= Begin && Each <= End; });
 }
 
 std::vector<std::string>
--- a/tools/gbsoak/SoakWorld.cpp
+++ b/tools/gbsoak/SoakWorld.cpp
@@ -64,22 +64,22 @@
 }
 
 void SoakWorld::addBackend(const char *Id, BackendPart Part) {
-  Backend Of;
-  Of.Face_ = std::make_unique<BackendFace>(Context_, Id, Part, Log_);
-  Of.Face_->start();
-  Of.Proxy_ = std::make_unique<TcpProxy>(Context_, Of.Face_->address());
-  writeBackend(Of);
-  Backends_.push_back(std::move(Of));
+  Backend Server;
+  Server.Face_ = std::make_unique<BackendFace>(Context_, Id, Part, Log_);
+  Server.Face_->start();
+  Server.Proxy_ = std::make_unique<TcpProxy>(Context_, Server.Face_->address());
+  writeBackend(Server);
+  Backends_.push_back(std::move(Server));
 }
 
-void SoakWorld::writeBackend(const Backend &Of) {
+void SoakWorld::writeBackend(const Backend &Server) {
   RegisteredBackend Row;
-  Row.Part_ = Of.Face_->part();
+  Row.Part_ = Server.Face_->part();
   Row.Service_ = Row.Part_ == BackendPart::Plain ? "booking" : "writer";
-  Row.Address_ = Of.Proxy_->address();
-  Row.IsLeaving_ = Of.IsLeavingRegistered_;
-  Row.Starts_ = Of.Starts_;
-  Store_.putServer(Of.Face_->id(), writeRegistration(Row));
+  Row.Address_ = Server.Proxy_->address();
+  Row.IsLeaving_ = Server.IsLeavingRegistered_;
+  Row.Starts_ = Server.Starts_;
+  Store_.putServer(Server.Face_->id(), writeRegistration(Row));
 }
 
 void SoakWorld::putConfiguration() {
@@ -278,21 +278,21 @@
 }
 
 asio::awaitable<void> SoakWorld::drainBackend() {
-  Backend &Of = anyBackend();
-  if (Of.IsLeaving_)
+  Backend &Server = anyBackend();
+  if (Server.IsLeaving_)
     co_return;
   // Some registrations never say that the server leaves.
-  Of.IsLeaving_ = true;
-  Of.IsLeavingRegistered_ = draw(2) == 0;
-  Of.Face_->setLeaving(true);
-  writeBackend(Of);
+  Server.IsLeaving_ = true;
+  Server.IsLeavingRegistered_ = draw(2) == 0;
+  Server.Face_->setLeaving(true);
+  writeBackend(Server);
   co_await sleepFor(drawMs(2000, 5000));
-  Of.IsLeaving_ = false;
-  Of.IsLeavingRegistered_ = false;
-  ++Of.Starts_;
-  Of.Face_->setLeaving(false);
-  Record_.Leaving_.onServerStarted(Of.Face_->id(), steady_clock::now());
-  writeBackend(Of);
+  Server.IsLeaving_ = false;
+  Server.IsLeavingRegistered_ = false;
+  ++Server.Starts_;
+  Server.Face_->setLeaving(false);
+  Record_.Leaving_.onServerStarted(Server.Face_->id(), steady_clock::now());
+  writeBackend(Server);
 }
 
 asio::awaitable<void> SoakWorld::changeConfiguration() {
--- a/tools/gbsoak/SoakWorld.h
+++ b/tools/gbsoak/SoakWorld.h
@@ -72,7 +72,7 @@
   asio::awaitable<void> changeConfiguration();
 
   void addBackend(const char *Id, BackendPart Part);
-  void writeBackend(const Backend &Of);
+  void writeBackend(const Backend &Server);
   void putConfiguration();
   void writeNewestConfiguration();
   void checkRuns();
--- a/tools/standin_platform/PlatformTexts.cpp
+++ b/tools/standin_platform/PlatformTexts.cpp
@@ -15,16 +15,16 @@
 
 } // namespace
 
-std::string writeRegistration(const RegisteredBackend &Of) {
-  std::string Row = R"({"service":")" + Of.Service_;
-  Row += R"(","address":")" + Of.Address_ + R"(","zone":"dc-a",)";
-  Row += R"("slots":8,"born":)" + std::to_string(Of.Starts_);
+std::string writeRegistration(const RegisteredBackend &Server) {
+  std::string Row = R"({"service":")" + Server.Service_;
+  Row += R"(","address":")" + Server.Address_ + R"(","zone":"dc-a",)";
+  Row += R"("slots":8,"born":)" + std::to_string(Server.Starts_);
   Row += R"(,"state":")";
-  Row += Of.IsLeaving_ ? "draining" : "ready";
+  Row += Server.IsLeaving_ ? "draining" : "ready";
   Row += R"(")";
-  if (Of.Part_ == BackendPart::Prefill)
+  if (Server.Part_ == BackendPart::Prefill)
     Row += R"(,"stage":"prefill")";
-  if (Of.Part_ == BackendPart::Decode)
+  if (Server.Part_ == BackendPart::Decode)
     Row += R"(,"stage":"decode")";
   return Row + "}";
 }
--- a/tools/standin_platform/PlatformTexts.h
+++ b/tools/standin_platform/PlatformTexts.h
@@ -43,9 +43,9 @@
 /// Host of the routes of `writeConfiguration`.
 inline constexpr const char *RouteHost = "soak.example";
 
-/// \param Of a backend server.
+/// \param Server a backend server.
 /// \returns its row.
-std::string writeRegistration(const RegisteredBackend &Of);
+std::string writeRegistration(const RegisteredBackend &Server);
 /// \param Version the version.
 /// \returns a configuration with the routes `/check/`, `/book/`, `/stream/` and
 /// `newestRoute`,
