Look at a kept connection once more before it is closed

Cause: a connection was closed by the idle timer or by the shutdown without a look at what had arrived on it, and a raised idle limit did not hold for connections that were waiting. In a shutdown, new connections were closed unread, and a request that followed an answer without an announced close was read and discarded while the caller's close was awaited.

Now the session waits for the socket to be readable, reads nothing in that wait, and looks at the socket in the same turn in which it decides to close. A server that closes waits 300 ms for a further request, serves it and announces the close. The later of two idle limits holds.

Ruled out: refusals whose answer was lost (they would be logged) and processes that end by themselves (none did).

--- a/include/gooseberrybeam/http/CallerServer.h
+++ b/include/gooseberrybeam/http/CallerServer.h
@@ -34,10 +34,18 @@
   /// \param Limits bounds of each connection.
   void setLimits(CallerLimits Limits) { Limits_ = Limits; }
 
-  /// Closes the connection of every session after its present answer, and at
-  /// once if it has none. Called on the server's thread.
+  /// Closes each connection after an answer that announces it, or soon after
+  /// it has become idle. Called on the server's thread.
   void closeIdle();
 
+  /// Cancels all requests in progress, which are then refused or cut. Called on
+  /// the server's thread.
+  /// \param Reason why they end.
+  void cancelRequests(RefusalReason Reason);
+
+  /// \returns the number of open connections.
+  std::size_t connectionCount() const { return Sessions_.size(); }
+
 private:
   friend class CallerSession;
 
--- a/src/http/CallerServer.cpp
+++ b/src/http/CallerServer.cpp
@@ -29,9 +29,14 @@
 
 void CallerServer::closeIdle() {
   IsClosing_ = true;
+  for (CallerSession *Session : Sessions_)
+    Session->recheckIdle();
+}
+
+void CallerServer::cancelRequests(RefusalReason Reason) {
   const std::vector<CallerSession *> Open(Sessions_.begin(), Sessions_.end());
   for (CallerSession *Session : Open)
-    Session->closeIfIdle();
+    Session->cancelRequest(Reason);
 }
 
 } // namespace gooseberry
--- a/src/http/CallerSession.cpp
+++ b/src/http/CallerSession.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <variant>
@@ -17,6 +18,9 @@
 constexpr std::string_view DeadlineField = "X-Request-Deadline-Ms";
 constexpr std::int64_t MaxDeadlineMs = 24LL * 3600 * 1000;
 constexpr Duration LingerTimeout = std::chrono::milliseconds(500);
+/// A server that closes waits for the next request of a connection for so long,
+/// as the caller may not have been told of the close.
+constexpr Duration ClosingIdleLimit = std::chrono::milliseconds(300);
 
 CallerError makeError(RefusalReason Reason, std::string_view Message) {
   return {{Reason, Execution::NotRun, std::nullopt}, std::string(Message), ""};
@@ -79,9 +83,15 @@
 
 CallerSession::~CallerSession() { Server_.Sessions_.erase(this); }
 
-void CallerSession::closeIfIdle() {
+void CallerSession::recheckIdle() {
+  boost::system::error_code Ignored;
   if (IsIdle_)
-    Stream_.close();
+    Stream_.socket().cancel(Ignored);
+}
+
+void CallerSession::cancelRequest(RefusalReason Reason) {
+  if (Request_)
+    Request_->cancel(Reason);
 }
 
 Task<void> CallerSession::run(std::unique_ptr<CallerSession> Self) {
@@ -96,19 +106,48 @@
   co_await Self->finish();
 }
 
+// An idle connection is kept for the limit in force as it became idle, or for
+// the present one if that is longer: callers may know either.
+Duration CallerSession::idleLimit(Duration Earlier) const {
+  if (Server_.IsClosing_)
+    return ClosingIdleLimit;
+  return std::max(Earlier, Server_.Limits_.KeepAlive_);
+}
+
+// Reads nothing, so that the end of the wait discards nothing.
+Task<void> CallerSession::waitReadable(Duration Timeout) {
+  const ReadDeadline Deadline(Stream_, Timeout);
+  co_await Stream_.socket().async_wait(tcp::socket::wait_read, AsTuple);
+}
+
+CallerSession::Arrival CallerSession::readArrived() {
+  boost::system::error_code Error;
+  Stream_.socket().non_blocking(true, Error);
+  const std::size_t Read =
+      Stream_.socket().read_some(Buffer_.prepare(FirstRead), Error);
+  Buffer_.commit(Read);
+  if (Error == asio::error::would_block)
+    return Arrival::Nothing;
+  return Error ? Arrival::End : Arrival::Bytes;
+}
+
+// A connection is closed only after a look at the socket in the same turn: a
+// request that has arrived is served.
 Task<bool> CallerSession::waitForRequest() {
   if (Buffer_.size() > 0)
     co_return true;
-  if (Server_.IsClosing_)
-    co_return false;
+  const TimePoint IdleSince = readBootClock();
+  const Duration Limit = Server_.Limits_.KeepAlive_;
   IsIdle_ = true;
-  Stream_.expires_after(Server_.Limits_.KeepAlive_);
-  auto [Error, Read] =
-      co_await Stream_.async_read_some(Buffer_.prepare(FirstRead), AsTuple);
-  IsIdle_ = false;
-  Buffer_.commit(Read);
-  Stream_.expires_never();
-  co_return !Error;
+  for (;;) {
+    const Arrival Found = readArrived();
+    const Duration TimeLeft = IdleSince + idleLimit(Limit) - readBootClock();
+    if (Found != Arrival::Nothing || TimeLeft <= Duration::zero()) {
+      IsIdle_ = false;
+      co_return Found == Arrival::Bytes;
+    }
+    co_await waitReadable(TimeLeft);
+  }
 }
 
 Task<bool> CallerSession::serveOne() {
@@ -139,8 +178,10 @@
   }
   if (Server_.IsClosing_)
     Exchange.closeAfter();
+  Request_ = &Exchange.scope();
   co_await Server_.Handler_.handle(Exchange);
-  co_return Exchange.keepsAlive() && !Server_.IsClosing_;
+  Request_ = nullptr;
+  co_return Exchange.keepsAlive();
 }
 
 Task<void> CallerSession::refuseHead(CallerExchange &Exchange,
--- a/src/http/CallerSession.h
+++ b/src/http/CallerSession.h
@@ -24,13 +24,26 @@
   /// \returns the task.
   static Task<void> run(std::unique_ptr<CallerSession> Self);
 
-  /// Closes the connection unless a request is in progress.
-  void closeIfIdle();
+  /// Makes an idle connection look again whether it is to be closed.
+  void recheckIdle();
+  /// Cancels the request in progress, if there is one.
+  /// \param Reason why it ends.
+  void cancelRequest(RefusalReason Reason);
 
 private:
   using Parser = CallerExchange::Parser;
 
+  /// What a look at the socket found.
+  enum class Arrival : std::uint8_t {
+    Bytes,   ///< The start of a request.
+    Nothing, ///< The caller has sent nothing.
+    End,     ///< The caller has closed the connection.
+  };
+
   Task<bool> waitForRequest();
+  Task<void> waitReadable(Duration Timeout);
+  Arrival readArrived();
+  Duration idleLimit(Duration Earlier) const;
   Task<bool> serveOne();
   Task<void> refuseHead(CallerExchange &Exchange, CallerError Error);
   Task<void> finish();
@@ -39,6 +52,7 @@
   beast::tcp_stream Stream_;
   beast::flat_buffer Buffer_;
   bool IsIdle_ = true;
+  CancelScope *Request_ = nullptr; ///< Of the request in progress, or null.
 };
 
 } // namespace gooseberry
