Answer every request of a shutdown before the process ends

What operators of similar systems saw: in a planned stop, requests that came late in the grace time were taken and passed on, and cut at its end with no answer, among them requests that may not be repeated. It could happen here: requests were served whenever they came, and the process ended with what was in progress.

Now a request that arrives after the notice to the load balancer is served only if its deadline lies before the end of the shutdown (DrainSchedule), and else refused at once as not run. What has no response 0.5 s before the end of the grace time is refused, truthfully as not run or unknown. The process ends when no connection is open rather than when no request is in progress.

The log states the idle limit of each configuration, and at the end of a shutdown how many requests had no response and how many connections were open.

--- a/include/gooseberrybeam/relayd/RelayContext.h
+++ b/include/gooseberrybeam/relayd/RelayContext.h
@@ -6,6 +6,7 @@
 #include "gooseberrybeam/http/ConnectionPool.h"
 #include "gooseberrybeam/metrics/Metrics.h"
 #include "gooseberrybeam/relay/BackendDirectory.h"
+#include "gooseberrybeam/relay/DrainSchedule.h"
 #include "gooseberrybeam/relay/RelayConfiguration.h"
 #include "gooseberrybeam/relay/RetryWindow.h"
 #include "gooseberrybeam/relay/ServerPauses.h"
@@ -16,6 +17,7 @@
 #include "gooseberrybeam/relayd/StartupGate.h"
 
 #include <memory>
+#include <optional>
 #include <random>
 #include <unordered_map>
 
@@ -41,7 +43,11 @@
   /// binds this one only.
   ServerPauses Pauses_{Directory_};
   std::uint64_t InFlight_ = 0;
-  bool IsDraining_ = false;
+  /// Set once the instance shuts down.
+  std::optional<DrainSchedule> Drain_ = std::nullopt;
+
+  /// \returns whether the instance shuts down.
+  bool isDraining() const { return Drain_.has_value(); }
 
   /// \param Server a server.
   /// \returns when this instance may send it a request, as far as its limit and
--- a/include/gooseberrybeam/relayd/RelayDaemon.h
+++ b/include/gooseberrybeam/relayd/RelayDaemon.h
@@ -57,6 +57,7 @@
   Task<void> serveOperator(tcp::socket Socket);
   Task<void> watchSignals();
   Task<void> watchHangups();
+  Task<void> waitForCallers(TimePoint End);
   Task<void> drain();
   Task<void> runTicks();
   Task<void> writeInstanceRow();
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -307,7 +307,7 @@
                             ServerResponse Response) {
   CallerExchange &Exchange = Request_.Exchange_;
   if (!Exchange.isAnswerBegun()) {
-    if (Context_.IsDraining_)
+    if (Context_.isDraining())
       Exchange.closeAfter();
     const bool IsAccepted =
         co_await Exchange.beginStream(HttpOk, relayedFields(Response.Head_));
--- a/src/relayd/PlainCall.cpp
+++ b/src/relayd/PlainCall.cpp
@@ -211,7 +211,7 @@
 
 Task<void> PlainCall::relayResponse(const BufferedResponse &Response) {
   CallerExchange &Exchange = Request_.Exchange_;
-  if (Context_.IsDraining_)
+  if (Context_.isDraining())
     Exchange.closeAfter();
   Context_.Metrics_.add(Count::AnswersService);
   Context_.Metrics_.observe(Latency::ServiceAnswer,
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -30,6 +30,8 @@
 /// Reserved at the end of `RelaySettings::ShutdownTimeout_` for the exit
 /// itself.
 constexpr Duration ExitMargin = std::chrono::milliseconds(300);
+/// Reserved before that for the refusals of requests without a response.
+constexpr Duration FinalAnswerTime = std::chrono::milliseconds(200);
 constexpr Duration OperatorTimeout = std::chrono::seconds(3);
 /// The home unregisters an instance that has sent no message for this long.
 constexpr Duration MemberTimeout = std::chrono::seconds(20);
@@ -182,7 +184,7 @@
 }
 
 bool RelayDaemon::isReady() const {
-  return Relay_.Configuration_ && HasServers_ && !Relay_.IsDraining_;
+  return Relay_.Configuration_ && HasServers_ && !Relay_.isDraining();
 }
 
 Task<void> RelayDaemon::serveOperator(tcp::socket Socket) {
@@ -235,6 +237,9 @@
   logLine(LogPart::Config, LogLevel::Info, "Configuration applied.",
           {{"version", std::to_string(Configuration->version())},
            {"before", std::to_string(KnownVersion)},
+           {"idle_timeout_ms",
+            std::to_string(wholeMilliseconds(
+                Configuration->parts().CallerLimits_.IdleTimeout_))},
            {"from", Origin}});
   Relay_.Configuration_ = Configuration;
   Callers_.setLimits(makeCallerLimits(Configuration->parts().CallerLimits_));
@@ -314,7 +319,7 @@
 // The home keeps the row, so that what was learned from crashed engines
 // outlives the loss of all instances.
 void RelayDaemon::saveQuarantine() {
-  if (Home_.home() != Settings_.Name_ || Relay_.IsDraining_)
+  if (Home_.home() != Settings_.Name_ || Relay_.isDraining())
     return;
   auto Quarantined =
       quarantinedOnly(Home_.coordinator().crashSuspects(readBootClock()));
@@ -348,7 +353,7 @@
                           ? std::nullopt
                           : parseInstanceRow(Row->second);
   const bool IsListed = Listed && Listed->Peer_ == self().Peer_;
-  if (IsListed || Relay_.IsDraining_ ||
+  if (IsListed || Relay_.isDraining() ||
       std::exchange(IsInstanceRowBeingWritten_, true))
     return;
   asio::co_spawn(Context_, writeInstanceRow(), asio::detached);
@@ -377,7 +382,7 @@
 
 Task<void> RelayDaemon::writeInstanceRow() {
   asio::steady_timer Timer(Context_);
-  while (!Relay_.IsDraining_) {
+  while (!Relay_.isDraining()) {
     CancelScope Scope;
     RowWrite Write;
     Write.Row_ = makeInstanceRow(self());
@@ -520,10 +525,22 @@
   co_await drain();
 }
 
+// New connections are still accepted: if many instances shut down at a time,
+// the load balancer goes on using all of them.
+Task<void> RelayDaemon::waitForCallers(TimePoint End) {
+  asio::steady_timer Timer(Context_);
+  while (Callers_.connectionCount() > 0 && readBootClock() < End) {
+    Timer.expires_after(DrainPollInterval);
+    co_await Timer.async_wait(AsTuple);
+  }
+}
+
 Task<void> RelayDaemon::drain() {
-  const TimePoint Deadline =
-      readBootClock() + Settings_.ShutdownTimeout_ - ExitMargin;
-  Relay_.IsDraining_ = true;
+  const TimePoint Now = readBootClock();
+  const TimePoint ExitAt = Now + Settings_.ShutdownTimeout_ - ExitMargin;
+  const DrainSchedule Schedule = {Now + ReadinessNoticeTime,
+                                  ExitAt - FinalAnswerTime};
+  Relay_.Drain_ = Schedule;
   logLine(LogPart::Daemon, LogLevel::Info,
           "Shutdown requested; draining requests.",
           {{"in_flight", std::to_string(Relay_.InFlight_)}});
@@ -535,12 +552,13 @@
   Timer.expires_after(ReadinessNoticeTime);
   co_await Timer.async_wait(AsTuple);
   Callers_.closeIdle();
-  while (Relay_.InFlight_ > 0 && readBootClock() < Deadline) {
-    Timer.expires_after(DrainPollInterval);
-    co_await Timer.async_wait(AsTuple);
-  }
+  co_await waitForCallers(Schedule.AnswersEndAt_);
+  const std::uint64_t Unanswered = Relay_.InFlight_;
+  Callers_.cancelRequests(RefusalReason::Draining);
+  co_await waitForCallers(ExitAt);
   logLine(LogPart::Daemon, LogLevel::Info, "Instance stopping.",
-          {{"in_flight", std::to_string(Relay_.InFlight_)},
+          {{"in_flight", std::to_string(Unanswered)},
+           {"connections", std::to_string(Callers_.connectionCount())},
            {"served_s", std::to_string(static_cast<int>(
                             asSeconds(readBootClock() - StartedAt_)))}});
   Context_.stop();
--- a/src/relayd/RelayHandler.cpp
+++ b/src/relayd/RelayHandler.cpp
@@ -16,6 +16,8 @@
 constexpr Duration RetryAfterStart = std::chrono::milliseconds(300);
 /// Sent to callers whose organisation has exhausted its limit.
 constexpr Duration RetryAfterLimit = std::chrono::seconds(1);
+/// Sent while this instance shuts down: other instances serve.
+constexpr Duration RetryAfterDrain = Duration::zero();
 
 Refusal makeNotRunRefusal(RefusalReason Reason,
                           std::optional<Duration> RetryAfter = std::nullopt) {
@@ -98,6 +100,13 @@
   if (CallerInfo.TimeLeft_)
     Timeout = std::min(Timeout, *CallerInfo.TimeLeft_);
   Exchange.setDeadline(Exchange.arrival() + Timeout);
+  if (Context_.Drain_ &&
+      !Context_.Drain_->mayServe(Exchange.arrival(), Exchange.deadline())) {
+    co_await refuse(Context_, Exchange,
+                    makeNotRunRefusal(RefusalReason::Draining, RetryAfterDrain),
+                    "instance shuts down before the request's deadline");
+    co_return;
+  }
   std::uniform_real_distribution<double> Uniform(0, 1);
   const ServiceId Service = chooseTarget(*Route, Uniform(Context_.Random_));
   RelayRequest Request = {Exchange,
--- a/src/relayd/RelayResponse.cpp
+++ b/src/relayd/RelayResponse.cpp
@@ -32,7 +32,7 @@
   if (Cause.RetryAfter_)
     Context.Protocol_.writeRetryAfter(Fields, *Cause.RetryAfter_);
   Context.Protocol_.writeRequestId(Fields, Exchange.id());
-  if (Context.IsDraining_)
+  if (Context.isDraining())
     Exchange.closeAfter();
   const CallerError Error = {Cause, "", ""};
   co_await Exchange.answer(asHttpStatus(Cause.Reason_), std::move(Fields),
--- a/tests/support/RelayUnderTest.h
+++ b/tests/support/RelayUnderTest.h
@@ -11,6 +11,7 @@
 #include "support/FakeTables.h"
 #include "support/ScriptedBackend.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <memory>
@@ -86,6 +87,22 @@
     return Answer;
   }
 
+  /// Begins a shutdown of which the load balancer has been told.
+  /// \param AnswerTime the time left for responses.
+  void beginDrain(Duration AnswerTime) {
+    const TimePoint Now = readBootClock();
+    Relay_.Drain_ = DrainSchedule{Now, Now + AnswerTime};
+    Callers_.closeIdle();
+  }
+  /// Ends all requests in progress after some time, as a shutdown does last.
+  /// \param Time the time from now.
+  void cancelRequestsAfter(Duration Time) {
+    auto Timer = std::make_shared<asio::steady_timer>(Context_, Time);
+    Timer->async_wait([this, Timer](const auto &) {
+      Callers_.cancelRequests(RefusalReason::Draining);
+    });
+  }
+
   /// \returns the registered servers.
   BackendDirectory &directory() { return Directory_; }
 
