Let a server's start end its pause in the soak's check too

Seen: gbsoak, "plain-2 got 17 requests from 127.0.0.1:25000 in a pause that it had asked for", each time it was run (3 of 3).

Trace: the server asks for 3811 ms at 48.605 s and is started again in the soak at 51.146 (a later "born" in its row); the relay ends the pause then, as it should: a server that starts again knows nothing of before. The check did not know of starts; all counted requests came after that one. Only requests after the server's next start are no longer counted; a pause that it asks for then is checked as before.

--- a/tools/gbsoak/PauseCheck.cpp
+++ b/tools/gbsoak/PauseCheck.cpp
@@ -20,6 +20,16 @@
                      [&](Time Each) { return Each >= Begin && Each <= End; });
 }
 
+PauseCheck::Time PauseCheck::endOf(const SeenArrival &Request) const {
+  const Time End = Request.At_ + Request.Pause_;
+  const auto Found = Starts_.find(Request.Server_);
+  if (Found == Starts_.end())
+    return End;
+  const auto Next =
+      std::upper_bound(Found->second.begin(), Found->second.end(), Request.At_);
+  return Next == Found->second.end() ? End : std::min(End, *Next);
+}
+
 std::vector<std::string>
 PauseCheck::findFaults(const std::vector<SeenArrival> &Arrivals,
                        const RelayOf &FindRelay) const {
@@ -28,7 +38,7 @@
     if (First->Pause_.count() == 0)
       continue;
     const std::string Relay = FindRelay(First->Request_);
-    const Time End = First->At_ + First->Pause_;
+    const Time End = endOf(*First);
     std::size_t Requests = 0;
     for (auto Each = First; Each != Arrivals.end() && Each->At_ < End; ++Each)
       if (Each->Server_ == First->Server_ && Each->At_ > First->At_ + Notice &&
--- a/tools/gbsoak/PauseCheck.h
+++ b/tools/gbsoak/PauseCheck.h
@@ -15,7 +15,7 @@
 
 /// Counts the requests that reach a server from a relay during a pause that it
 /// has asked that relay for. A relay that was restarted or frozen since need
-/// not know it any more.
+/// not know it any more, and a server that has started again asks for nothing.
 class PauseCheck {
 public:
   using Time = std::chrono::steady_clock::time_point;
@@ -26,6 +26,10 @@
   void onRelayDisturbed(const std::string &Relay, Time Now) {
     Disturbances_[Relay].push_back(Now);
   }
+  /// Records that a server was started again.
+  void onServerStarted(const std::string &Server, Time Now) {
+    Starts_[Server].push_back(Now);
+  }
   /// \param Arrivals all requests that servers got, oldest first.
   /// \param FindRelay finds the relay of each.
   /// \returns what went wrong, one sentence each.
@@ -34,8 +38,10 @@
 
 private:
   bool isDisturbed(const std::string &Relay, Time Begin, Time End) const;
+  Time endOf(const SeenArrival &Request) const;
 
   std::map<std::string, std::vector<Time>> Disturbances_;
+  std::map<std::string, std::vector<Time>> Starts_; ///< Of servers.
 };
 
 } // namespace gooseberry
--- a/tools/gbsoak/SoakWorld.cpp
+++ b/tools/gbsoak/SoakWorld.cpp
@@ -292,6 +292,7 @@
   ++Server.Starts_;
   Server.Face_->setLeaving(false);
   Record_.Leaving_.onServerStarted(Server.Face_->id(), steady_clock::now());
+  Record_.Pauses_.onServerStarted(Server.Face_->id(), steady_clock::now());
   writeBackend(Server);
 }
 
