Leave a silent engine only once other engines are granted

Callers saw an answer cut, or a 502 or 504, although the engine was sound and would have gone on: a resumable stream whose engine sent no event for 500 ms (first) or 600 ms (later) was broken off before other engines were asked for. With no engine free, the retry budget used up, or a denial, the stream that had begun ended there. A prefill over 700 ms was broken off the same way.

Now the call stays open while the home is asked for other engines. The placement request has an id of its own, because the home replaces a reservation when the same id asks again, and the silent engine still holds its memory. A grant cancels the call, which closes its connection, and only then does the next engine start. An event withdraws the search; a denial is followed by another search while the silence lasts. The retry budget is looked at before a search and taken at the grant; MaxServers and MaxPlacements hold as before. Time in which a slow caller is written to does not count as silence.

The home learns of the silence and of its end: a silent engine is avoided as one that failed, until the request that was silent goes on, so that a pool that was silent for a moment is usable at once. Progress of other requests does not end the avoidance, as an engine may be silent for some only. An older home ignores the two new steps.

Not done: an engine that was left stays excluded for that request, also if the next engine rejects it.

--- a/include/gooseberrybeam/relay/EngineHealth.h
+++ b/include/gooseberrybeam/relay/EngineHealth.h
@@ -34,6 +34,12 @@
   /// by another server. Failures during the back-off period are ignored.
   /// \param Now the current time.
   void onFailure(TimePoint Now);
+  /// Records that the engine has been silent in the middle of a request. It is
+  /// then avoided like one that failed, until it goes on.
+  /// \param Now the current time.
+  void onStall(TimePoint Now);
+  /// Records that the engine has gone on with a request on which it was silent.
+  void onResume();
   /// Records that the engine rejected a request because it is full.
   /// \param Now the current time.
   void onFull(TimePoint Now);
@@ -46,7 +52,10 @@
   void onHandleFetched() { ConsecutiveLostHandles_ = 0; }
 
 private:
+  Duration failureBackoff() const;
+
   TimePoint AvoidUntil_{Duration::zero()};
+  TimePoint StalledUntil_{Duration::zero()}; ///< Unless it goes on earlier.
   std::uint32_t ConsecutiveFailures_ = 0;
   std::uint32_t ConsecutiveLostHandles_ = 0;
   /// The request on probation; empty if there is none.
--- a/include/gooseberrybeam/relay/EventStallTimer.h
+++ b/include/gooseberrybeam/relay/EventStallTimer.h
@@ -32,6 +32,9 @@
   Duration timeLeft(TimePoint Now) const {
     return std::max(Deadline_ - Now, MinTimeLeft);
   }
+  /// \param Now the current time.
+  /// \returns whether no event has arrived in time.
+  bool hasStalled(TimePoint Now) const { return Now >= Deadline_; }
 
 private:
   Duration NextTimeout_;
--- a/include/gooseberrybeam/relay/PlacementTypes.h
+++ b/include/gooseberrybeam/relay/PlacementTypes.h
@@ -84,6 +84,8 @@
   ServerReplaced, ///< The engine was replaced or is leaving.
   /// The engine closed the connection as it began to answer.
   CrashedAtStart,
+  ServerStalled, ///< The engine is silent; it may go on.
+  ServerResumed, ///< The engine that was silent has gone on.
 };
 
 /// Reports a step of a generation to the home.
--- a/include/gooseberrybeam/relay/RetryWindow.h
+++ b/include/gooseberrybeam/relay/RetryWindow.h
@@ -26,6 +26,10 @@
   /// Counts a request from a caller.
   /// \param Now the current time.
   void onRequest(TimePoint Now);
+  /// \param Instances the number of instances that share the slack.
+  /// \param Now the current time.
+  /// \returns whether a retry would be allowed now.
+  bool mayRetry(std::size_t Instances, TimePoint Now) const;
   /// Takes one retry from the budget.
   /// \param Instances the number of instances that share the slack.
   /// \param Now the current time.
@@ -41,6 +45,7 @@
     std::uint32_t Retries_ = 0;
   };
 
+  std::int64_t numberAt(TimePoint Now) const;
   Cell &cellAt(TimePoint Now);
 
   RetryWindowLimits Limits_;
--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -4,8 +4,10 @@
 #define GOOSEBERRYBEAM_RELAYD_GENERATIONCALL_H
 
 #include "gooseberrybeam/relay/EventSplitter.h"
+#include "gooseberrybeam/relayd/FailoverSearch.h"
 #include "gooseberrybeam/relayd/ServerCall.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -15,7 +17,7 @@
 
 /// Asks the home instance for engines, runs the prefill, and streams the events
 /// of the decode engine to the caller. A resumable stream continues on another
-/// engine if its decode engine fails.
+/// engine if its decode engine fails, or is silent and another one is granted.
 class GenerationCall {
 public:
   /// \param Context state of the instance; outlives the call.
@@ -28,6 +30,8 @@
   Task<void> run();
 
 private:
+  static constexpr std::uint32_t MaxPlacements = 4;
+
   /// Outcome of a prefill or decode call.
   enum class StepOutcome : std::uint8_t {
     Succeeded,
@@ -42,7 +46,8 @@
   Task<StepOutcome> decode(const ChosenServer &Engine,
                            const std::string &KvSource);
   Task<StepOutcome> relayEvents(const ChosenServer &Engine,
-                                ServerResponse Response);
+                                ServerResponse Response,
+                                FailoverSearch *Search);
   Task<StepOutcome> relayFailure(const ChosenServer &Engine,
                                  ServerResponse Response);
   /// Outcome of passing events on.
@@ -52,17 +57,27 @@
     NoEvent, ///< The engine sent something else in the middle of the stream.
   };
 
-  Task<WriteOutcome> writeEvents(EventSplitter &Splitter);
+  Task<WriteOutcome> writeEvents(EventSplitter &Splitter,
+                                 FailoverSearch *Search);
   StepOutcome failStream(const ChosenServer &Engine, std::string_view Reason,
                          CallFailure Failure);
   ServerTarget makeTarget(const ChosenServer &Engine) const;
   bool mayRetry(StepOutcome Outcome) const;
   void reportFailure(const ChosenServer &Engine, CallFailure Failure);
   bool tryConsumeRetry();
+  bool mayMoveDecode() const;
+  std::unique_ptr<FailoverSearch>
+  watch(const ChosenServer &Engine, StallFailover Failover, bool TakesRetry);
+  void reportStall(const ChosenServer &Engine);
+  std::optional<PlacementRequest>
+  makeFailoverRequest(const ChosenServer &Engine, bool TakesRetry);
+  bool acceptReplacement(const PlacementGrant &Grant, bool TakesRetry);
+  void releaseReplacement();
   bool excludeUnusableEngines(const PlacementGrant &Grant);
   bool isPaused(const ServerId &Server) const;
   Duration timeUntilDecodeEngine() const;
   Task<std::optional<PlacementAnswer>> place();
+  Task<std::optional<PlacementAnswer>> nextPlacement();
   void logEngineFailure(const ChosenServer &Engine,
                         std::string_view Reason) const;
   void reportProgress(const ChosenServer &Engine, bool IsDue);
@@ -76,6 +91,12 @@
   RelayContext &Context_;
   RelayRequest &Request_;
   const EngineTraits &Engine_;
+  /// Names the reservation at the home: the request's id, or one of its own
+  /// after a silent engine was left.
+  RequestId BookingId_;
+  std::uint32_t Searches_ = 0; ///< For a replacement of a silent engine.
+  /// The engines for which a silent one was left.
+  std::optional<PlacementGrant> Replacement_;
   std::vector<ServerId> ExcludedServers_;
   std::uint32_t StartedDecodes_ = 0; ///< Decode calls that may have run.
   /// All decode calls, including rejected ones.
--- a/src/relay/EngineHealth.cpp
+++ b/src/relay/EngineHealth.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 bool EngineHealth::isUsable(TimePoint Now) const {
-  if (Now < AvoidUntil_)
+  if (Now < std::max(AvoidUntil_, StalledUntil_))
     return false;
   return !isOnProbation() || ProbeRequest_.Value_.empty();
 }
@@ -36,13 +36,28 @@
   ProbeRequest_ = RequestId();
 }
 
+Duration EngineHealth::failureBackoff() const {
+  return FailureBackoff * std::min(ConsecutiveFailures_, MaxBackoffMultiplier);
+}
+
 void EngineHealth::onFailure(TimePoint Now) {
   // Requests that fail together count as one failure.
   if (Now < AvoidUntil_)
     return;
   ++ConsecutiveFailures_;
-  AvoidUntil_ = Now + FailureBackoff *
-                          std::min(ConsecutiveFailures_, MaxBackoffMultiplier);
+  AvoidUntil_ = Now + failureBackoff();
+}
+
+void EngineHealth::onStall(TimePoint Now) {
+  if (Now < std::max(AvoidUntil_, StalledUntil_))
+    return;
+  ++ConsecutiveFailures_;
+  StalledUntil_ = Now + failureBackoff();
+}
+
+void EngineHealth::onResume() {
+  StalledUntil_ = TimePoint(Duration::zero());
+  onSuccess();
 }
 
 void EngineHealth::onFull(TimePoint Now) {
--- a/src/relay/GenerationPlacer.cpp
+++ b/src/relay/GenerationPlacer.cpp
@@ -293,6 +293,12 @@
   case GenerationStep::ServerReplaced:
     Engines_[Report.Server_].Health_.onFailure(Now);
     return;
+  case GenerationStep::ServerStalled:
+    Engines_[Report.Server_].Health_.onStall(Now);
+    return;
+  case GenerationStep::ServerResumed:
+    Engines_[Report.Server_].Health_.onResume();
+    return;
   }
 }
 
--- a/src/relay/RetryWindow.cpp
+++ b/src/relay/RetryWindow.cpp
@@ -11,9 +11,13 @@
 
 } // namespace
 
-RetryWindow::Cell &RetryWindow::cellAt(TimePoint Now) {
+std::int64_t RetryWindow::numberAt(TimePoint Now) const {
   const Duration Width = Limits_.Window_ / (CellCount - 1);
-  const std::int64_t Number = Now.time_since_epoch() / Width;
+  return Now.time_since_epoch() / Width;
+}
+
+RetryWindow::Cell &RetryWindow::cellAt(TimePoint Now) {
+  const std::int64_t Number = numberAt(Now);
   Cell &Current = Cells_[static_cast<std::size_t>(Number) % CellCount];
   if (Current.Number_ != Number)
     Current = {Number, 0, 0};
@@ -22,12 +26,12 @@
 
 void RetryWindow::onRequest(TimePoint Now) { ++cellAt(Now).Requests_; }
 
-bool RetryWindow::tryRetry(std::size_t Instances, TimePoint Now) {
-  Cell &Current = cellAt(Now);
+bool RetryWindow::mayRetry(std::size_t Instances, TimePoint Now) const {
+  const std::int64_t Number = numberAt(Now);
   double Requests = 0;
   double Retries = 0;
   for (const Cell &Each : Cells_) {
-    if (Current.Number_ - Each.Number_ >= static_cast<int>(CellCount))
+    if (Number - Each.Number_ >= static_cast<int>(CellCount))
       continue;
     Requests += Each.Requests_;
     Retries += Each.Retries_;
@@ -36,9 +40,13 @@
       Limits_.Slack_ / static_cast<double>(std::max<std::size_t>(1, Instances));
   const double Allowed =
       UsableFraction * (Limits_.RetriesPerRequest_ * Requests + Slack);
-  if (Retries + 1 > Allowed)
+  return Retries + 1 <= Allowed;
+}
+
+bool RetryWindow::tryRetry(std::size_t Instances, TimePoint Now) {
+  if (!mayRetry(Instances, Now))
     return false;
-  ++Current.Retries_;
+  ++cellAt(Now).Retries_;
   return true;
 }
 
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -2,7 +2,6 @@
 
 #include "gooseberrybeam/http/HttpCall.h"
 #include "gooseberrybeam/log/Log.h"
-#include "gooseberrybeam/relay/EventStallTimer.h"
 #include "gooseberrybeam/relayd/RelayResponse.h"
 #include "relayd/ScopedWait.h"
 
@@ -17,15 +16,15 @@
 namespace {
 
 constexpr int HttpOk = 200;
-constexpr std::uint32_t MaxPlacements = 4;
 /// An engine that has sent this many events is answering the request.
 constexpr std::uint32_t AnsweringEvents = 3;
 /// Events between two progress reports to the home.
 constexpr std::uint32_t EventsPerReport = 12;
-/// A prefill that takes longer counts as failed; prompts take about 100 ms.
+/// Another engine is searched for a prefill that takes longer; prompts take
+/// about 100 ms.
 constexpr Duration PrefillTimeout = std::chrono::milliseconds(700);
-/// A resumable stream moves to another engine if no event arrives for this
-/// long. Events arrive every 50 ms, or every 250 ms from a slow engine.
+/// Another engine is searched for a resumable stream if no event arrives for
+/// this long. Events arrive every 50 ms, or every 250 ms from a slow engine.
 constexpr Duration FirstEventTimeout = std::chrono::milliseconds(500);
 constexpr Duration EventTimeout = std::chrono::milliseconds(600);
 /// Target time to the first event after a stream was moved.
@@ -63,11 +62,12 @@
 
 GenerationCall::GenerationCall(RelayContext &Context, RelayRequest &Request,
                                const EngineTraits &Engine)
-    : Context_(Context), Request_(Request), Engine_(Engine) {}
+    : Context_(Context), Request_(Request), Engine_(Engine),
+      BookingId_(Request.Exchange_.id()) {}
 
 PlacementRequest GenerationCall::makePlacementRequest() const {
   PlacementRequest Placement;
-  Placement.Request_ = Request_.Exchange_.id();
+  Placement.Request_ = BookingId_;
   Placement.Organisation_ = Request_.organisationName();
   Placement.Service_ = Request_.Service_;
   Placement.PromptTokens_ = Request_.CallerInfo_.PromptTokens_;
@@ -100,8 +100,7 @@
 
 void GenerationCall::report(GenerationStep Step, const ChosenServer &Engine,
                             std::uint32_t Tokens, Duration Elapsed) {
-  Context_.Home_.report(
-      {Request_.Exchange_.id(), Step, Engine.Id_, Tokens, Elapsed, {}});
+  Context_.Home_.report({BookingId_, Step, Engine.Id_, Tokens, Elapsed, {}});
 }
 
 // A connection that ends as the engine begins to answer may be the doing of the
@@ -114,9 +113,9 @@
     report(GenerationStep::ServerFailed, Engine);
     return;
   }
-  Context_.Home_.report(
-      {Request_.Exchange_.id(), GenerationStep::CrashedAtStart, Engine.Id_, 0,
-       Duration::zero(), Request_.CallerInfo_.SharedSegments_});
+  Context_.Home_.report({BookingId_, GenerationStep::CrashedAtStart, Engine.Id_,
+                         0, Duration::zero(),
+                         Request_.CallerInfo_.SharedSegments_});
 }
 
 ServerTarget GenerationCall::makeTarget(const ChosenServer &Engine) const {
@@ -201,16 +200,21 @@
   Target.RequestInfo_.IsPrefill_ = true;
   const TimePoint Started = readBootClock();
   ++PrefillCalls_;
-  auto CallResult =
-      co_await callServer(Context_, Request_, Target, PrefillTimeout, Scope);
+  const auto Search =
+      watch(Engine, StallFailover(PrefillTimeout, PrefillTimeout, Started),
+            DecodeCalls_ > 0);
+  auto CallResult = co_await callServer(
+      Context_, Request_, Target, Request_.timeLeft(), Search->callScope());
   if (Scope.isCancelled())
     co_return StepOutcome::Stopped;
   if (!isOk(CallResult))
     co_return StepOutcome::Failed;
   ServerResponse Response = takeValue(std::move(CallResult));
   CallLimits Limits;
-  Limits.BodyTimeout_ = PrefillTimeout;
-  auto Body = co_await readBody(*Response.Connection_, Limits, Scope);
+  Limits.IdleTimeout_ = Request_.timeLeft();
+  Limits.BodyTimeout_ = Request_.timeLeft();
+  auto Body =
+      co_await readBody(*Response.Connection_, Limits, Search->callScope());
   if (!isOk(Body))
     co_return Scope.isCancelled() ? StepOutcome::Stopped : StepOutcome::Failed;
   Context_.Pool_.release(Engine.Address_, std::move(Response.Connection_));
@@ -223,6 +227,7 @@
   report(GenerationStep::Prefilled, Engine, Request_.CallerInfo_.PromptTokens_,
          readBootClock() - Started);
   PrefilledAt_ = readBootClock();
+  releaseReplacement();
   KvSource =
       Context_.Protocol_.formatKvSource(Engine.Address_, Prompt->Handle_);
   if (Scope.isCancelled()) {
@@ -241,7 +246,7 @@
 }
 
 Task<GenerationCall::WriteOutcome>
-GenerationCall::writeEvents(EventSplitter &Splitter) {
+GenerationCall::writeEvents(EventSplitter &Splitter, FailoverSearch *Search) {
   std::string Bytes;
   WriteOutcome Outcome = WriteOutcome::Written;
   const TimePoint Now = readBootClock();
@@ -267,7 +272,11 @@
   if (Bytes.empty())
     co_return Outcome;
   LastEventAt_ = Now;
+  if (Search)
+    Search->onWrite();
   const bool IsAccepted = co_await Request_.Exchange_.write(Bytes);
+  if (Search)
+    Search->onEvent();
   co_return IsAccepted ? Outcome : WriteOutcome::CallerGone;
 }
 
@@ -297,14 +306,16 @@
 GenerationCall::StepOutcome
 GenerationCall::failStream(const ChosenServer &Engine, std::string_view Reason,
                            CallFailure Failure) {
-  logEngineFailure(Engine, Reason);
-  reportFailure(Engine, Failure);
+  const bool IsLeftAsSilent = Replacement_ && Failure == CallFailure::Cancelled;
+  logEngineFailure(Engine, IsLeftAsSilent ? "silent" : Reason);
+  if (!IsLeftAsSilent)
+    reportFailure(Engine, Failure);
   return StepOutcome::Failed;
 }
 
 Task<GenerationCall::StepOutcome>
-GenerationCall::relayEvents(const ChosenServer &Engine,
-                            ServerResponse Response) {
+GenerationCall::relayEvents(const ChosenServer &Engine, ServerResponse Response,
+                            FailoverSearch *Search) {
   CallerExchange &Exchange = Request_.Exchange_;
   if (!Exchange.isAnswerBegun()) {
     if (Context_.IsDraining_)
@@ -314,17 +325,14 @@
     if (!IsAccepted)
       co_return StepOutcome::Stopped;
   }
-  const bool MayFailOver = Request_.Route_.mayRetry() &&
-                           StartedDecodes_ < Request_.Route_.MaxServers_;
+  CancelScope &Scope = Search ? Search->callScope() : Exchange.scope();
+  if (Search)
+    Search->onHead();
   EventSplitter Splitter;
   std::array<char, ReadBufferBytes> Buffer;
-  EventStallTimer Stall(FirstEventTimeout, EventTimeout, readBootClock());
   for (;;) {
-    Duration Timeout = Request_.timeLeft();
-    if (MayFailOver)
-      Timeout = std::min(Timeout, Stall.timeLeft(readBootClock()));
-    auto ReadResult = co_await Response.Connection_->readSome(Buffer, Timeout,
-                                                              Exchange.scope());
+    auto ReadResult = co_await Response.Connection_->readSome(
+        Buffer, Request_.timeLeft(), Scope);
     if (Exchange.scope().isCancelled())
       co_return StepOutcome::Stopped;
     if (!isOk(ReadResult))
@@ -336,13 +344,11 @@
       break;
     Splitter.append({Buffer.data(), valueOf(ReadResult)});
     const std::uint32_t PreviousEvents = EngineEvents_;
-    const WriteOutcome Written = co_await writeEvents(Splitter);
+    const WriteOutcome Written = co_await writeEvents(Splitter, Search);
     if (Written == WriteOutcome::CallerGone)
       co_return StepOutcome::Stopped;
     if (Written == WriteOutcome::NoEvent)
       co_return failStream(Engine, "not an event", CallFailure::Malformed);
-    if (EngineEvents_ != PreviousEvents)
-      Stall.onEvent(readBootClock());
     // Tells the home that the engine is producing events. The rate follows in
     // later reports, since it takes at least two events.
     if (PreviousEvents == 0 && EngineEvents_ != 0)
@@ -400,30 +406,34 @@
   DecodeAt_ = readBootClock();
   ServerTarget Target = makeTarget(Engine);
   Target.RequestInfo_.KvSource_ = KvSource;
-  const bool MayFailOver = Request_.Route_.mayRetry() &&
-                           StartedDecodes_ + 1 < Request_.Route_.MaxServers_;
-  const Duration Timeout =
-      MayFailOver ? FirstEventTimeout : Request_.timeLeft();
-  auto CallResult = co_await callServer(Context_, Request_, Target, Timeout,
-                                        Exchange.scope());
+  auto Search =
+      mayMoveDecode()
+          ? watch(Engine,
+                  StallFailover(FirstEventTimeout, EventTimeout, DecodeAt_),
+                  true)
+          : nullptr;
+  CancelScope &Scope = Search ? Search->callScope() : Exchange.scope();
+  auto CallResult = co_await callServer(Context_, Request_, Target,
+                                        Request_.timeLeft(), Scope);
   if (!isOk(CallResult)) {
     MayHaveRun_ = MayHaveRun_ || errorOf(CallResult).MayHaveStarted_;
     StartedDecodes_ += errorOf(CallResult).MayHaveStarted_ ? 1 : 0;
     if (Exchange.scope().isCancelled())
       co_return StepOutcome::Stopped;
-    logEngineFailure(Engine, asCode(errorOf(CallResult).Failure_));
-    reportFailure(Engine, errorOf(CallResult).Failure_);
-    co_return StepOutcome::Failed;
+    const CallFailure Failure = errorOf(CallResult).Failure_;
+    co_return failStream(Engine, asCode(Failure), Failure);
   }
   ServerResponse Response = takeValue(std::move(CallResult));
   const bool IsStream =
       Response.Head_.Status_ == HttpOk && Response.Info_.IsSigned_ &&
       !Response.Info_.IsEncoded_ && !Response.Info_.IsNotExecuted_;
-  if (!IsStream)
+  if (!IsStream) {
+    Search.reset();
     co_return co_await relayFailure(Engine, std::move(Response));
+  }
   ++StartedDecodes_;
   MayHaveRun_ = true;
-  co_return co_await relayEvents(Engine, std::move(Response));
+  co_return co_await relayEvents(Engine, std::move(Response), Search.get());
 }
 
 Task<bool> GenerationCall::prepareKv(const PlacementGrant &Grant,
@@ -438,14 +448,18 @@
     co_return true;
   if (Outcome == StepOutcome::Stopped)
     co_return false;
-  report(Outcome == StepOutcome::Rejected ? GenerationStep::ServerFull
-                                          : GenerationStep::ServerFailed,
-         *Grant.Prefill_);
+  const bool IsLeftAsSilent = Replacement_ && Outcome == StepOutcome::Failed;
+  if (!IsLeftAsSilent)
+    report(Outcome == StepOutcome::Rejected ? GenerationStep::ServerFull
+                                            : GenerationStep::ServerFailed,
+           *Grant.Prefill_);
   logLine(LogPart::Engine, LogLevel::Info,
           "Prefill failed; engine excluded for this request.",
           {{"request", Request_.Exchange_.id().Value_},
            {"server", Grant.Prefill_->Id_.Value_},
-           {"end", Outcome == StepOutcome::Rejected ? "rejected" : "broken"},
+           {"end", Outcome == StepOutcome::Rejected ? "rejected"
+                   : IsLeftAsSilent                 ? "silent"
+                                                    : "broken"},
            {"elapsed_ms", elapsedMs(Request_.Exchange_)}});
   ExcludedServers_.push_back(Grant.Prefill_->Id_);
   co_return false;
@@ -519,10 +533,10 @@
   while (mayRetry(Outcome)) {
     // Rejected calls count as arrivals at the service too, so any further call
     // consumes retry budget.
-    if (DecodeCalls_ > 0 && !tryConsumeRetry())
+    if (!Replacement_ && DecodeCalls_ > 0 && !tryConsumeRetry())
       break;
     ++Placements_;
-    auto Placement = co_await place();
+    auto Placement = co_await nextPlacement();
     if (!Placement) {
       Outcome = StepOutcome::Stopped;
       break;
@@ -537,8 +551,7 @@
       report(GenerationStep::Ended, Grant.Decode_);
       continue;
     }
-    Context_.Home_.trackGeneration({Request_.Exchange_.id(),
-                                    Request_.organisationName(),
+    Context_.Home_.trackGeneration({BookingId_, Request_.organisationName(),
                                     Request_.Service_, Grant.Decode_.Id_,
                                     Request_.CallerInfo_.PromptTokens_,
                                     EventsSent_ * Engine_.TokensPerEvent_,
@@ -555,7 +568,7 @@
           !Context_.Directory_.isLeavingOrRemoved(Grant.Decode_.Id_) &&
           !isPaused(Grant.Decode_.Id_);
       if (Outcome == StepOutcome::Rejected && !KvSource.empty() &&
-          TakesRequests && tryConsumeRetry()) {
+          !Replacement_ && TakesRequests && tryConsumeRetry()) {
         if (Grant.Prefill_)
           report(GenerationStep::HandleLost, *Grant.Prefill_);
         // The engine may have rejected the call because it could not fetch the
@@ -571,6 +584,7 @@
     if (mayRetry(Outcome))
       report(GenerationStep::Ended, Grant.Decode_);
   }
+  releaseReplacement();
   const Duration Elapsed =
       IsComplete_ ? readBootClock() - FirstEventAt_ : Duration::zero();
   report(GenerationStep::Ended, {}, EventsSent_ * Engine_.TokensPerEvent_,
--- /dev/null
+++ b/src/relayd/GenerationCallFailover.cpp
@@ -0,0 +1,93 @@
+#include "gooseberrybeam/log/Log.h"
+#include "gooseberrybeam/relayd/GenerationCall.h"
+#include "gooseberrybeam/relayd/RelayResponse.h"
+
+#include <utility>
+
+namespace gooseberry {
+
+// Whether a decode call that is about to start may be left for another one.
+bool GenerationCall::mayMoveDecode() const {
+  return Request_.Route_.mayRetry() &&
+         StartedDecodes_ + 1 < Request_.Route_.MaxServers_;
+}
+
+std::unique_ptr<FailoverSearch>
+GenerationCall::watch(const ChosenServer &Engine, StallFailover Failover,
+                      bool TakesRetry) {
+  FailoverSearch::Callbacks Handlers;
+  Handlers.OnStall_ = [this, Engine] { reportStall(Engine); };
+  Handlers.OnResume_ = [this, Engine] {
+    report(GenerationStep::ServerResumed, Engine);
+  };
+  Handlers.MakeRequest_ = [this, Engine, TakesRetry] {
+    return makeFailoverRequest(Engine, TakesRetry);
+  };
+  Handlers.Accept_ = [this, TakesRetry](const PlacementGrant &Grant) {
+    return acceptReplacement(Grant, TakesRetry);
+  };
+  return std::make_unique<FailoverSearch>(Context_.IoContext_, Context_.Home_,
+                                          Request_.Exchange_.scope(), Failover,
+                                          std::move(Handlers));
+}
+
+// If an engine does not respond on one connection, its idle connections may not
+// work either.
+void GenerationCall::reportStall(const ChosenServer &Engine) {
+  Context_.Pool_.discard(Engine.Address_);
+  report(GenerationStep::ServerStalled, Engine);
+  logLine(LogPart::Engine, LogLevel::Info,
+          "Engine is silent; another one is searched.",
+          {{"request", Request_.Exchange_.id().Value_},
+           {"server", Engine.Id_.Value_},
+           {"events", std::to_string(EventsSent_)},
+           {"elapsed_ms", elapsedMs(Request_.Exchange_)}});
+}
+
+std::optional<PlacementRequest>
+GenerationCall::makeFailoverRequest(const ChosenServer &Engine,
+                                    bool TakesRetry) {
+  if (Placements_ >= MaxPlacements)
+    return std::nullopt;
+  const bool HasRetryBudget =
+      Context_.retryBudget(Request_.Service_)
+          .mayRetry(Context_.Home_.instanceCount(), readBootClock());
+  if (TakesRetry && !HasRetryBudget)
+    return std::nullopt;
+  PlacementRequest Placement = makePlacementRequest();
+  Placement.Request_ = {Request_.Exchange_.id().Value_ + "/" +
+                        std::to_string(++Searches_)};
+  Placement.IsCharged_ = true;
+  Placement.ExcludedEngines_.push_back(Engine.Id_);
+  return Placement;
+}
+
+bool GenerationCall::acceptReplacement(const PlacementGrant &Grant,
+                                       bool TakesRetry) {
+  if (excludeUnusableEngines(Grant))
+    return false;
+  if (TakesRetry && !tryConsumeRetry())
+    return false;
+  Replacement_ = Grant;
+  return true;
+}
+
+// The silent engine has been left, and its reservation released.
+Task<std::optional<PlacementAnswer>> GenerationCall::nextPlacement() {
+  if (!Replacement_)
+    co_return co_await place();
+  PlacementGrant Grant = *std::exchange(Replacement_, std::nullopt);
+  BookingId_ = Grant.Request_;
+  co_return Grant;
+}
+
+// The engine that was silent has completed its work before it was left.
+void GenerationCall::releaseReplacement() {
+  if (!Replacement_)
+    return;
+  Context_.Home_.report(
+      {Replacement_->Request_, GenerationStep::Ended, {}, 0, {}, {}});
+  Replacement_.reset();
+}
+
+} // namespace gooseberry
--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr auto LastStep =
-    static_cast<std::uint32_t>(GenerationStep::CrashedAtStart);
+    static_cast<std::uint32_t>(GenerationStep::ServerResumed);
 
 template <typename T>
 void writeUtilisation(T &Body,
--- a/tests/EngineHealthTest.cpp
+++ b/tests/EngineHealthTest.cpp
@@ -35,6 +35,27 @@
       CHECK(Health.isUsable(Start + 6100ms));
     }
   }
+  SECTION("a silent engine is avoided like one that failed") {
+    Health.onStall(Start);
+    Health.onStall(Start + 500ms);
+    CHECK_FALSE(Health.isUsable(Start + 900ms));
+    CHECK(Health.isUsable(Start + 1100ms));
+    CHECK(Health.isOnProbation());
+    SECTION("until it goes on") {
+      Health.onResume();
+      CHECK(Health.isUsable(Start + 600ms));
+      CHECK_FALSE(Health.isOnProbation());
+    }
+    SECTION("also if another of its requests succeeds") {
+      Health.onSuccess();
+      CHECK_FALSE(Health.isUsable(Start + 900ms));
+    }
+    SECTION("and a failure is not undone as it goes on") {
+      Health.onFailure(Start + 600ms);
+      Health.onResume();
+      CHECK_FALSE(Health.isUsable(Start + 1500ms));
+    }
+  }
   SECTION("a full engine backs off briefly") {
     Health.onFull(Start);
     CHECK_FALSE(Health.isUsable(Start + 100ms));
--- a/tests/support/RelayUnderTest.h
+++ b/tests/support/RelayUnderTest.h
@@ -33,9 +33,10 @@
 /// `/write/` (a resumable stream, two attempts) of the service `writer`.
 class RelayUnderTest {
 public:
-  RelayUnderTest() {
+  /// \param RetrySlack retries allowed in addition to the ratio.
+  explicit RelayUnderTest(double RetrySlack = 100) {
     Settings_.Name_ = Self;
-    Settings_.RetryBounds_.Slack_ = 100;
+    Settings_.RetryBounds_.Slack_ = RetrySlack;
     const std::vector<RelayMember> Members = {{{{Self, 1}, "", {}}, {}}};
     Home_.setMembers(Members);
     Relay_.Configuration_ = Schema_.parseConfiguration(ConfigurationText);
--- a/tests/support/ScriptedBackend.h
+++ b/tests/support/ScriptedBackend.h
@@ -3,15 +3,18 @@
 #ifndef GOOSEBERRYBEAM_TESTS_SUPPORT_SCRIPTEDBACKEND_H
 #define GOOSEBERRYBEAM_TESTS_SUPPORT_SCRIPTEDBACKEND_H
 
+#include "gooseberrybeam/base/Time.h"
 #include "gooseberrybeam/http/Asio.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -28,10 +31,17 @@
   std::size_t NumberOnConnection_ = 0; ///< 1 for the first one.
 };
 
+/// Bytes that a `ScriptedBackend` sends after a pause.
+struct ScriptedPart {
+  Duration Pause_;
+  std::string Bytes_;
+};
+
 /// The bytes that a `ScriptedBackend` sends for one request.
 struct ScriptedAnswer {
   std::string Bytes_;
   bool ClosesAfter_ = false;
+  std::vector<ScriptedPart> Rest_ = {}; ///< Sent after `Bytes_`.
 };
 
 /// Listens on a free port of the loopback address and remembers its requests.
@@ -53,6 +63,12 @@
   }
   /// \returns the requests received so far, oldest first.
   const std::vector<ScriptedRequest> &requests() const { return Requests_; }
+  /// \returns whether the connections of all answers that pause now have been
+  /// closed.
+  bool isLeft() const {
+    return std::all_of(Paused_.begin(), Paused_.end(),
+                       [](tcp::socket *Each) { return isClosed(*Each); });
+  }
 
 private:
   using Request = beast::http::request<beast::http::string_body>;
@@ -81,14 +97,31 @@
                            std::string(Received["Last-Event-Id"]), Number});
       const ScriptedAnswer Answer = Answers_(Requests_.back());
       co_await asio::async_write(Socket, asio::buffer(Answer.Bytes_), AsTuple);
+      for (const ScriptedPart &Part : Answer.Rest_) {
+        asio::steady_timer Timer(Socket.get_executor(), Part.Pause_);
+        Paused_.push_back(&Socket);
+        co_await Timer.async_wait(AsTuple);
+        std::erase(Paused_, &Socket);
+        co_await asio::async_write(Socket, asio::buffer(Part.Bytes_), AsTuple);
+      }
       if (Answer.ClosesAfter_)
         co_return;
     }
   }
 
+  static bool isClosed(tcp::socket &Socket) {
+    boost::system::error_code Error;
+    char Byte = 0;
+    Socket.non_blocking(true, Error);
+    const std::size_t Size = Socket.receive(asio::buffer(&Byte, 1),
+                                            tcp::socket::message_peek, Error);
+    return Size == 0 && Error != asio::error::would_block;
+  }
+
   tcp::acceptor Acceptor_;
   Script Answers_;
   std::vector<ScriptedRequest> Requests_;
+  std::vector<tcp::socket *> Paused_; ///< Of answers that pause now.
 };
 
 } // namespace gooseberry
