Keep a silent attempt of an idempotent request beside the second one

Callers got 502 or 504 although the first server would have answered: an idempotent plain request was broken off after twice the target of its route, also if no other server was there, the retry budget was used up, or the second server rejected the request or failed.

Now the first attempt stays open to the deadline. After twice the target a second copy is sent if another server, its limit and the retry budget allow it; the first good answer is passed on and the other attempt cancelled. A rejection or failure of one leaves the other. A server error is kept until the other attempt has ended. Servers and budget hold as before, and a request that is not idempotent is sent once. The balancer still counts a server that was silent for that long as broken when the attempt ends, and idle connections to it are still closed at that time, as they may not work either.

--- a/include/gooseberrybeam/relay/ServiceBalancer.h
+++ b/include/gooseberrybeam/relay/ServiceBalancer.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <string_view>
 #include <unordered_map>
 
 namespace gooseberry {
@@ -22,6 +23,14 @@
   Abandoned,   ///< The caller disconnected; no evidence about the server.
 };
 
+/// \param Outcome an outcome.
+/// \returns its `snake_case` code, used in logs and metric labels.
+constexpr std::string_view asCode(AttemptOutcome Outcome) {
+  constexpr std::string_view Codes[] = {"answered", "server_error", "rejected",
+                                        "broken", "abandoned"};
+  return Codes[static_cast<std::size_t>(Outcome)];
+}
+
 /// Chooses the server with the least expected wait. Servers are scored by their
 /// answers and by the age of the oldest unanswered request, so that a slow,
 /// silent or failing server loses its share of requests even if its health
--- a/include/gooseberrybeam/relayd/PlainCall.h
+++ b/include/gooseberrybeam/relayd/PlainCall.h
@@ -3,8 +3,12 @@
 #ifndef GOOSEBERRYBEAM_RELAYD_PLAINCALL_H
 #define GOOSEBERRYBEAM_RELAYD_PLAINCALL_H
 
+#include "gooseberrybeam/relay/StallFailover.h"
 #include "gooseberrybeam/relayd/ServerCall.h"
 
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -13,13 +17,14 @@
 namespace gooseberry {
 
 /// Tries up to as many servers as the route allows. A request that a server may
-/// have run is retried only if its route permits that.
+/// have run is retried only if its route permits that; then a second copy is
+/// also sent while a server is silent, and the first good answer is used.
 class PlainCall {
 public:
   /// \param Context state of the instance; outlives the call.
   /// \param Request the caller's request; outlives the call.
   PlainCall(RelayContext &Context, RelayRequest &Request)
-      : Context_(Context), Request_(Request) {}
+      : Context_(Context), Request_(Request), Wake_(Context.IoContext_) {}
 
   /// \returns a task that completes when the caller has its response.
   Task<void> run();
@@ -33,24 +38,47 @@
   };
   using AttemptResult = Result<BufferedResponse, CallError>;
 
+  /// One copy of the request; shared with its coroutine.
+  struct Attempt {
+    BackendEntry Server_;
+    CancelScope Scope_;
+    bool HasStalled_ = false;
+    std::optional<AttemptResult> Result_; ///< Set when it has ended.
+  };
+  using Attempts = std::vector<std::shared_ptr<Attempt>>;
+
   std::vector<const BackendEntry *> usableServers() const;
   std::vector<const BackendEntry *> untriedServers() const;
-  Task<std::optional<BackendEntry>> chooseServer();
+  Task<std::optional<BackendEntry>> chooseServer(CancelScope &Scope);
   std::optional<Duration>
   timeUntilAvailable(std::span<const BackendEntry *const> Servers) const;
-  Task<AttemptResult> attempt(const BackendEntry &Server);
-  Task<AttemptResult> exchange(const BackendEntry &Server);
+  Task<void> runAttempts(const BackendEntry &Server);
+  void start(const BackendEntry &Server);
+  Task<void> attempt(std::shared_ptr<Attempt> Running);
+  AttemptOutcome takeEnded();
+  void keepResult(const Attempt &Ended);
+  bool mayHedge() const;
+  Task<void> hedge(StallFailover &Failover);
+  Task<void> cancelAttempts();
+  void cancelAll(RefusalReason Reason);
+  Task<AttemptResult> exchange(const BackendEntry &Server, CancelScope &Scope);
   AttemptOutcome classify(const AttemptResult &Attempt) const;
-  bool mayRetry(AttemptOutcome Outcome, bool MayHaveRun);
+  bool mayRetry(AttemptOutcome Outcome);
+  bool tryConsumeRetry();
   Task<void> relayResponse(const BufferedResponse &Response);
   Task<void> refuseUnsent();
-  Task<void> refuseAfterFailure(const AttemptResult &LastAttempt,
-                                bool MayHaveRun);
+  Task<void> refuseAfterFailure(const AttemptResult &LastAttempt);
 
   RelayContext &Context_;
   RelayRequest &Request_;
   std::vector<ServerId> TriedServers_;
   std::uint32_t SentAttempts_ = 0; ///< Attempts in progress or possibly run.
+  Attempts Running_;
+  asio::steady_timer Wake_;            ///< Cancelled when an attempt ends.
+  CancelScope *ChoiceScope_ = nullptr; ///< Cancelled when an attempt ends.
+  bool MayHaveRun_ = false;            ///< A server may have run the request.
+  std::optional<AttemptResult> Last_;  ///< The result for the caller.
+  ServerId LastServer_;                ///< The server that it is from.
 };
 
 } // namespace gooseberry
--- a/src/relayd/PlainCall.cpp
+++ b/src/relayd/PlainCall.cpp
@@ -15,21 +15,12 @@
 constexpr int FirstRedirect = 300;
 /// Sent to callers when all servers are full or unavailable.
 constexpr Duration RetryAfterFull = std::chrono::milliseconds(100);
-/// An idempotent request is sent to another server after waiting this multiple
-/// of the target latency of its route.
-constexpr int TimeoutTargetFactor = 2;
 constexpr std::size_t MaxBodyBytes = std::size_t{8} << 20;
 
 bool isSuccess(int Status) {
   return Status >= FirstSuccess && Status < FirstRedirect;
 }
 
-std::string_view codeOf(AttemptOutcome Outcome) {
-  constexpr std::string_view Codes[] = {"answered", "server_error", "rejected",
-                                        "broken", "abandoned"};
-  return Codes[static_cast<std::size_t>(Outcome)];
-}
-
 } // namespace
 
 std::vector<const BackendEntry *> PlainCall::usableServers() const {
@@ -64,10 +55,10 @@
 
 // Waits for a server that takes a request, if the answer can still meet its
 // target then.
-Task<std::optional<BackendEntry>> PlainCall::chooseServer() {
+Task<std::optional<BackendEntry>> PlainCall::chooseServer(CancelScope &Scope) {
   const TimePoint LatestStart =
       Request_.Exchange_.arrival() + Request_.Route_.TargetLatency_ / 2;
-  while (!Request_.Exchange_.scope().isCancelled()) {
+  while (!Scope.isCancelled()) {
     auto Servers = untriedServers();
     std::erase_if(Servers, [this](const BackendEntry *Each) {
       return Context_.availableAt(Each->Id_) > readBootClock();
@@ -76,40 +67,34 @@
       const auto Wait = timeUntilAvailable(untriedServers());
       if (!Wait || readBootClock() + *Wait > LatestStart)
         co_return std::nullopt;
-      co_await waitFor(Context_.IoContext_, *Wait, Request_.Exchange_.scope());
+      co_await waitFor(Context_.IoContext_, *Wait, Scope);
       continue;
     }
     BackendEntry Server = Context_.Balancers_[Request_.Service_].choose(
         Servers, Context_.Settings_.DataCentre_, readBootClock());
-    const bool MayCall = co_await Context_.Home_.mayCallServer(
-        Server.Id_, Request_.Exchange_.scope());
+    const bool MayCall =
+        co_await Context_.Home_.mayCallServer(Server.Id_, Scope);
     if (MayCall)
       co_return Server;
   }
   co_return std::nullopt;
 }
 
-Task<PlainCall::AttemptResult> PlainCall::exchange(const BackendEntry &Server) {
+Task<PlainCall::AttemptResult> PlainCall::exchange(const BackendEntry &Server,
+                                                   CancelScope &Scope) {
   ServerTarget Target;
   Target.Address_ = Server.Address_;
   Target.RequestInfo_.Server_ = Server.Id_;
   Target.RequestInfo_.Organisation_ = Request_.organisationName();
   Target.RequestInfo_.TimeLeft_ = Request_.timeLeft();
-  CancelScope &Scope = Request_.Exchange_.scope();
-  Duration Timeout = Request_.timeLeft();
-  const bool MayFailOver =
-      Request_.Route_.mayRetry() && SentAttempts_ < Request_.Route_.MaxServers_;
-  if (MayFailOver)
-    Timeout =
-        std::min(Timeout, Request_.Route_.TargetLatency_ * TimeoutTargetFactor);
-  auto CallResult =
-      co_await callServer(Context_, Request_, Target, Timeout, Scope);
+  auto CallResult = co_await callServer(Context_, Request_, Target,
+                                        Request_.timeLeft(), Scope);
   if (!isOk(CallResult))
     co_return errorOf(CallResult);
   ServerResponse Response = takeValue(std::move(CallResult));
   CallLimits Limits;
   Limits.IdleTimeout_ = Request_.timeLeft();
-  Limits.BodyTimeout_ = std::min(Timeout, Request_.timeLeft());
+  Limits.BodyTimeout_ = Request_.timeLeft();
   Limits.MaxBody_ = MaxBodyBytes;
   auto Body = co_await readBody(*Response.Connection_, Limits, Scope);
   if (!isOk(Body))
@@ -136,67 +121,42 @@
   return AttemptOutcome::Answered;
 }
 
-Task<PlainCall::AttemptResult> PlainCall::attempt(const BackendEntry &Server) {
-  const ServerId Id = Server.Id_;
-  ServiceBalancer &Balancer = Context_.Balancers_[Request_.Service_];
-  const TimePoint StartedAt = readBootClock();
-  TriedServers_.push_back(Id);
-  ++SentAttempts_;
-  Balancer.onStart(Id, StartedAt);
-  AttemptResult Attempt = co_await exchange(Server);
-  const AttemptOutcome Outcome = classify(Attempt);
-  Balancer.onEnd(Id, StartedAt, Outcome, readBootClock());
-  const bool WasSent = isOk(Attempt) || errorOf(Attempt).MayHaveStarted_;
-  SentAttempts_ -= WasSent ? 0 : 1;
-  if (Outcome != AttemptOutcome::Answered)
-    logLine(LogPart::Service, LogLevel::Info,
-            "Attempt at backend server failed.",
-            {{"request", Request_.Exchange_.id().Value_},
-             {"server", Id.Value_},
-             {"end", codeOf(Outcome)},
-             {"status", isOk(Attempt)
-                            ? std::to_string(valueOf(Attempt).Head_.Status_)
-                            : std::string(asCode(errorOf(Attempt).Failure_))},
-             {"elapsed_ms", elapsedMs(Request_.Exchange_)}});
-  co_return Attempt;
+bool PlainCall::tryConsumeRetry() {
+  return Context_.retryBudget(Request_.Service_)
+      .tryRetry(Context_.Home_.instanceCount(), readBootClock());
 }
 
-bool PlainCall::mayRetry(AttemptOutcome Outcome, bool MayHaveRun) {
+bool PlainCall::mayRetry(AttemptOutcome Outcome) {
   if (Outcome == AttemptOutcome::Answered ||
       Outcome == AttemptOutcome::Abandoned)
     return false;
-  if (MayHaveRun && !Request_.Route_.mayRetry())
+  if (MayHaveRun_ && !Request_.Route_.mayRetry())
     return false;
   if (SentAttempts_ >= Request_.Route_.MaxServers_ || untriedServers().empty())
     return false;
-  return Context_.retryBudget(Request_.Service_)
-      .tryRetry(Context_.Home_.instanceCount(), readBootClock());
+  return tryConsumeRetry();
 }
 
 Task<void> PlainCall::run() {
   Context_.retryBudget(Request_.Service_).onRequest(readBootClock());
-  bool MayHaveRun = false;
-  std::optional<AttemptResult> Last;
   AttemptOutcome Outcome = AttemptOutcome::Rejected;
-  while (const auto Server = co_await chooseServer()) {
-    Last = co_await attempt(*Server);
-    Outcome = classify(*Last);
-    const bool HasRun = isOk(*Last) ? !valueOf(*Last).Info_.IsNotExecuted_
-                                    : errorOf(*Last).MayHaveStarted_;
-    MayHaveRun = MayHaveRun || HasRun;
-    if (!mayRetry(Outcome, MayHaveRun))
+  CancelScope &Scope = Request_.Exchange_.scope();
+  while (const auto Server = co_await chooseServer(Scope)) {
+    co_await runAttempts(*Server);
+    Outcome = classify(*Last_);
+    if (!mayRetry(Outcome))
       break;
     Context_.Metrics_.addRetry(static_cast<std::size_t>(Outcome),
-                               codeOf(Outcome));
+                               asCode(Outcome));
   }
   const bool IsRelayed = Outcome == AttemptOutcome::Answered ||
                          Outcome == AttemptOutcome::ServerError;
-  if (!Last)
+  if (!Last_)
     co_await refuseUnsent();
   else if (IsRelayed)
-    co_await relayResponse(valueOf(*Last));
+    co_await relayResponse(valueOf(*Last_));
   else
-    co_await refuseAfterFailure(*Last, MayHaveRun);
+    co_await refuseAfterFailure(*Last_);
 }
 
 Task<void> PlainCall::refuseUnsent() {
@@ -223,17 +183,16 @@
       {{"request", Exchange.id().Value_},
        {"route", Request_.Route_.Name_},
        {"organisation", Request_.organisationName().Value_},
-       {"server", TriedServers_.back().Value_},
+       {"server", LastServer_.Value_},
        {"attempts", std::to_string(TriedServers_.size())},
        {"status", std::to_string(Response.Head_.Status_)},
        {"configuration", std::to_string(Request_.Configuration_->version())},
        {"elapsed_ms", elapsedMs(Exchange)}});
 }
 
-Task<void> PlainCall::refuseAfterFailure(const AttemptResult &LastAttempt,
-                                         bool MayHaveRun) {
+Task<void> PlainCall::refuseAfterFailure(const AttemptResult &LastAttempt) {
   CallerExchange &Exchange = Request_.Exchange_;
-  if (!MayHaveRun) {
+  if (!MayHaveRun_) {
     const Duration Wait =
         timeUntilAvailable(usableServers()).value_or(Duration());
     co_await refuse(Context_, Exchange,
--- a/tests/SilentServerTest.cpp
+++ b/tests/SilentServerTest.cpp
@@ -40,6 +40,12 @@
   };
 }
 
+ScriptedBackend::Script rejectAll() {
+  return [](const ScriptedRequest &Request) {
+    return ScriptedAnswer{makeRejection(Request.Id_)};
+  };
+}
+
 /// Falls silent after two events and goes on.
 ScriptedAnswer pauseInside(const ScriptedRequest &Request) {
   return {makeStreamHead(Request.Id_) + chunkOf(1) + chunkOf(2),
@@ -167,3 +173,62 @@
   CHECK(Relay.call("/write/1", "r2").Body_ == wholeBody());
   CHECK(readBootClock() - Start < 1s);
 }
+
+TEST_CASE("A server of a plain service is silent and goes on",
+          "[relay][silent]") {
+  // Longer than twice the target of the route, after which it would be retried.
+  const auto Pause = [](const ScriptedRequest &Request) {
+    return ScriptedAnswer{
+        "", false, {{2300ms, makeSuccess(Request.Id_, "answer")}}};
+  };
+  SECTION("as the only server") {
+    RelayUnderTest Relay;
+    const ScriptedBackend &Server =
+        Relay.addServer("server", std::nullopt, Pause);
+    SECTION("of an idempotent request") {
+      CHECK(Relay.call("/check/1", "r1").Body_ == "answer");
+    }
+    SECTION("of one that is not") {
+      CHECK(Relay.call("/book/1", "r1").Body_ == "answer");
+    }
+    CHECK(Server.requests().size() == 1);
+  }
+  SECTION("as the retry budget is used up") {
+    RelayUnderTest Relay(0);
+    Relay.addServer("a", std::nullopt, Pause);
+    Relay.addServer("b", std::nullopt, Pause);
+    CHECK(Relay.call("/check/1", "r1").Body_ == "answer");
+  }
+  SECTION("as one of two") {
+    RelayUnderTest Relay;
+    bool IsFirst = true;
+    ScriptedBackend::Script Other;
+    std::string Path = "/check/1";
+    std::size_t Attempts = 2;
+    std::string Expected = "answer";
+    SECTION("and the other one rejects") { Other = rejectAll(); }
+    SECTION("and the other one closes the connection") {
+      Other = [](const ScriptedRequest &) { return ScriptedAnswer{"", true}; };
+    }
+    SECTION("and the other one answers first") {
+      Other = [](const ScriptedRequest &Request) {
+        return ScriptedAnswer{makeSuccess(Request.Id_, "other")};
+      };
+      Expected = "other";
+    }
+    SECTION("and the request is not idempotent") {
+      Other = rejectAll();
+      Path = "/book/1";
+      Attempts = 1;
+    }
+    const auto SilentFirst = [&](const ScriptedRequest &Request) {
+      return std::exchange(IsFirst, false) ? Pause(Request) : Other(Request);
+    };
+    const ScriptedBackend &A = Relay.addServer("a", std::nullopt, SilentFirst);
+    const ScriptedBackend &B = Relay.addServer("b", std::nullopt, SilentFirst);
+    const CallerAnswer Answer = Relay.call(Path, "r1");
+    CHECK(Answer.Status_ == 200);
+    CHECK(Answer.Body_ == Expected);
+    CHECK(A.requests().size() + B.requests().size() == Attempts);
+  }
+}
