Drop a message that is too large for a peer instead of aborting

What operators saw: processes that end by themselves. A row of the store or a configuration of more than 4 MB that an instance hands on to another one ended the sender, release build included: asserts are on there.

Cause: frameMessage asserts the size of a message, and nothing before it bounds one. Values of rows and configurations are written by others.

Evidence: PeerTransportTest, "A message that is too large for a peer is dropped alone", on the code before: SIGABRT at the send of 5 MB (release build).

Ruled out: a larger maximum, as the size of a row has no bound; splitting messages, as an instance that misses an update follows the store itself.

Why it works: the transport drops and counts such a message before it is framed, and logs a line with receiver and size. The connection stays: the test sends another message after it, over the same connection.

--- a/src/peers/TcpPeerTransport.cpp
+++ b/src/peers/TcpPeerTransport.cpp
@@ -1,6 +1,8 @@
 #include "gooseberrybeam/peers/TcpPeerTransport.h"
 
 #include "gooseberrybeam/http/OpenAcceptor.h"
+#include "gooseberrybeam/log/Log.h"
+#include "peers/MessageFramer.h"
 #include "peers/PeerSession.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -82,8 +84,14 @@
   }
 
   void send(const MemberId &To, const PeerMessage &Message) {
+    const std::string Encoded = encodePeerMessage(Message);
+    if (Encoded.size() > MaxPeerMessage) {
+      logOversized(To, Encoded.size());
+      countSent(false);
+      return;
+    }
     Link &Of = Links_[To];
-    std::string Framed = frameMessage(encodePeerMessage(Message));
+    std::string Framed = frameMessage(Encoded);
     if (Of.Session_ != nullptr) {
       countSent(Of.Session_->send(Framed));
       return;
@@ -147,6 +155,12 @@
     return {Settings_.Self_, Settings_.Key_, this, &Owner_->Counters_};
   }
 
+  static void logOversized(const MemberId &To, std::size_t Bytes) {
+    logLine(LogPart::Peers, LogLevel::Warn,
+            "Message is too large for a peer; dropped.",
+            {{"to", To.Name_.Value_}, {"bytes", std::to_string(Bytes)}});
+  }
+
   void countSent(bool IsSent) {
     if (IsSent)
       ++Owner_->Counters_.MessagesSent_;
--- a/tests/PeerTransportTest.cpp
+++ b/tests/PeerTransportTest.cpp
@@ -101,6 +101,15 @@
       CHECK(Right->counters().Connected_ == 1);
     }
   }
+  SECTION("A message that is too large for a peer is dropped alone") {
+    Left->send(id("right"), MembershipMessage(Goodbye{}));
+    REQUIRE(runUntil(Context, [&] { return Arrived.size() == 1; }));
+    Left->send(id("right"), ConfigBytes{std::string(5 << 20, 'x')});
+    CHECK(Left->counters().MessagesDropped_ == 1);
+    Left->send(id("right"), MembershipMessage(Goodbye{}));
+    CHECK(runUntil(Context, [&] { return Arrived.size() == 2; }));
+    CHECK(Right->counters().Connected_ == 1);
+  }
   SECTION("A daemon with another key is refused by both ends") {
     const auto Stranger = makePeer(Context, "stranger", "another key");
     Stranger->setMembers(Members);
