Bound a caller's head below what the HTTP parser throws on

What operators may see: one request ends the process, if the configuration allows heads of more than 65,533 bytes (max_header_bytes; 16 KB by default).

Cause: Beast throws std::length_error for a field name or value of more than 65,533 bytes. It does so in a completion handler, so the exception leaves io_context::run, and nothing catches it.

Evidence: CallerServerTest, "A head is too large for its parser, and no limit forbids it", on the code before: "field value too large" and "field name too large" came out of io_context::run; the target of 70,000 bytes and many small fields were accepted, and the latter case was stopped after 100 s, as the connection was kept open.

Ruled out: catching it around io_context::run, as the other requests of a parser's composed operation could not be told apart from it.

Why it works: the limit of the parser is at most 65,000 bytes for the whole head, so no field reaches the size; the caller gets 413 as for any large head.

--- a/src/http/CallerSession.cpp
+++ b/src/http/CallerSession.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <variant>
@@ -14,6 +15,8 @@
 namespace http = beast::http;
 
 constexpr std::size_t FirstRead = 1024;
+/// Beast throws on a field that is larger than 65,533 bytes.
+constexpr std::uint32_t MaxHeaderBytes = 65'000;
 constexpr std::string_view DeadlineField = "X-Request-Deadline-Ms";
 constexpr std::int64_t MaxDeadlineMs = 24LL * 3600 * 1000;
 constexpr Duration LingerTimeout = std::chrono::milliseconds(500);
@@ -113,7 +116,8 @@
 
 Task<bool> CallerSession::serveOne() {
   Parser Request;
-  Request.header_limit(Server_.Limits_.MaxHeaderBytes_);
+  Request.header_limit(
+      std::min(Server_.Limits_.MaxHeaderBytes_, MaxHeaderBytes));
   Request.body_limit(Server_.Limits_.MaxBodyBytes_);
   boost::system::error_code Error;
   bool HasTimedOut = false;
--- a/tests/CallerServerTest.cpp
+++ b/tests/CallerServerTest.cpp
@@ -59,9 +59,12 @@
 }
 
 struct Fixture {
+  explicit Fixture(CallerLimits Limits = smallLimits())
+      : Server_(Context_, Handler_, Limits, "t-") {}
+
   asio::io_context Context_;
   FakeHandler Handler_;
-  CallerServer Server_{Context_, Handler_, smallLimits(), "t-"};
+  CallerServer Server_;
 
   /// Sends bytes and reads all answers until the server closes.
   std::string exchange(const std::string &Bytes) {
@@ -169,3 +172,35 @@
                     400));
   }
 }
+
+TEST_CASE("A head is too large for its parser, and no limit forbids it",
+          "[http][odd]") {
+  CallerLimits Limits;
+  Limits.MaxHeaderBytes_ = 1 << 20;
+  Fixture Fixture(Limits);
+  const std::string Large(70'000, 'a');
+
+  SECTION("a value") {
+    CHECK(hasStatus(Fixture.exchange("GET /a HTTP/1.1\r\nHost: a\r\nX: " +
+                                     Large + "\r\n\r\n"),
+                    413));
+  }
+  SECTION("a name") {
+    CHECK(hasStatus(Fixture.exchange("GET /a HTTP/1.1\r\nHost: a\r\n" + Large +
+                                     ": x\r\n\r\n"),
+                    413));
+  }
+  SECTION("a target") {
+    CHECK(hasStatus(
+        Fixture.exchange("GET /" + Large + " HTTP/1.1\r\nHost: a\r\n\r\n"),
+        413));
+  }
+  SECTION("many fields") {
+    std::string Fields;
+    while (Fields.size() < Large.size())
+      Fields += "X: " + std::string(100, 'a') + "\r\n";
+    CHECK(hasStatus(
+        Fixture.exchange("GET /a HTTP/1.1\r\nHost: a\r\n" + Fields + "\r\n"),
+        413));
+  }
+}
