Log unexpected exceptions of the relay's tasks and start loops again

What operators saw: machines that stop following a list, and processes that end by themselves.

Cause: coroutines were started with asio::detached, which drops an exception without a line in the log. A loop that threw once was over for the life of the process: the watch of a table, ticks, the home link, a port. An exception in a peer message's handler left io_context::run and ended the process.

PeerTransportTest, "A message whose handler throws ends neither process nor link": the exception came out of io_context::run.

Why it works: three functions, one for each boundary. spawnTask ends the one coroutine and logs; spawnLoop also starts it again after 100 ms, so a table is read whole once more; runGuarded keeps an exception out of nghttp2's C code. Rows that threw are not applied again by themselves unless they change.

Not covered: gooseberryd's own spawns still use asio::detached.

--- /dev/null
+++ b/include/gooseberrybeam/http/SpawnTask.h
@@ -0,0 +1,36 @@
+/// \file
+/// Starts coroutines that nobody waits for.
+#ifndef GOOSEBERRYBEAM_HTTP_SPAWNTASK_H
+#define GOOSEBERRYBEAM_HTTP_SPAWNTASK_H
+
+#include "gooseberrybeam/http/Asio.h"
+
+#include <functional>
+#include <string_view>
+
+namespace gooseberry {
+
+/// Starts a coroutine. An exception ends this coroutine alone and is logged.
+/// \param Context runs the coroutine.
+/// \param Name a literal that names the coroutine in the log.
+/// \param Work the coroutine.
+void spawnTask(asio::io_context &Context, std::string_view Name,
+               Task<void> Work);
+
+/// Starts a coroutine that must not end by an exception: it is logged, and the
+/// coroutine is started again after a pause.
+/// \param Context runs the coroutine; outlives it.
+/// \param Name a literal that names the coroutine in the log.
+/// \param Loop makes the coroutine; called again after each exception.
+void spawnLoop(asio::io_context &Context, std::string_view Name,
+               std::function<Task<void>()> Loop);
+
+/// Calls a function on what another process sent. An exception is logged and
+/// goes no further.
+/// \param Name a literal that names the function in the log.
+/// \param Work the function.
+void runGuarded(std::string_view Name, const std::function<void()> &Work);
+
+} // namespace gooseberry
+
+#endif // GOOSEBERRYBEAM_HTTP_SPAWNTASK_H
--- a/src/http/CallerServer.cpp
+++ b/src/http/CallerServer.cpp
@@ -1,10 +1,8 @@
 #include "gooseberrybeam/http/CallerServer.h"
 
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "http/CallerSession.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <vector>
 
 namespace gooseberry {
@@ -23,8 +21,7 @@
 
 void CallerServer::serve(tcp::socket Socket) {
   auto Session = std::make_unique<CallerSession>(*this, std::move(Socket));
-  asio::co_spawn(Context_, CallerSession::run(std::move(Session)),
-                 asio::detached);
+  spawnTask(Context_, "caller", CallerSession::run(std::move(Session)));
 }
 
 void CallerServer::closeIdle() {
--- a/src/peers/TcpPeerTransport.cpp
+++ b/src/peers/TcpPeerTransport.cpp
@@ -1,6 +1,7 @@
 #include "gooseberrybeam/peers/TcpPeerTransport.h"
 
 #include "gooseberrybeam/http/OpenAcceptor.h"
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
 #include "peers/MessageFramer.h"
 #include "peers/PeerSession.h"
@@ -126,9 +127,12 @@
   }
 
   void onMessage(PeerSession &Session, std::string_view Bytes) override {
-    std::optional<PeerMessage> Message = parsePeerMessage(Bytes);
-    if (Message && Owner_ != nullptr)
-      Owner_->deliver(Session.peer(), *std::move(Message));
+    // nghttp2 calls this, so no exception may leave it.
+    runGuarded("peer message", [&] {
+      std::optional<PeerMessage> Message = parsePeerMessage(Bytes);
+      if (Message && Owner_ != nullptr)
+        Owner_->deliver(Session.peer(), *std::move(Message));
+    });
   }
 
   void onClosed(PeerSession &Session) override {
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -1,14 +1,12 @@
 #include "gooseberrybeam/relayd/GenerationCall.h"
 
 #include "gooseberrybeam/http/HttpCall.h"
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/relay/EventStallTimer.h"
 #include "gooseberrybeam/relayd/RelayResponse.h"
 #include "relayd/ScopedWait.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <array>
 #include <span>
@@ -234,10 +232,9 @@
 
 void GenerationCall::releaseHandleAsync(const BackendId &Address,
                                         const std::string &Handle) {
-  asio::co_spawn(Context_.IoContext_,
-                 releaseHandle(Context_, Address,
-                               Context_.Protocol_.makeReleaseRequest(Handle)),
-                 asio::detached);
+  spawnTask(Context_.IoContext_, "release of a handle",
+            releaseHandle(Context_, Address,
+                          Context_.Protocol_.makeReleaseRequest(Handle)));
 }
 
 Task<GenerationCall::WriteOutcome>
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -1,11 +1,9 @@
 #include "gooseberrybeam/relayd/HomeLink.h"
 
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/relayd/HomeCodec.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 
 namespace gooseberry {
@@ -82,7 +80,9 @@
   sendDecisions();
 }
 
-void HomeLink::start() { asio::co_spawn(Context_, runTicks(), asio::detached); }
+void HomeLink::start() {
+  spawnLoop(Context_, "home link", [this] { return runTicks(); });
+}
 
 void HomeLink::announceShutdown() {
   IsLeaving_ = true;
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -3,11 +3,10 @@
 #include "gooseberrybeam/daemon/Incarnation.h"
 #include "gooseberrybeam/http/Endpoint.h"
 #include "gooseberrybeam/http/OpenAcceptor.h"
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/peers/PeerAuth.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -137,7 +136,7 @@
     Callers_.serve(std::move(Socket));
   };
   const auto ServeOperator = [this](tcp::socket Socket) {
-    asio::co_spawn(Context_, serveOperator(std::move(Socket)), asio::detached);
+    spawnTask(Context_, "operator port", serveOperator(std::move(Socket)));
   };
   Ports_.push_back(
       std::make_unique<Port>(Context_, Settings_.CallerListen_, Serve));
@@ -154,10 +153,11 @@
 
 void RelayDaemon::run() {
   for (const auto &ListenPort : Ports_)
-    asio::co_spawn(Context_, accept(*ListenPort), asio::detached);
-  asio::co_spawn(Context_, watchSignals(), asio::detached);
-  asio::co_spawn(Context_, watchHangups(), asio::detached);
-  asio::co_spawn(Context_, runTicks(), asio::detached);
+    spawnLoop(Context_, "accept",
+              [this, &ListenPort] { return accept(*ListenPort); });
+  spawnLoop(Context_, "signals", [this] { return watchSignals(); });
+  spawnLoop(Context_, "hangups", [this] { return watchHangups(); });
+  spawnLoop(Context_, "ticks", [this] { return runTicks(); });
   Home_.start();
   Feeds_.start(*Store_);
   logLine(LogPart::Daemon, LogLevel::Info, "Instance starting.",
@@ -321,8 +321,8 @@
   if (Quarantined == SavedQuarantine_ ||
       std::exchange(IsQuarantineBeingWritten_, true))
     return;
-  asio::co_spawn(Context_, writeQuarantineRow(std::move(Quarantined)),
-                 asio::detached);
+  spawnTask(Context_, "quarantine row",
+            writeQuarantineRow(std::move(Quarantined)));
 }
 
 Task<void>
@@ -351,7 +351,7 @@
   if (IsListed || Relay_.IsDraining_ ||
       std::exchange(IsInstanceRowBeingWritten_, true))
     return;
-  asio::co_spawn(Context_, writeInstanceRow(), asio::detached);
+  spawnTask(Context_, "instance row", writeInstanceRow());
 }
 
 void RelayDaemon::adoptPeerKey() {
@@ -363,7 +363,7 @@
     return;
   }
   if (!std::exchange(IsPeerKeyBeingCreated_, true))
-    asio::co_spawn(Context_, createPeerKey(), asio::detached);
+    spawnTask(Context_, "peer key", createPeerKey());
 }
 
 void RelayDaemon::updateMembers() {
@@ -480,8 +480,8 @@
     logLine(LogPart::Membership, LogLevel::Info,
             "Instance sent no messages; removing its row.",
             {{"instance", Instance.Value_}});
-    asio::co_spawn(Context_, removeUnresponsive(Instance, Row->second),
-                   asio::detached);
+    spawnTask(Context_, "unresponsive instance",
+              removeUnresponsive(Instance, Row->second));
   }
 }
 
@@ -530,7 +530,7 @@
   Home_.announceShutdown();
   const auto Row = instanceRows().find(makeInstanceRowKey(Settings_.Name_));
   if (Row != instanceRows().end())
-    asio::co_spawn(Context_, removeRow(Row->second), asio::detached);
+    spawnTask(Context_, "instance row", removeRow(Row->second));
   asio::steady_timer Timer(Context_);
   Timer.expires_after(ReadinessNoticeTime);
   co_await Timer.async_wait(AsTuple);
--- a/src/relayd/TableWatcher.cpp
+++ b/src/relayd/TableWatcher.cpp
@@ -1,10 +1,8 @@
 #include "gooseberrybeam/relayd/TableWatcher.h"
 
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 
 namespace gooseberry {
@@ -32,7 +30,9 @@
       Control_(std::move(Governor)), PauseTimer_(Context),
       Listener_(std::move(Handlers)) {}
 
-void TableWatcher::start() { asio::co_spawn(Context_, run(), asio::detached); }
+void TableWatcher::start() {
+  spawnLoop(Context_, "table watch", [this] { return run(); });
+}
 
 Task<void> TableWatcher::run() {
   for (;;) {
--- a/tests/PeerTransportTest.cpp
+++ b/tests/PeerTransportTest.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 
+#include <stdexcept>
+
 namespace gooseberry {
 namespace {
 
@@ -110,6 +112,17 @@
     CHECK(runUntil(Context, [&] { return Arrived.size() == 2; }));
     CHECK(Right->counters().Connected_ == 1);
   }
+  SECTION("A message whose handler throws ends neither process nor link") {
+    Right->setHandler([&](const MemberId &, PeerMessage Message) {
+      if (std::holds_alternative<ConfigBytes>(Message))
+        throw std::runtime_error("odd message");
+      Arrived.push_back(std::move(Message));
+    });
+    Left->send(id("right"), ConfigBytes{"odd"});
+    Left->send(id("right"), MembershipMessage(Goodbye{}));
+    CHECK(runUntil(Context, [&] { return !Arrived.empty(); }));
+    CHECK(Right->counters().Connected_ == 1);
+  }
   SECTION("A daemon with another key is refused by both ends") {
     const auto Stranger = makePeer(Context, "stranger", "another key");
     Stranger->setMembers(Members);
