--- a/tests/FaultyServerTest.cpp
+++ b/tests/FaultyServerTest.cpp
@@ -182,3 +182,32 @@
     }
   }
 }
+
+TEST_CASE("A prefill engine names an odd place for the prompt",
+          "[relay][faulty][odd]") {
+  RelayUnderTest Relay;
+  std::string Handle;
+
+  SECTION("that no field can hold") { Handle = std::string(70'000, 'h'); }
+  SECTION("that would begin another field") {
+    Handle = R"(h\r\nExpect-Instance: other)";
+  }
+  SECTION("that would end the head") { Handle = R"(h\r\n\r\n)"; }
+  SECTION("with a byte that is no text") { Handle = R"(h\u0000h)"; }
+  SECTION("that is empty") {}
+  Relay.addServer(
+      "prefill", EngineRole::Prefill, [&](const ScriptedRequest &Request) {
+        return ScriptedAnswer{
+            makeSuccess(Request.Id_, R"({"kv_handle":")" + Handle + "\"}")};
+      });
+  ScriptedBackend &Decode = Relay.addServer(
+      "decode", EngineRole::Decode, [](const ScriptedRequest &Request) {
+        return ScriptedAnswer{makeStreamHead(Request.Id_) +
+                              makeChunk(makeEvent(1)) + std::string(LastChunk)};
+      });
+  const CallerAnswer Answer = Relay.call("/write/1", "r1");
+  CHECK(Answer.Status_ == 200);
+  CHECK(Answer.Body_ == makeEvent(1));
+  REQUIRE(Decode.requests().size() == 1);
+  CHECK(Decode.requests().front().KvSource_.empty());
+}
