Let a row that names no reachable server register none

But a row with a port out of range, no port, the port 0, a host name, a key that no field can hold or a line end in its key did register a server: it was chosen, cost a failed attempt and retry budget, or, with a line end in a key that can be connected to, would add fields to requests.

Cause: parseServer checked the types of fields only; slots were 0.

Evidence: FaultyServerTest, "One odd entry among those of the servers leaves the others in use", on the code before: 3 servers instead of 2 in 6 of 7 sections (not in that of a deeply nested row, which the parser refuses). All requests were answered before as well, since an attempt that sent nothing is repeated.

Each row of another kind is logged once with its key, cut off, and its size.

Evidence of no change for good rows: PlatformTest, unchanged.

--- a/include/gooseberrybeam/http/Endpoint.h
+++ b/include/gooseberrybeam/http/Endpoint.h
@@ -14,6 +14,11 @@
 /// \returns the endpoint, or none if \p Text is not of that form.
 std::optional<tcp::endpoint> parseEndpoint(std::string_view Text);
 
+/// \param Text `ip:port`, with an IPv6 address in brackets.
+/// \returns whether a server may be found there: an endpoint with a port, of an
+/// address that names one machine.
+bool isServerAddress(std::string_view Text);
+
 } // namespace gooseberry
 
 #endif // GOOSEBERRYBEAM_HTTP_ENDPOINT_H
--- a/src/http/Endpoint.cpp
+++ b/src/http/Endpoint.cpp
@@ -26,4 +26,14 @@
   return tcp::endpoint(Address, Number);
 }
 
+bool isServerAddress(std::string_view Text) {
+  // The address is parsed up to the first null character.
+  if (Text.find('\0') != std::string_view::npos)
+    return false;
+  const auto Endpoint = parseEndpoint(Text);
+  return Endpoint && Endpoint->port() != 0 &&
+         !Endpoint->address().is_unspecified() &&
+         !Endpoint->address().is_multicast();
+}
+
 } // namespace gooseberry
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -33,6 +33,17 @@
 /// The home unregisters an instance that has sent no message for this long.
 constexpr Duration MemberTimeout = std::chrono::seconds(20);
 constexpr Duration InitialCallerDeadline = std::chrono::seconds(30);
+/// Keys of rows are cut off here in the log.
+constexpr std::size_t MaxLoggedKey = 128;
+
+// Servers that start or end have such rows too.
+void logOddRow(const StoreRow &Row) {
+  logLine(LogPart::Service, LogLevel::Info,
+          "Row names no backend server to use.",
+          {{"server", std::string_view(Row.Key_).substr(0, MaxLoggedKey)},
+           {"bytes", std::to_string(Row.Value_.size())},
+           {"version", asText(Row.Version_)}});
+}
 
 CallerLimits makeCallerLimits(const RelayCallerLimits &Configured) {
   CallerLimits Limits;
@@ -254,6 +265,8 @@
   for (const auto &Row : Changed.Rows_) {
     const auto Entry =
         Row.IsRemoved_ ? std::nullopt : Adapter_.Schema_->parseServer(Row);
+    if (!Entry && !Row.IsRemoved_)
+      logOddRow(Row);
     if (Entry && Changed.IsRestored_)
       Directory_.putRestored(*Entry, Now);
     else if (Entry)
@@ -263,7 +276,7 @@
     if (!HasServers_)
       continue;
     logLine(LogPart::Service, LogLevel::Info, "Backend server changed.",
-            {{"server", Row.Key_},
+            {{"server", std::string_view(Row.Key_).substr(0, MaxLoggedKey)},
              {"state", !Entry              ? "gone"
                        : Entry->IsLeaving_ ? "leaving"
                                            : "ready"},
--- a/tests/FaultyServerTest.cpp
+++ b/tests/FaultyServerTest.cpp
@@ -211,3 +211,38 @@
   REQUIRE(Decode.requests().size() == 1);
   CHECK(Decode.requests().front().KvSource_.empty());
 }
+
+TEST_CASE("One odd entry among those of the servers leaves the others in use",
+          "[relay][faulty][odd]") {
+  RelayUnderTest Relay;
+  const auto Answer = [](const ScriptedRequest &Request) {
+    return ScriptedAnswer{makeSuccess(Request.Id_, "booked")};
+  };
+  const auto AddOdd = [&](const std::string &Key, const std::string &Address) {
+    Relay.addRow(Key, R"({"service":"booking","address":")" + Address +
+                          R"(","zone":"","slots":4,"state":"ready"})");
+  };
+  ScriptedBackend &First = Relay.addServer("a", std::nullopt, Answer);
+
+  SECTION("with a port out of range") { AddOdd("b", "127.0.0.1:99999999999"); }
+  SECTION("without a port") { AddOdd("b", "127.0.0.1"); }
+  SECTION("with the port 0") { AddOdd("b", "127.0.0.1:0"); }
+  SECTION("with a name") { AddOdd("b", "engine.example:80"); }
+  SECTION("with a key that no field can hold") {
+    AddOdd(std::string(70'000, 'b'), "127.0.0.1:9");
+  }
+  SECTION("with a key that would begin another field") {
+    AddOdd("b\r\nTenant: other", "127.0.0.1:9");
+  }
+  SECTION("nested deeply") {
+    Relay.addRow("b", std::string(100'000, '[') + std::string(100'000, ']'));
+  }
+  ScriptedBackend &Last = Relay.addServer("c", std::nullopt, Answer);
+  // A request that may not be repeated is lost with the first odd choice.
+  for (int I = 0; I != 20; ++I) {
+    const std::string Id = "r" + std::to_string(I);
+    CHECK(Relay.call("/book/1", Id).Body_ == "booked");
+  }
+  CHECK(First.requests().size() + Last.requests().size() == 20);
+  CHECK(Relay.directory().entries().size() == 2);
+}
--- a/tests/support/RelayUnderTest.h
+++ b/tests/support/RelayUnderTest.h
@@ -69,6 +69,17 @@
     return *Servers_.back();
   }
 
+  /// Registers what a row of the store names, if it names a server.
+  /// \param Key the key of the row.
+  /// \param Value its value.
+  void addRow(std::string Key, std::string Value) {
+    StoreRow Row;
+    Row.Key_ = std::move(Key);
+    Row.Value_ = std::move(Value);
+    if (const auto Entry = Schema_.parseServer(Row))
+      Directory_.put(*Entry);
+  }
+
   /// Sends a request as a caller and waits for its answer.
   /// \param Path a path on one of the routes.
   /// \param Id the id of the request.
