--- a/tests/HttpRowStoreTest.cpp
+++ b/tests/HttpRowStoreTest.cpp
@@ -59,18 +59,29 @@
         });
   }
   std::size_t calls() const { return Server_.requests().size(); }
+  /// \returns the targets of the calls so far.
+  std::vector<std::string> targets() const {
+    std::vector<std::string> Targets;
+    for (const ScriptedRequest &Each : Server_.requests())
+      Targets.push_back(Each.Target_);
+    return Targets;
+  }
 
   std::string Era_ = "1";
   int Status_ = 200;
   std::string Body_ =
       R"({"rows":[{"table":"op","key":"config","value":"","ver":7}],"ver":9})";
+  std::vector<std::string> NextBodies_; ///< Of the calls after the first.
 
 private:
   asio::io_context Context_;
-  ScriptedBackend Server_{Context_, [this](const ScriptedRequest &) {
-                            return ScriptedAnswer{
-                                makeReply(Status_, Era_, Body_)};
-                          }};
+  ScriptedBackend Server_{
+      Context_, [this](const ScriptedRequest &) {
+        const std::size_t Next = Server_.requests().size();
+        const bool IsFirst = Next < 2 || Next - 2 >= NextBodies_.size();
+        return ScriptedAnswer{
+            makeReply(Status_, Era_, IsFirst ? Body_ : NextBodies_[Next - 2])};
+      }};
   HttpRowStore Client_{{Server_.address()}};
   CancelScope Scope_;
 };
@@ -128,3 +139,84 @@
     }
   }
 }
+
+TEST_CASE("The store answers with odd rows or pages", "[platform][odd]") {
+  StoreUnderTest Store;
+  const auto ReadKeys = [&] {
+    const auto Read = Store.read();
+    std::vector<std::string> Keys;
+    if (isOk(Read))
+      for (const StoreRow &Each : valueOf(Read).Rows_)
+        Keys.push_back(Each.Key_);
+    return Keys;
+  };
+
+  SECTION("rows beside one that is no row are taken") {
+    for (const char *Odd :
+         {"7", "null", "[]", "{}", R"({"key":7})", R"([[[[{"key":"x"}]]]])"}) {
+      Store.Body_ = R"({"rows":[{"key":"a","ver":1},)" + std::string(Odd) +
+                    R"(,{"key":"b","ver":2}],"ver":9})";
+      CHECK(ReadKeys() == std::vector<std::string>{"a", "b"});
+    }
+  }
+  SECTION("a value that is not Base64 is empty") {
+    Store.Body_ = R"({"rows":[{"key":"a","value":"%%%","ver":1},)"
+                  R"({"key":"b","value":"Yg==","ver":2}],"ver":9})";
+    const auto Read = Store.read();
+    REQUIRE(isOk(Read));
+    CHECK(valueOf(Read).Rows_[0].Value_.empty());
+    CHECK(valueOf(Read).Rows_[1].Value_ == "b");
+  }
+  SECTION("a row's version that cannot be is that of the answer") {
+    // A later change of the row would not be newer otherwise.
+    for (const char *Odd : {"18446744073709551615", "1e300", "-1", "\"x\"",
+                            "99999999999999999999999", "2.5"}) {
+      Store.Body_ =
+          R"({"rows":[{"key":"a","ver":)" + std::string(Odd) + R"(}],"ver":9})";
+      const auto Read = Store.read();
+      REQUIRE(isOk(Read));
+      REQUIRE(valueOf(Read).Rows_.size() == 1);
+      CHECK(valueOf(Read).Rows_.front().Version_ == StoreVersion(9, 1));
+    }
+  }
+  SECTION("an answer that is no page is malformed") {
+    const std::string Deep(100'000, '[');
+    for (const std::string &Odd :
+         {std::string(), std::string("\xff"), std::string("[]"), Deep,
+          std::string(R"({"rows":{},"ver":9})"), std::string(R"({"rows":[]})"),
+          std::string(R"({"rows":[],"ver":-1})"),
+          std::string(R"({"rows":[],"ver":1e300})")}) {
+      Store.Body_ = Odd;
+      const auto Read = Store.read();
+      REQUIRE_FALSE(isOk(Read));
+      CHECK(errorOf(Read) == StoreFailure::Malformed);
+    }
+  }
+  SECTION("the next page is asked for by any key") {
+    Store.Body_ =
+        R"({"rows":[{"key":"a b&c#%\r\n","ver":1}],"ver":9,"has_more":true})";
+    Store.NextBodies_ = {R"({"rows":[{"key":"z","ver":1}],"ver":9})"};
+    CHECK(ReadKeys().size() == 2);
+    REQUIRE(Store.targets().size() == 2);
+    CHECK(Store.targets()[1].ends_with("&source=a%20b%26c%23%25%0D%0A%00"));
+  }
+  SECTION("pages that do not go on are not read again and again") {
+    Store.Body_ = R"({"rows":[{"key":"b","ver":1}],"ver":9,"has_more":true})";
+    SECTION("the same page") { Store.NextBodies_ = {Store.Body_}; }
+    SECTION("a page without rows") {
+      Store.NextBodies_ = {R"({"rows":[],"ver":9,"has_more":true})"};
+    }
+    SECTION("a page of odd rows") {
+      Store.NextBodies_ = {R"({"rows":[7],"ver":9,"has_more":true})"};
+    }
+    SECTION("an earlier page") {
+      Store.NextBodies_ = {
+          R"({"rows":[{"key":"a","ver":1}],"ver":9,"has_more":true})"};
+    }
+    Store.NextBodies_.emplace_back(R"({"rows":[{"key":"c","ver":1}],"ver":9})");
+    const auto Read = Store.read();
+    REQUIRE_FALSE(isOk(Read));
+    CHECK(errorOf(Read) == StoreFailure::Malformed);
+    CHECK(Store.calls() == 2);
+  }
+}
--- a/tests/support/ScriptedBackend.h
+++ b/tests/support/ScriptedBackend.h
@@ -26,6 +26,7 @@
   std::string KvSource_;
   std::string LastEventId_;
   std::size_t NumberOnConnection_ = 0; ///< 1 for the first one.
+  std::string Target_;
 };
 
 /// The bytes that a `ScriptedBackend` sends for one request.
@@ -78,7 +79,8 @@
       Requests_.push_back({std::string(Received["Request-Id"]),
                            std::string(Received["Stage"]),
                            std::string(Received["Kv-Source"]),
-                           std::string(Received["Last-Event-Id"]), Number});
+                           std::string(Received["Last-Event-Id"]), Number,
+                           std::string(Received.target())});
       const ScriptedAnswer Answer = Answers_(Requests_.back());
       co_await asio::async_write(Socket, asio::buffer(Answer.Bytes_), AsTuple);
       if (Answer.ClosesAfter_)
