Add a caller's token counts in 64 bits for its organisation's limit

What operators would see (read from the code, not run): a generation that counts as no tokens against the limit. Token-Count: 4294967295,1 is well-formed.

Cause: two 32-bit counts were added in 32 bits and converted after that.

Evidence: HomeCoordinatorTest, "A caller's token counts together exceed 32 bits", on the code before: the request was not refused for the rate.

Why it works: requestedTokens converts each count before it adds them; the home and the instance's own record both use it.

--- a/include/gooseberrybeam/relay/PlacementTypes.h
+++ b/include/gooseberrybeam/relay/PlacementTypes.h
@@ -40,6 +40,13 @@
                          const PlacementRequest &) = default;
 };
 
+/// \param Placement a request for engines.
+/// \returns the tokens that count against the limit of its organisation.
+inline double requestedTokens(const PlacementRequest &Placement) {
+  return static_cast<double>(Placement.PromptTokens_) +
+         static_cast<double>(Placement.MaxOutputTokens_);
+}
+
 /// An engine selected for a generation.
 struct ChosenServer {
   ServerId Id_;
--- a/src/relay/HomeCoordinator.cpp
+++ b/src/relay/HomeCoordinator.cpp
@@ -144,7 +144,7 @@
   if (!Placement.IsCharged_ && Placer_.isWaiting(Sender, Placement.Request_))
     return;
   if (!Placement.IsCharged_) {
-    const double Tokens = Placement.PromptTokens_ + Placement.MaxOutputTokens_;
+    const double Tokens = requestedTokens(Placement);
     const auto Wait =
         Limits_.tryAcquire(Sender, Placement.Organisation_, Tokens, Now);
     if (Wait) {
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -503,8 +503,7 @@
       std::holds_alternative<PlacementGrant>(*Placement.Answer_);
   if (IsGranted && !Placement.Request_.IsCharged_)
     addRecentUsage(Placement.Request_.Organisation_,
-                   Placement.Request_.PromptTokens_ +
-                       Placement.Request_.MaxOutputTokens_);
+                   requestedTokens(Placement.Request_));
   if (!Placement.Answer_)
     report({Id, GenerationStep::Ended, {}, 0, {}, {}});
   co_return std::move(Placement.Answer_);
--- a/tests/HomeCoordinatorTest.cpp
+++ b/tests/HomeCoordinatorTest.cpp
@@ -409,3 +409,32 @@
     CHECK_FALSE(IsSecondLimited(TimePoint(1000200ms)));
   }
 }
+
+TEST_CASE("A caller's token counts together exceed 32 bits", "[relay][odd]") {
+  const BackendDirectory Directory;
+  HomeCoordinator Home(Directory, {Window, 0});
+  const TimePoint Now(100s);
+  Home.configure(makeConfiguration(), Now);
+  HomeHeartbeat Heartbeat;
+  Heartbeat.IsAttached_ = true;
+  Heartbeat.Uptime_ = 50s;
+  Home.onHeartbeat({"edge"}, Heartbeat, Now);
+  const auto Ask = [&](std::string Id, std::uint32_t Prompt,
+                       std::uint32_t Output) {
+    PlacementRequest Request;
+    Request.Request_ = {std::move(Id)};
+    Request.Organisation_ = Acme;
+    Request.Service_ = {"writer"};
+    Request.PromptTokens_ = Prompt;
+    Request.MaxOutputTokens_ = Output;
+    Request.TimeLeft_ = 10s;
+    Request.PatienceLeft_ = 10s;
+    Home.onPlacementRequest({"edge"}, Request, Now);
+    const auto Decisions = Home.decide(Now);
+    return Decisions.empty()
+               ? std::optional<RefusalReason>()
+               : std::get<PlacementDenial>(Decisions.front().Answer_).Reason_;
+  };
+  CHECK_FALSE(Ask("first", 10, 10));
+  CHECK(Ask("huge", 4'294'967'295, 1) == RefusalReason::RateExceeded);
+}
