--- a/src/relayd/QuarantineRow.cpp
+++ b/src/relayd/QuarantineRow.cpp
@@ -19,7 +19,7 @@
     return Segments;
   for (const json::value &Each : Value.get_array())
     if (Each.is_string())
-      Segments.push_back({std::string(Each.get_string().c_str())});
+      Segments.push_back({std::string(Each.get_string())});
   return Segments;
 }
 
@@ -56,7 +56,10 @@
 std::vector<CrashSuspect> parseQuarantineRow(const StoreRow &Row) {
   std::vector<CrashSuspect> Quarantined;
   boost::system::error_code Error;
-  const json::value Parsed = json::parse(Row.Value_, Error);
+  // Segments are named by callers, in any bytes.
+  json::parse_options Options;
+  Options.allow_invalid_utf8 = true;
+  const json::value Parsed = json::parse(Row.Value_, Error, {}, Options);
   if (Error || !Parsed.is_array())
     return Quarantined;
   for (const json::value &Each : Parsed.get_array()) {
