Bound the bytes that an HTTP connection keeps unparsed

What operators would see (read from the code, not run): memory that grows by whatever a server sends until a timeout, if the head of a chunk or the fields after the last chunk do not end. Heads and bodies have limits of their own, these have none in Beast.

Heads without end were refused before, at 8 KB, for the store's client too, as it uses the same connection.

Why it works: a connection's buffer takes 128 KB; what does not fit is a failure of the call. Bodies are taken out of the buffer as they arrive, so their size does not matter. Callers' connections have the same bound.

--- a/include/gooseberrybeam/http/Asio.h
+++ b/include/gooseberrybeam/http/Asio.h
@@ -12,6 +12,8 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <cstddef>
+
 namespace gooseberry {
 
 namespace asio = boost::asio;
@@ -24,6 +26,10 @@
 /// Completion token: the coroutine gets a tuple that starts with the error.
 inline constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 
+/// Bytes that a connection keeps that are not parsed yet. It bounds what an
+/// HTTP parser does not, such as the extensions of a chunk.
+inline constexpr std::size_t MaxConnectionBuffer = std::size_t{128} << 10;
+
 /// A request with its body in memory.
 using HttpRequest = beast::http::request<beast::http::string_body>;
 /// The fields of a message.
--- a/include/gooseberrybeam/http/ClientConnection.h
+++ b/include/gooseberrybeam/http/ClientConnection.h
@@ -89,7 +89,7 @@
   CallError failed(CallFailure Failure, bool MayHaveStarted);
 
   beast::tcp_stream Stream_;
-  beast::flat_buffer Buffer_;
+  beast::flat_buffer Buffer_{MaxConnectionBuffer};
   std::optional<Parser> Parser_;
   std::optional<Duration> IdleLimit_;
   std::uint64_t Calls_ = 0; ///< Requests sent.
--- a/src/http/CallerSession.h
+++ b/src/http/CallerSession.h
@@ -37,7 +37,7 @@
 
   CallerServer &Server_;
   beast::tcp_stream Stream_;
-  beast::flat_buffer Buffer_;
+  beast::flat_buffer Buffer_{MaxConnectionBuffer};
   bool IsIdle_ = true;
 };
 
--- a/tests/HttpCallTest.cpp
+++ b/tests/HttpCallTest.cpp
@@ -72,6 +72,25 @@
         "8\r\nabcdefgh\r\n", 0ms);
     CHECK(Answer.call(Limits) == CallFailure::Malformed);
   }
+  SECTION("in the head of a chunk") {
+    // Not before the bytes exceed the buffer.
+    Limits.IdleTimeout_ = TestTimeout * 2;
+    EndlessAnswer Answer(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8;x=",
+        std::string(512, 'a'), 0ms);
+    const auto Failure = Answer.call(Limits);
+    CHECK(
+        (Failure == CallFailure::Malformed || Failure == CallFailure::Receive));
+  }
+  SECTION("after the last chunk") {
+    Limits.IdleTimeout_ = TestTimeout * 2;
+    EndlessAnswer Answer(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nx: ",
+        std::string(512, 'a'), 0ms);
+    const auto Failure = Answer.call(Limits);
+    CHECK(
+        (Failure == CallFailure::Malformed || Failure == CallFailure::Receive));
+  }
   SECTION("in a body, a byte now and then") {
     Limits.BodyTimeout_ = 300ms;
     EndlessAnswer Answer(
