--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/write.hpp>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <cassert>
 #include <charconv>
 #include <limits>
@@ -33,6 +34,8 @@
 }
 
 constexpr std::string_view TimeoutParameter = "timeout=";
+/// A longer timeout is not relied on.
+constexpr std::int64_t MaxIdleLimitS = 3600;
 
 /// \returns the timeout that a `Keep-Alive` field states in whole seconds.
 std::optional<Duration> findIdleLimit(const HttpFields &Fields) {
@@ -46,7 +49,8 @@
       std::from_chars(Begin, Text.data() + Text.size(), Seconds);
   if (Parsed.ec != std::errc())
     return std::nullopt;
-  return std::chrono::seconds(Seconds);
+  return std::chrono::seconds(
+      std::clamp<std::int64_t>(Seconds, 0, MaxIdleLimitS));
 }
 
 /// Lets the system find connections that went silent.
