Skip amounts and cut times of peers that are out of range

What operators would see (read from the code, not run): one entry of a heartbeat with NaN tokens makes the sum of an organisation's usage NaN, and every request is granted from then on; with a negative age it lies in a cell of the usage window that no later usage replaces. A time of 2^63 overflows as it is added to a reading of the clock.

Cause: doubles and durations were taken as they came. Instances of one release do not send such values; the messages of a faulty one were believed.

Why it works: an entry whose amount is not finite or negative is left out, the rest of its message holds; times are cut to a year, ages to 0 at least.

--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -3,6 +3,7 @@
 #include <home.pb.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace gooseberry {
 namespace {
@@ -10,6 +11,22 @@
 constexpr auto LastStep =
     static_cast<std::uint32_t>(GenerationStep::CrashedAtStart);
 
+/// Sums and multiples of shorter times fit into a `Duration`.
+constexpr std::int64_t MaxUs =
+    std::chrono::duration_cast<Duration>(std::chrono::hours(24 * 365)).count();
+
+/// \returns a time that may have passed, in range.
+Duration readTimeLeft(std::int64_t Us) {
+  return Duration(std::clamp(Us, -MaxUs, MaxUs));
+}
+
+/// \returns a time in range that is not negative.
+Duration readTime(std::int64_t Us) {
+  return Duration(std::clamp<std::int64_t>(Us, 0, MaxUs));
+}
+
+bool isAmount(double Value) { return std::isfinite(Value) && Value >= 0; }
+
 template <typename T>
 void writeUtilisation(T &Body,
                       const std::vector<LimitUtilisation> &Utilisation) {
@@ -24,7 +41,8 @@
 std::vector<LimitUtilisation> readUtilisation(const T &Body) {
   std::vector<LimitUtilisation> Utilisation;
   for (const auto &Limit : Body.fills())
-    Utilisation.push_back({{Limit.organisation()}, Limit.part()});
+    if (isAmount(Limit.part()))
+      Utilisation.push_back({{Limit.organisation()}, Limit.part()});
   return Utilisation;
 }
 
@@ -55,7 +73,7 @@
   std::vector<CrashSuspect> Suspects;
   for (const auto &Suspect : Body.suspects())
     Suspects.push_back(
-        {readSegments(Suspect), Suspect.crashes(), Duration(Suspect.age_us())});
+        {readSegments(Suspect), Suspect.crashes(), readTime(Suspect.age_us())});
   return Suspects;
 }
 
@@ -71,7 +89,8 @@
 template <typename T> std::vector<ServerLimit> readLimits(const T &Body) {
   std::vector<ServerLimit> Limits;
   for (const auto &Limit : Body.server_limits())
-    Limits.push_back({{Limit.server()}, Limit.per_second()});
+    if (isAmount(Limit.per_second()))
+      Limits.push_back({{Limit.server()}, Limit.per_second()});
   return Limits;
 }
 
@@ -251,7 +270,7 @@
   Message.Sequence_ = Body.sequence();
   Message.ConfigurationVersion_ = Body.configuration_version();
   Message.ServersVersion_ = {Body.servers_version(), Body.servers_era()};
-  Message.Uptime_ = Duration(Body.uptime_us());
+  Message.Uptime_ = readTime(Body.uptime_us());
   Message.IsAttached_ = Body.is_attached();
   Message.Attachment_ = Body.attachment();
   Message.Utilisation_ = readUtilisation(Body);
@@ -260,8 +279,9 @@
   Message.LeavingServers_ = readLeaving(Body);
   Message.IsLeaving_ = Body.is_leaving();
   for (const auto &Usage : Body.used())
-    Message.TokenUsage_.push_back(
-        {{Usage.organisation()}, Usage.tokens(), Duration(Usage.age_us())});
+    if (isAmount(Usage.tokens()))
+      Message.TokenUsage_.push_back(
+          {{Usage.organisation()}, Usage.tokens(), readTime(Usage.age_us())});
   for (const auto &Generation : Body.running())
     Message.RunningGenerations_.push_back({{Generation.request()},
                                            {Generation.organisation()},
@@ -293,7 +313,7 @@
     Message.Feeds_[static_cast<std::size_t>(I)] = {
         {Feed.version(), Feed.era()},
         {Feed.last_change(), Feed.era()},
-        Duration(Feed.age_us()),
+        readTime(Feed.age_us()),
         Feed.is_store_available()};
   }
   return Message;
@@ -308,9 +328,9 @@
   Message.MaxOutputTokens_ = Body.max_output_tokens();
   Message.LengthHint_ = Body.length_hint();
   Message.Priority_ = Body.priority();
-  Message.TargetLeft_ = Duration(Body.target_left_us());
-  Message.TimeLeft_ = Duration(Body.time_left_us());
-  Message.PatienceLeft_ = Duration(Body.patience_left_us());
+  Message.TargetLeft_ = readTimeLeft(Body.target_left_us());
+  Message.TimeLeft_ = readTimeLeft(Body.time_left_us());
+  Message.PatienceLeft_ = readTimeLeft(Body.patience_left_us());
   Message.IsCharged_ = Body.is_charged();
   Message.NeedsPrefill_ = Body.needs_prefill();
   Message.OutputTokens_ = Body.output_tokens();
@@ -340,7 +360,7 @@
   Message.Request_ = {Body.request()};
   Message.Reason_ = static_cast<RefusalReason>(Body.reason());
   if (Body.has_retry_after_us())
-    Message.RetryAfter_ = Duration(Body.retry_after_us());
+    Message.RetryAfter_ = readTime(Body.retry_after_us());
   return Message;
 }
 
@@ -350,7 +370,7 @@
   return GenerationReport{
       {Body.request()},         static_cast<GenerationStep>(Body.step()),
       {Body.server()},          Body.tokens(),
-      Duration(Body.took_us()), readSegments(Body)};
+      readTime(Body.took_us()), readSegments(Body)};
 }
 
 std::optional<SharedTableId> readTable(std::uint32_t Table) {
@@ -382,7 +402,9 @@
   return Message;
 }
 
-ServerLimitReport read(const wire::HomeServerLimit &Body) {
+std::optional<HomeMessage> read(const wire::HomeServerLimit &Body) {
+  if (Body.has_per_second() && !isAmount(Body.per_second()))
+    return std::nullopt;
   ServerLimitReport Message;
   Message.Server_ = {Body.server()};
   if (Body.has_per_second())
@@ -395,7 +417,7 @@
 }
 
 ServerTokenAnswer read(const wire::HomeServerTokenAnswer &Body) {
-  return {Body.ticket(), Duration(Body.retry_after_us())};
+  return {Body.ticket(), readTime(Body.retry_after_us())};
 }
 
 } // namespace
