--- a/tests/PeerTransportTest.cpp
+++ b/tests/PeerTransportTest.cpp
@@ -1,8 +1,11 @@
+#include "gooseberrybeam/http/Endpoint.h"
 #include "gooseberrybeam/peers/TcpPeerTransport.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <stdexcept>
 
 namespace gooseberry {
@@ -154,6 +157,44 @@
   }
 }
 
+TEST_CASE("Bytes without end on a peer's port end with their connection",
+          "[peers][odd]") {
+  asio::io_context Context;
+  const auto Peer = makePeer(Context, "peer", "shared key");
+  std::string Start;
+  std::string Repeated(512, 'a');
+
+  SECTION("that are no HTTP/2") {}
+  SECTION("that are a head") {
+    using namespace std::string_literals;
+    // The preface, settings, and a head that is continued again and again.
+    Start = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"s + "\0\0\0\x4\0\0\0\0\0"s +
+            "\0\0\0\x1\0\0\0\0\x1"s;
+    // One field that is not indexed: `x: ` and 200 letters.
+    const std::string Field = "\0\x01x\x7f\x49"s + std::string(200, 'a');
+    Repeated =
+        "\0\0"s + static_cast<char>(Field.size()) + "\x9\0\0\0\0\x1"s + Field;
+  }
+  const std::string Address = Peer->address();
+  tcp::socket Caller(Context);
+  Caller.connect(*parseEndpoint(Address));
+  std::size_t Sent = 0;
+  bool IsClosed = false;
+  std::function<void(const std::string &)> Send =
+      [&](const std::string &Bytes) {
+        asio::async_write(Caller, asio::buffer(Bytes),
+                          [&](boost::system::error_code Error, std::size_t N) {
+                            Sent += N;
+                            IsClosed = static_cast<bool>(Error);
+                            if (!Error)
+                              Send(Repeated);
+                          });
+      };
+  Send(Start);
+  CHECK(runUntil(Context, [&] { return IsClosed; }));
+  CHECK(Peer->counters().Connected_ == 0);
+}
+
 TEST_CASE("A transport needs a key and a free address", "[peers]") {
   asio::io_context Context;
   const auto Bad = [&](PeerSettings Settings) {
