--- a/tests/OddMessagesTest.cpp
+++ b/tests/OddMessagesTest.cpp
@@ -1,5 +1,6 @@
 #include "PlatformProtocol.h"
 #include "gooseberrybeam/peers/PeerMessage.h"
+#include "gooseberrybeam/relay/HomeCoordinator.h"
 #include "gooseberrybeam/relayd/HomeCodec.h"
 #include "gooseberrybeam/relayd/QuarantineRow.h"
 #include "support/Mutations.h"
@@ -188,6 +189,61 @@
   CHECK(Accepted < FuzzCases);
 }
 
+TEST_CASE("A home that hears changed messages goes on deciding",
+          "[relay][odd]") {
+  BackendDirectory Directory;
+  for (const auto Role : {EngineRole::Prefill, EngineRole::Decode}) {
+    BackendEntry Engine;
+    Engine.Id_ = {Role == EngineRole::Prefill ? "p" : "d1"};
+    Engine.Service_ = {"svc"};
+    Engine.Role_ = Role;
+    Directory.put(Engine);
+  }
+  RelayConfigurationParts Parts;
+  Parts.Version_ = 1;
+  RelayOrganisation Organisation;
+  Organisation.Name_ = {"acme"};
+  Organisation.Limit_ = TokenLimit{1e6, 1e6};
+  Parts.Organisations_ = {Organisation};
+  EngineTraits Traits;
+  Traits.Slots_ = 8;
+  Traits.KvTokens_ = 100'000;
+  Parts.Services_ = {{{"svc"}, 100, Traits}};
+  HomeCoordinator Home(Directory, {8s, 1000});
+  TimePoint Now(100s);
+  Home.configure(std::make_shared<const RelayConfiguration>(std::move(Parts)),
+                 Now);
+  Home.setInstanceCount(2);
+  Mutations Change(7);
+  const auto Samples = makeSamples();
+  int Grants = 0;
+  for (int I = 0; I != 5 * FuzzCases; ++I, Now += 3ms) {
+    const InstanceId Sender = {Change.chance(2) ? "a" : "b"};
+    std::string Bytes =
+        encodeHomeMessage(Samples[Change.below(Samples.size())]);
+    if (Change.chance(2))
+      Bytes = Change.mutated(Bytes);
+    const auto Parsed = parseHomeMessage(Bytes);
+    if (!Parsed)
+      continue;
+    if (const auto *Heartbeat = std::get_if<HomeHeartbeat>(&*Parsed))
+      Home.onHeartbeat(Sender, *Heartbeat, Now);
+    if (const auto *Request = std::get_if<PlacementRequest>(&*Parsed))
+      Home.onPlacementRequest(Sender, *Request, Now);
+    if (const auto *Report = std::get_if<GenerationReport>(&*Parsed))
+      Home.onReport(*Report, Now);
+    if (const auto *Limit = std::get_if<ServerLimitReport>(&*Parsed))
+      Home.onServerLimit(*Limit, Now);
+    if (const auto *Token = std::get_if<ServerTokenRequest>(&*Parsed))
+      REQUIRE(Home.takeServerToken(Token->Server_, Now) >= 0s);
+    for (const PlacementDecision &Each : Home.decide(Now))
+      Grants += std::holds_alternative<PlacementGrant>(Each.Answer_) ? 1 : 0;
+    for (const LimitUtilisation &Each : Home.utilisation(Now))
+      REQUIRE(isAmount(Each.UsedFraction_));
+  }
+  CHECK(Grants > 0);
+}
+
 TEST_CASE("Whatever a caller's head names reaches the home",
           "[relay][platform][odd]") {
   const PlatformProtocol Protocol;
--- a/tests/support/Mutations.h
+++ b/tests/support/Mutations.h
@@ -20,6 +20,10 @@
   /// \param OneIn the inverse of the probability.
   bool chance(std::uint32_t OneIn) { return below(OneIn) == 0; }
 
+  /// \param Bound at least 1.
+  /// \returns a number below it.
+  std::size_t below(std::size_t Bound) { return Random_() % Bound; }
+
   /// \param Text a text, not empty.
   /// \returns the text with one to three changes.
   std::string mutated(std::string Text) {
@@ -55,8 +59,6 @@
       ",",
       "%"};
 
-  std::size_t below(std::size_t Bound) { return Random_() % Bound; }
-
   void change(std::string &Text) {
     const std::size_t At = below(Text.size() + 1);
     switch (below(6)) {
