--- a/tests/FaultyServerTest.cpp
+++ b/tests/FaultyServerTest.cpp
@@ -182,3 +182,67 @@
     }
   }
 }
+
+TEST_CASE("A prefill engine names an odd place for the prompt",
+          "[relay][faulty][odd]") {
+  RelayUnderTest Relay;
+  std::string Handle;
+
+  SECTION("that no field can hold") { Handle = std::string(70'000, 'h'); }
+  SECTION("that would begin another field") {
+    Handle = R"(h\r\nExpect-Instance: other)";
+  }
+  SECTION("that would end the head") { Handle = R"(h\r\n\r\n)"; }
+  SECTION("with a byte that is no text") { Handle = R"(h\u0000h)"; }
+  SECTION("that is empty") {}
+  Relay.addServer(
+      "prefill", EngineRole::Prefill, [&](const ScriptedRequest &Request) {
+        return ScriptedAnswer{
+            makeSuccess(Request.Id_, R"({"kv_handle":")" + Handle + "\"}")};
+      });
+  ScriptedBackend &Decode = Relay.addServer(
+      "decode", EngineRole::Decode, [](const ScriptedRequest &Request) {
+        return ScriptedAnswer{makeStreamHead(Request.Id_) +
+                              makeChunk(makeEvent(1)) + std::string(LastChunk)};
+      });
+  const CallerAnswer Answer = Relay.call("/write/1", "r1");
+  CHECK(Answer.Status_ == 200);
+  CHECK(Answer.Body_ == makeEvent(1));
+  REQUIRE(Decode.requests().size() == 1);
+  CHECK(Decode.requests().front().KvSource_.empty());
+}
+
+TEST_CASE("One odd entry among those of the servers leaves the others in use",
+          "[relay][faulty][odd]") {
+  RelayUnderTest Relay;
+  const auto Answer = [](const ScriptedRequest &Request) {
+    return ScriptedAnswer{makeSuccess(Request.Id_, "booked")};
+  };
+  const auto AddOdd = [&](const std::string &Key, const std::string &Address) {
+    Relay.addRow(Key, R"({"service":"booking","address":")" + Address +
+                          R"(","zone":"","slots":4,"state":"ready"})");
+  };
+  ScriptedBackend &First = Relay.addServer("a", std::nullopt, Answer);
+
+  SECTION("with a port out of range") { AddOdd("b", "127.0.0.1:99999999999"); }
+  SECTION("without a port") { AddOdd("b", "127.0.0.1"); }
+  SECTION("with the port 0") { AddOdd("b", "127.0.0.1:0"); }
+  SECTION("with a name") { AddOdd("b", "engine.example:80"); }
+  SECTION("with a key that no field can hold") {
+    AddOdd(std::string(70'000, 'b'), "127.0.0.1:9");
+  }
+  SECTION("with a key that would begin another field") {
+    AddOdd("b\r\nTenant: other", "127.0.0.1:9");
+  }
+  SECTION("nested deeply") {
+    Relay.addRow("b", std::string(100'000, '[') + std::string(100'000, ']'));
+  }
+  ScriptedBackend &Last = Relay.addServer("c", std::nullopt, Answer);
+  // A request that may not be repeated is lost with the first odd choice.
+  for (int I = 0; I != 20; ++I) {
+    const std::string Id = "r" + std::to_string(I);
+    CHECK(Relay.call("/book/1", Id).Body_ == "booked");
+  }
+  CHECK(First.requests().size() + Last.requests().size() == 20);
+  CHECK(Relay.directory().entries().size() == 2);
+}
--- a/tests/PeerTransportTest.cpp
+++ b/tests/PeerTransportTest.cpp
@@ -1,8 +1,13 @@
+#include "gooseberrybeam/http/Endpoint.h"
 #include "gooseberrybeam/peers/TcpPeerTransport.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <functional>
+#include <stdexcept>
+
 namespace gooseberry {
 namespace {
 
@@ -101,6 +106,26 @@
       CHECK(Right->counters().Connected_ == 1);
     }
   }
+  SECTION("A message that is too large for a peer is dropped alone") {
+    Left->send(id("right"), MembershipMessage(Goodbye{}));
+    REQUIRE(runUntil(Context, [&] { return Arrived.size() == 1; }));
+    Left->send(id("right"), ConfigBytes{std::string(5 << 20, 'x')});
+    CHECK(Left->counters().MessagesDropped_ == 1);
+    Left->send(id("right"), MembershipMessage(Goodbye{}));
+    CHECK(runUntil(Context, [&] { return Arrived.size() == 2; }));
+    CHECK(Right->counters().Connected_ == 1);
+  }
+  SECTION("A message whose handler throws ends neither process nor link") {
+    Right->setHandler([&](const MemberId &, PeerMessage Message) {
+      if (std::holds_alternative<ConfigBytes>(Message))
+        throw std::runtime_error("odd message");
+      Arrived.push_back(std::move(Message));
+    });
+    Left->send(id("right"), ConfigBytes{"odd"});
+    Left->send(id("right"), MembershipMessage(Goodbye{}));
+    CHECK(runUntil(Context, [&] { return !Arrived.empty(); }));
+    CHECK(Right->counters().Connected_ == 1);
+  }
   SECTION("A daemon with another key is refused by both ends") {
     const auto Stranger = makePeer(Context, "stranger", "another key");
     Stranger->setMembers(Members);
@@ -132,6 +157,44 @@
   }
 }
 
+TEST_CASE("Bytes without end on a peer's port end with their connection",
+          "[peers][odd]") {
+  asio::io_context Context;
+  const auto Peer = makePeer(Context, "peer", "shared key");
+  std::string Start;
+  std::string Repeated(512, 'a');
+
+  SECTION("that are no HTTP/2") {}
+  SECTION("that are a head") {
+    using namespace std::string_literals;
+    // The preface, settings, and a head that is continued again and again.
+    Start = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"s + "\0\0\0\x4\0\0\0\0\0"s +
+            "\0\0\0\x1\0\0\0\0\x1"s;
+    // One field that is not indexed: `x: ` and 200 letters.
+    const std::string Field = "\0\x01x\x7f\x49"s + std::string(200, 'a');
+    Repeated =
+        "\0\0"s + static_cast<char>(Field.size()) + "\x9\0\0\0\0\x1"s + Field;
+  }
+  const std::string Address = Peer->address();
+  tcp::socket Caller(Context);
+  Caller.connect(*parseEndpoint(Address));
+  std::size_t Sent = 0;
+  bool IsClosed = false;
+  std::function<void(const std::string &)> Send =
+      [&](const std::string &Bytes) {
+        asio::async_write(Caller, asio::buffer(Bytes),
+                          [&](boost::system::error_code Error, std::size_t N) {
+                            Sent += N;
+                            IsClosed = static_cast<bool>(Error);
+                            if (!Error)
+                              Send(Repeated);
+                          });
+      };
+  Send(Start);
+  CHECK(runUntil(Context, [&] { return IsClosed; }));
+  CHECK(Peer->counters().Connected_ == 0);
+}
+
 TEST_CASE("A transport needs a key and a free address", "[peers]") {
   asio::io_context Context;
   const auto Bad = [&](PeerSettings Settings) {
--- a/tests/support/ScriptedBackend.h
+++ b/tests/support/ScriptedBackend.h
@@ -29,6 +29,7 @@
   std::string KvSource_;
   std::string LastEventId_;
   std::size_t NumberOnConnection_ = 0; ///< 1 for the first one.
+  std::string Target_;
 };
 
 /// Bytes that a `ScriptedBackend` sends after a pause.
@@ -94,7 +95,8 @@
       Requests_.push_back({std::string(Received["Request-Id"]),
                            std::string(Received["Stage"]),
                            std::string(Received["Kv-Source"]),
-                           std::string(Received["Last-Event-Id"]), Number});
+                           std::string(Received["Last-Event-Id"]), Number,
+                           std::string(Received.target())});
       const ScriptedAnswer Answer = Answers_(Requests_.back());
       co_await asio::async_write(Socket, asio::buffer(Answer.Bytes_), AsTuple);
       for (const ScriptedPart &Part : Answer.Rest_) {
