Serve the connections that wait as the process is about to end

Cause: the process ended when no session was open.

Now the port is looked at in the same turn; what waits is served. Then the port is closed, and what was accepted last is waited for. A connection that arrives between the look and the close is still reset, unread.

--- a/include/gooseberrybeam/relayd/RelayDaemon.h
+++ b/include/gooseberrybeam/relayd/RelayDaemon.h
@@ -57,6 +57,8 @@
   Task<void> serveOperator(tcp::socket Socket);
   Task<void> watchSignals();
   Task<void> watchHangups();
+  void closeCallerPort();
+  bool acceptWaiting();
   Task<void> waitForCallers(TimePoint End);
   Task<void> drain();
   Task<void> runTicks();
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -538,11 +538,37 @@
   co_await drain();
 }
 
+void RelayDaemon::closeCallerPort() {
+  boost::system::error_code Error;
+  Ports_.front()->Acceptor_.close(Error);
+  if (Error)
+    logLine(LogPart::Daemon, LogLevel::Warn, "Port could not be closed.",
+            {{"listen", Settings_.CallerListen_}, {"error", Error.message()}});
+}
+
+// Serves the connections that wait to be accepted.
+bool RelayDaemon::acceptWaiting() {
+  Port &CallerPort = *Ports_.front();
+  boost::system::error_code Error;
+  CallerPort.Acceptor_.non_blocking(true, Error);
+  bool HasAccepted = false;
+  while (!Error) {
+    tcp::socket Socket(Context_);
+    CallerPort.Acceptor_.accept(Socket, Error);
+    if (Error)
+      break;
+    CallerPort.Serve_(std::move(Socket));
+    HasAccepted = true;
+  }
+  return HasAccepted;
+}
+
 // New connections are still accepted: if many instances shut down at a time,
 // the load balancer goes on using all of them.
 Task<void> RelayDaemon::waitForCallers(TimePoint End) {
   asio::steady_timer Timer(Context_);
-  while (Callers_.connectionCount() > 0 && readBootClock() < End) {
+  while ((Callers_.connectionCount() > 0 || acceptWaiting()) &&
+         readBootClock() < End) {
     Timer.expires_after(DrainPollInterval);
     co_await Timer.async_wait(AsTuple);
   }
@@ -566,6 +592,11 @@
   co_await Timer.async_wait(AsTuple);
   Callers_.closeIdle();
   co_await waitForCallers(Schedule.AnswersEndAt_);
+  closeCallerPort();
+  // A connection may have been accepted last and not be served yet.
+  Timer.expires_after(DrainPollInterval);
+  co_await Timer.async_wait(AsTuple);
+  co_await waitForCallers(Schedule.AnswersEndAt_);
   const std::uint64_t Unanswered = Relay_.InFlight_;
   Callers_.cancelRequests(RefusalReason::Draining);
   co_await waitForCallers(ExitAt);
