Begin a caller's stream with its first event, and state why a stop ends it

What callers saw (found in review): two engines send the head of a stream and no event; the caller gets status 200 and an answer that breaks off with nothing in it, where a refusal could have been sent.

Cause: the head was passed on as soon as an engine had sent it. What fails after that can only be cut. Now the head follows with the first event; until then a failure, a deadline or a stop is answered, truthfully as not run or unknown. A request that a stop ends before it has run says "draining" and may return at once, rather than that its deadline cannot be met.

Tests: PlannedStopTest ("stopped before its first event") and FaultyServerTest ("that send no event"). PlannedStopTest cancels once a server has the request, rather than after 50 ms, and expects the answer before the deadline: the earlier checks also passed by the deadline.

--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -59,6 +59,8 @@
 
   Task<WriteOutcome> writeEvents(EventSplitter &Splitter,
                                  FailoverSearch *Search);
+  Task<bool> writeToCaller(std::string_view Events);
+  Refusal makeStopRefusal() const;
   StepOutcome failStream(const ChosenServer &Engine, std::string_view Reason,
                          CallFailure Failure);
   ServerTarget makeTarget(const ChosenServer &Engine) const;
@@ -105,9 +107,10 @@
   std::uint32_t Placements_ = 0;
   std::uint32_t EventsSent_ = 0; ///< Events written to the caller.
   std::optional<std::uint64_t> LastEventId_;
-  TimePoint PlacedAt_;    ///< Time of the latest grant.
-  TimePoint DecodeAt_;    ///< Start of the latest decode call.
-  TimePoint PrefilledAt_; ///< End of the latest successful prefill.
+  HttpFields StreamFields_; ///< Of the response, until that has begun.
+  TimePoint PlacedAt_;      ///< Time of the latest grant.
+  TimePoint DecodeAt_;      ///< Start of the latest decode call.
+  TimePoint PrefilledAt_;   ///< End of the latest successful prefill.
   TimePoint FirstEventAt_;
   TimePoint LastEventAt_;
   std::uint32_t EngineEvents_ = 0; ///< Events from the current decode engine.
--- a/include/gooseberrybeam/relayd/RelayResponse.h
+++ b/include/gooseberrybeam/relayd/RelayResponse.h
@@ -11,6 +11,9 @@
 
 namespace gooseberry {
 
+/// Sent to callers while this instance shuts down: other instances serve.
+inline constexpr Duration RetryAfterDrain = Duration::zero();
+
 /// Counts and logs a refusal, and sends it to the caller.
 /// \param Context state of the instance.
 /// \param Exchange the request; nothing is sent if its response was started.
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -242,6 +242,20 @@
                           Context_.Protocol_.makeReleaseRequest(Handle)));
 }
 
+// The head follows with the first event: until then, a failure is answered.
+Task<bool> GenerationCall::writeToCaller(std::string_view Events) {
+  CallerExchange &Exchange = Request_.Exchange_;
+  if (!Exchange.isAnswerBegun()) {
+    if (Context_.isDraining())
+      Exchange.closeAfter();
+    const bool IsAccepted =
+        co_await Exchange.beginStream(HttpOk, std::move(StreamFields_));
+    if (!IsAccepted)
+      co_return false;
+  }
+  co_return co_await Exchange.write(Events);
+}
+
 Task<GenerationCall::WriteOutcome>
 GenerationCall::writeEvents(EventSplitter &Splitter, FailoverSearch *Search) {
   std::string Bytes;
@@ -271,7 +285,7 @@
   LastEventAt_ = Now;
   if (Search)
     Search->onWrite();
-  const bool IsAccepted = co_await Request_.Exchange_.write(Bytes);
+  const bool IsAccepted = co_await writeToCaller(Bytes);
   if (Search)
     Search->onEvent();
   co_return IsAccepted ? Outcome : WriteOutcome::CallerGone;
@@ -314,14 +328,8 @@
 GenerationCall::relayEvents(const ChosenServer &Engine, ServerResponse Response,
                             FailoverSearch *Search) {
   CallerExchange &Exchange = Request_.Exchange_;
-  if (!Exchange.isAnswerBegun()) {
-    if (Context_.isDraining())
-      Exchange.closeAfter();
-    const bool IsAccepted =
-        co_await Exchange.beginStream(HttpOk, relayedFields(Response.Head_));
-    if (!IsAccepted)
-      co_return StepOutcome::Stopped;
-  }
+  if (!Exchange.isAnswerBegun())
+    StreamFields_ = relayedFields(Response.Head_);
   CancelScope &Scope = Search ? Search->callScope() : Exchange.scope();
   if (Search)
     Search->onHead();
@@ -477,6 +485,19 @@
   return std::to_string(wholeMilliseconds(At - Request_.Exchange_.arrival()));
 }
 
+Refusal GenerationCall::makeStopRefusal() const {
+  const auto Reason = Request_.Exchange_.scope().reason();
+  const Execution Executed =
+      MayHaveRun_ ? Execution::Unknown : Execution::NotRun;
+  if (Reason == RefusalReason::ClientGone)
+    return {RefusalReason::ClientGone, Executed, {}};
+  if (MayHaveRun_)
+    return {RefusalReason::BackendTimeout, Executed, {}};
+  if (Reason == RefusalReason::Draining)
+    return {RefusalReason::Draining, Executed, RetryAfterDrain};
+  return {RefusalReason::DeadlineUnreachable, Executed, {}};
+}
+
 Task<void> GenerationCall::finish(StepOutcome Outcome) {
   CallerExchange &Exchange = Request_.Exchange_;
   const bool IsResponseStarted = Exchange.isAnswerBegun();
@@ -501,16 +522,8 @@
     co_return;
   }
   if (Outcome == StepOutcome::Stopped) {
-    const auto Reason = Exchange.scope().reason();
-    const bool IsCallerGone = Reason == RefusalReason::ClientGone;
-    const RefusalReason TimeoutReason =
-        MayHaveRun_ ? RefusalReason::BackendTimeout
-                    : RefusalReason::DeadlineUnreachable;
-    co_await refuse(Context_, Exchange,
-                    {IsCallerGone ? RefusalReason::ClientGone : TimeoutReason,
-                     MayHaveRun_ ? Execution::Unknown : Execution::NotRun,
-                     {}},
-                    "caller disconnected or deadline passed");
+    co_await refuse(Context_, Exchange, makeStopRefusal(),
+                    "caller disconnected, deadline passed, or shutdown");
     co_return;
   }
   if (MayHaveRun_)
--- a/src/relayd/RelayHandler.cpp
+++ b/src/relayd/RelayHandler.cpp
@@ -16,8 +16,6 @@
 constexpr Duration RetryAfterStart = std::chrono::milliseconds(300);
 /// Sent to callers whose organisation has exhausted its limit.
 constexpr Duration RetryAfterLimit = std::chrono::seconds(1);
-/// Sent while this instance shuts down: other instances serve.
-constexpr Duration RetryAfterDrain = Duration::zero();
 
 Refusal makeNotRunRefusal(RefusalReason Reason,
                           std::optional<Duration> RetryAfter = std::nullopt) {
--- a/tests/FaultyServerTest.cpp
+++ b/tests/FaultyServerTest.cpp
@@ -246,3 +246,18 @@
   CHECK(First.requests().size() + Last.requests().size() == 20);
   CHECK(Relay.directory().entries().size() == 2);
 }
+
+TEST_CASE("Streams of engines that send no event are refused",
+          "[relay][faulty]") {
+  RelayUnderTest Relay;
+  Relay.addServer("prefill", EngineRole::Prefill, prefillAll());
+  const auto EndWithoutEvent = [](const ScriptedRequest &Request) {
+    return ScriptedAnswer{makeStreamHead(Request.Id_), true};
+  };
+  Relay.addServer("decode-1", EngineRole::Decode, EndWithoutEvent);
+  Relay.addServer("decode-2", EngineRole::Decode, EndWithoutEvent);
+  const CallerAnswer Answer = Relay.call("/write/1", "r1");
+  CHECK(Answer.Status_ == 502);
+  CHECK(Answer.IsWhole_);
+  CHECK(Answer.Body_.find("unknown") != std::string::npos);
+}
--- a/tests/PlannedStopTest.cpp
+++ b/tests/PlannedStopTest.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// The deadline of the requests is later.
+constexpr Duration BeforeDeadline = 2s;
+
 ScriptedBackend::Script stayOpen() {
   return [](const ScriptedRequest &) { return ScriptedAnswer{}; };
 }
@@ -45,21 +48,45 @@
     CHECK(Prefill.requests().empty());
   }
   SECTION("as those without a response are answered before the end") {
-    Relay.addServer("server", std::nullopt, stayOpen());
-    Relay.addServer("prefill", EngineRole::Prefill, stayOpen());
+    ScriptedBackend &Server =
+        Relay.addServer("server", std::nullopt, stayOpen());
+    ScriptedBackend &Prefill =
+        Relay.addServer("prefill", EngineRole::Prefill, stayOpen());
     Relay.addServer("decode", EngineRole::Decode, stayOpen());
+    const bool IsGeneration = Path == "/write/1";
     Relay.beginDrain(10s);
-    Relay.cancelRequestsAfter(50ms);
-    const CallerAnswer Answer = Relay.call(Path, "r1");
+    Relay.cancelRequestsOnceAt(IsGeneration ? Prefill : Server);
+    const CallerAnswer Answer = Relay.call(Path, "r1", BeforeDeadline);
     CHECK(Answer.IsWhole_);
-    const bool HasRun = Path != "/write/1";
-    CHECK(Answer.Status_ == (HasRun ? 504 : 503));
-    CHECK(Answer.Body_.find(HasRun ? "unknown" : "not_run") !=
+    CHECK(Answer.Status_ == (IsGeneration ? 503 : 504));
+    CHECK(Answer.Body_.find(IsGeneration ? "draining" : "backend_timeout") !=
+          std::string::npos);
+    CHECK(Answer.Body_.find(IsGeneration ? "not_run" : "unknown") !=
           std::string::npos);
     CHECK(announcesClose(Answer));
   }
 }
 
+TEST_CASE("A stream that is stopped before its first event", "[relay]") {
+  RelayUnderTest Relay;
+  Relay.addServer("prefill", EngineRole::Prefill,
+                  [](const ScriptedRequest &Request) {
+                    return ScriptedAnswer{makePrefilled(Request.Id_)};
+                  });
+  ScriptedBackend &Decode = Relay.addServer(
+      "decode", EngineRole::Decode, [](const ScriptedRequest &Request) {
+        return ScriptedAnswer{makeStreamHead(Request.Id_)};
+      });
+
+  SECTION("is answered as one that may have run") {
+    Relay.cancelRequestsOnceAt(Decode);
+    const CallerAnswer Answer = Relay.call("/write/1", "r1", BeforeDeadline);
+    CHECK(Answer.Status_ == 504);
+    CHECK(Answer.IsWhole_);
+    CHECK(Answer.Body_.find("unknown") != std::string::npos);
+  }
+}
+
 TEST_CASE("A planned stop serves what can be answered in time", "[relay]") {
   RelayUnderTest Relay;
   Relay.addServer("server", std::nullopt, answerAll());
--- a/tests/support/RelayUnderTest.h
+++ b/tests/support/RelayUnderTest.h
@@ -31,9 +31,12 @@
 
 /// An instance that is its own home. Its routes are `/check/` (idempotent, two
 /// attempts) and `/book/` (not idempotent) of the service `booking`, and
-/// `/write/` (a resumable stream, two attempts) of the service `writer`.
+/// `/write/` (a resumable stream, two attempts) and `/draft/` (one that may not
+/// be resumed) of the service `writer`.
 class RelayUnderTest {
 public:
+  static constexpr Duration CallTimeout = std::chrono::seconds(10);
+
   /// \param RetrySlack retries allowed in addition to the ratio.
   explicit RelayUnderTest(double RetrySlack = 100) {
     Settings_.Name_ = Self;
@@ -85,7 +88,9 @@
   /// Sends a request as a caller and waits for its answer.
   /// \param Path a path on one of the routes.
   /// \param Id the id of the request.
-  CallerAnswer call(std::string_view Path, std::string_view Id) {
+  /// \param Timeout how long the answer is awaited.
+  CallerAnswer call(std::string_view Path, std::string_view Id,
+                    Duration Timeout = CallTimeout) {
     CallerAnswer Answer;
     bool IsOver = false;
     const auto Run = [&]() -> Task<void> {
@@ -93,7 +98,7 @@
       IsOver = true;
     };
     asio::co_spawn(Context_, Run, asio::detached);
-    const TimePoint End = readBootClock() + CallTimeout;
+    const TimePoint End = readBootClock() + Timeout;
     while (!IsOver && readBootClock() < End)
       Context_.run_one_for(std::chrono::milliseconds(10));
     return Answer;
@@ -106,13 +111,20 @@
     Relay_.Drain_ = DrainSchedule{Now, Now + AnswerTime};
     Callers_.closeIdle();
   }
-  /// Ends all requests in progress after some time, as a shutdown does last.
-  /// \param Time the time from now.
-  void cancelRequestsAfter(Duration Time) {
-    auto Timer = std::make_shared<asio::steady_timer>(Context_, Time);
-    Timer->async_wait([this, Timer](const auto &) {
-      Callers_.cancelRequests(RefusalReason::Draining);
-    });
+  /// Ends all requests in progress, as a shutdown does last, once a server has
+  /// a request.
+  /// \param Server the server.
+  void cancelRequestsOnceAt(const ScriptedBackend &Server) {
+    const auto Run = [](RelayUnderTest &Self,
+                        const ScriptedBackend &Awaited) -> Task<void> {
+      asio::steady_timer Timer(Self.Context_);
+      while (Awaited.requests().empty()) {
+        Timer.expires_after(std::chrono::milliseconds(1));
+        co_await Timer.async_wait(AsTuple);
+      }
+      Self.Callers_.cancelRequests(RefusalReason::Draining);
+    };
+    asio::co_spawn(Context_, Run(*this, Server), asio::detached);
   }
 
   /// \returns the registered servers.
@@ -120,7 +132,6 @@
 
 private:
   inline static const InstanceId Self = {"one"};
-  static constexpr Duration CallTimeout = std::chrono::seconds(10);
   static constexpr std::string_view ConfigurationText = R"({
     "version": 1,
     "routes": [
@@ -133,6 +144,10 @@
       {"name": "write", "host": "a.example", "path_prefix": "/write/",
        "kind": "streaming", "timeout_ms": 5000, "target_latency_ms": 900,
        "max_attempts": 2, "sticky": true, "resumable": true,
+       "service": "writer"},
+      {"name": "draft", "host": "a.example", "path_prefix": "/draft/",
+       "kind": "streaming", "timeout_ms": 5000, "target_latency_ms": 900,
+       "max_attempts": 2, "sticky": true, "resumable": false,
        "service": "writer"}],
     "services": [
       {"name": "writer", "engine": {"slots": 4, "kv_tokens": 10000}},
