Take a response that breaks off for that of a request that has run

On a route whose streams may not be resumed, the request was then sent to a second engine.

Cause: whether the request may have run was noted after the body had been read, so a failure of the body was taken for a rejection. It is noted from the head now.

Test: FaultyServerTest, "An engine's error that breaks off is not taken for a rejection", on a route that may be resumed and on one that may not.

--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -381,6 +381,7 @@
 GenerationCall::relayFailure(const ChosenServer &Engine,
                              ServerResponse Response) {
   CallerExchange &Exchange = Request_.Exchange_;
+  MayHaveRun_ = MayHaveRun_ || !Response.Info_.IsNotExecuted_;
   auto Body =
       co_await readBody(*Response.Connection_, CallLimits(), Exchange.scope());
   if (!isOk(Body))
@@ -389,7 +390,6 @@
   Context_.Pool_.release(Engine.Address_, std::move(Response.Connection_));
   if (Response.Info_.IsNotExecuted_)
     co_return StepOutcome::Rejected;
-  MayHaveRun_ = true;
   const bool IsEngineError = Response.Info_.IsSigned_ &&
                              Response.Head_.Status_ != HttpOk &&
                              !Exchange.isAnswerBegun();
--- a/tests/FaultyServerTest.cpp
+++ b/tests/FaultyServerTest.cpp
@@ -247,6 +247,30 @@
   CHECK(Relay.directory().entries().size() == 2);
 }
 
+TEST_CASE("An engine's error that breaks off is not taken for a rejection",
+          "[relay][faulty]") {
+  RelayUnderTest Relay;
+  Relay.addServer("prefill", EngineRole::Prefill, prefillAll());
+  const std::string Bytes =
+      makeHead(500, withLength(ErrorBody)) + std::string(ErrorBody.substr(4));
+  ScriptedBackend &One =
+      Relay.addServer("decode-1", EngineRole::Decode, closeAfter(Bytes));
+  ScriptedBackend &Two =
+      Relay.addServer("decode-2", EngineRole::Decode, closeAfter(Bytes));
+
+  SECTION("if the stream may be resumed") {
+    const CallerAnswer Answer = Relay.call("/write/1", "r1");
+    CHECK(Answer.Status_ == 502);
+    CHECK(Answer.Body_.find("unknown") != std::string::npos);
+  }
+  SECTION("if it may not, and is not sent to another engine") {
+    const CallerAnswer Answer = Relay.call("/draft/1", "r1");
+    CHECK(Answer.Status_ == 502);
+    CHECK(Answer.Body_.find("unknown") != std::string::npos);
+    CHECK(One.requests().size() + Two.requests().size() == 1);
+  }
+}
+
 TEST_CASE("Streams of engines that send no event are refused",
           "[relay][faulty]") {
   RelayUnderTest Relay;
