--- a/tests/OddMessagesTest.cpp
+++ b/tests/OddMessagesTest.cpp
@@ -189,6 +189,44 @@
   CHECK(Accepted < FuzzCases);
 }
 
+TEST_CASE("An odd amount of a peer voids no limit", "[relay][odd]") {
+  const BackendDirectory Directory;
+  HomeCoordinator Home(Directory, {8s, 0});
+  const TimePoint Now(100s);
+  RelayConfigurationParts Parts;
+  RelayOrganisation Organisation;
+  Organisation.Name_ = {"acme"};
+  Organisation.Limit_ = TokenLimit{1000, 1000};
+  Parts.Organisations_ = {Organisation};
+  Home.configure(std::make_shared<const RelayConfiguration>(std::move(Parts)),
+                 Now);
+  HomeHeartbeat Message;
+  Message.IsAttached_ = true;
+  Message.Uptime_ = 50s;
+  Message.Attachment_ = 1;
+  Message.TokenUsage_ = {{{"acme"}, 5000, 0s}};
+  SECTION("not a number") {
+    Message.TokenUsage_.push_back({{"acme"}, NotANumber, 0s});
+  }
+  SECTION("a negative one") {
+    Message.TokenUsage_.push_back({{"acme"}, -1e9, 0s});
+  }
+  SECTION("a negative age") {
+    Message.TokenUsage_.push_back({{"acme"}, 1, -1h});
+    Message.TokenUsage_.push_back({{"acme"}, 4000, 0s});
+  }
+  Home.onHeartbeat({"edge"}, resent(Message), Now);
+  PlacementRequest Request;
+  Request.Request_ = {"r"};
+  Request.Organisation_ = {"acme"};
+  Request.PromptTokens_ = 8000;
+  Home.onPlacementRequest({"edge"}, Request, Now);
+  const auto Decisions = Home.decide(Now);
+  REQUIRE(Decisions.size() == 1);
+  CHECK(std::get<PlacementDenial>(Decisions.front().Answer_).Reason_ ==
+        RefusalReason::RateExceeded);
+}
+
 TEST_CASE("A home that hears changed messages goes on deciding",
           "[relay][odd]") {
   BackendDirectory Directory;
