Take the entries of the platform's list beside an odd one

What operators reported of similar systems: the machines that read the list stopped following it after another writer had left one odd entry. gooseberryd did: while its list held an entry of an unknown kind, without a field or with a field of another type, no change of the list was taken, without a line in the log. An entry with an address that cannot be connected to was watched.

Cause: parseInstanceList returned none for the whole list at the first such entry.

Why it works: an odd entry is left out and counted; the count is logged when it changes. A list with odd entries alone is still none, so that engines are not taken for gone. Entry instances may have any address, as before.

--- a/include/gooseberrybeam/table/InstanceList.h
+++ b/include/gooseberrybeam/table/InstanceList.h
@@ -5,6 +5,7 @@
 
 #include "gooseberrybeam/base/Ids.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -33,6 +34,7 @@
 /// The list at one time; it lags behind the platform's true state.
 struct InstanceList {
   std::vector<ListedInstance> Entries_;
+  std::size_t OddEntries_ = 0; ///< Left out, as they name nothing to use.
 };
 
 } // namespace gooseberry
--- a/src/daemon/BackendWatcher.cpp
+++ b/src/daemon/BackendWatcher.cpp
@@ -69,6 +69,10 @@
 }
 
 void BackendWatcher::onList(const InstanceList &List) {
+  if (List.OddEntries_ != Newest_.OddEntries_)
+    logLine(LogPart::Table, LogLevel::Warn, "Odd entries of the list.",
+            {{"count", std::to_string(List.OddEntries_)},
+             {"others", std::to_string(List.Entries_.size())}});
   Newest_ = List;
   onEngines(List);
   onServices(List);
--- a/src/tableclient/ParseInstanceList.cpp
+++ b/src/tableclient/ParseInstanceList.cpp
@@ -1,5 +1,6 @@
 #include "tableclient/ParseInstanceList.h"
 
+#include "gooseberrybeam/http/Endpoint.h"
 #include "http/JsonReader.h"
 
 namespace gooseberry {
@@ -33,10 +34,14 @@
   const auto State = parseState(Reader.text("state"));
   if (!Reader.isOk() || !Kind || !State)
     return std::nullopt;
+  if (Kind != ListedKind::Entry && !isServerAddress(Entry.Address_))
+    return std::nullopt;
   Entry.Kind_ = *Kind;
   Entry.State_ = *State;
   if (Reader.has("service"))
     Entry.Service_ = Reader.text("service");
+  if (!Reader.isOk())
+    return std::nullopt;
   return Entry;
 }
 
@@ -46,12 +51,13 @@
   JsonReader Reader(Text);
   InstanceList List;
   for (const auto &Value : Reader.list("instances")) {
-    auto Entry = parseEntry(Value);
-    if (!Entry)
-      return std::nullopt;
-    List.Entries_.push_back(std::move(*Entry));
+    if (auto Entry = parseEntry(Value))
+      List.Entries_.push_back(std::move(*Entry));
+    else
+      ++List.OddEntries_;
   }
-  if (!Reader.isOk())
+  const bool AreAllOdd = List.OddEntries_ != 0 && List.Entries_.empty();
+  if (!Reader.isOk() || AreAllOdd)
     return std::nullopt;
   return List;
 }
--- a/src/tableclient/ParseInstanceList.h
+++ b/src/tableclient/ParseInstanceList.h
@@ -11,7 +11,8 @@
 namespace gooseberry {
 
 /// \param Text the table service's answer to `GET /v1/instances`.
-/// \returns the list, or none if the text does not follow the protocol.
+/// \returns the list without odd entries, or none if the text does not follow
+/// the protocol or all entries are odd.
 std::optional<InstanceList> parseInstanceList(std::string_view Text);
 
 } // namespace gooseberry
