--- a/tests/support/RelayUnderTest.h
+++ b/tests/support/RelayUnderTest.h
@@ -28,6 +28,12 @@
   bool IsWhole_ = false; ///< False if the connection ended before the body.
 };
 
+/// What a caller sends besides the path and the id.
+struct CallerContent {
+  beast::http::verb Method_ = beast::http::verb::post;
+  std::string Body_;
+};
+
 /// An instance that is its own home. Its routes are `/check/` (idempotent, two
 /// attempts) and `/book/` (not idempotent) of the service `booking`, and
 /// `/write/` (a resumable stream, two attempts) of the service `writer`.
@@ -72,11 +78,13 @@
   /// Sends a request as a caller and waits for its answer.
   /// \param Path a path on one of the routes.
   /// \param Id the id of the request.
-  CallerAnswer call(std::string_view Path, std::string_view Id) {
+  /// \param Content its method and body.
+  CallerAnswer call(std::string_view Path, std::string_view Id,
+                    CallerContent Content = {}) {
     CallerAnswer Answer;
     bool IsOver = false;
     const auto Run = [&]() -> Task<void> {
-      co_await exchange(std::string(Path), std::string(Id), Answer);
+      co_await exchange(std::string(Path), std::string(Id), Content, Answer);
       IsOver = true;
     };
     asio::co_spawn(Context_, Run, asio::detached);
@@ -86,6 +94,12 @@
     return Answer;
   }
 
+  /// Restarts the servers that went down.
+  void restartServers() {
+    for (const auto &Each : Servers_)
+      Each->restart();
+  }
+
   /// \returns the registered servers.
   BackendDirectory &directory() { return Directory_; }
 
@@ -126,12 +140,14 @@
     }
   }
 
-  Task<void> exchange(std::string Path, std::string Id, CallerAnswer &Answer) {
+  Task<void> exchange(std::string Path, std::string Id, CallerContent Content,
+                      CallerAnswer &Answer) {
     namespace http = beast::http;
     beast::tcp_stream Stream(Context_);
     co_await Stream.async_connect(Acceptor_.local_endpoint(), AsTuple);
-    http::request<http::string_body> Request(http::verb::post, asBeast(Path),
+    http::request<http::string_body> Request(Content.Method_, asBeast(Path),
                                              11);
+    Request.body() = std::move(Content.Body_);
     Request.set(http::field::host, "a.example");
     Request.set("Request-Id", Id);
     Request.set("Deadline-Ms", "3000");
