--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -61,11 +61,12 @@
                                  FailoverSearch *Search);
   Task<bool> writeToCaller(std::string_view Events);
   Refusal makeStopRefusal() const;
-  StepOutcome failStream(const ChosenServer &Engine, std::string_view Reason,
-                         CallFailure Failure);
+  Task<StepOutcome> failStream(const ChosenServer &Engine,
+                               std::string_view Reason, CallError Error);
   ServerTarget makeTarget(const ChosenServer &Engine) const;
   bool mayRetry(StepOutcome Outcome) const;
-  void reportFailure(const ChosenServer &Engine, CallFailure Failure);
+  bool isLeftAsSilent(const CallError &Error) const;
+  Task<void> reportFailure(const ChosenServer &Engine, CallError Error);
   bool tryConsumeRetry();
   bool mayMoveDecode() const;
   std::unique_ptr<FailoverSearch>
--- a/include/gooseberrybeam/relayd/PlainCall.h
+++ b/include/gooseberrybeam/relayd/PlainCall.h
@@ -19,6 +19,8 @@
 /// Tries up to as many servers as the route allows. A request that a server may
 /// have run is retried only if its route permits that; then a second copy is
 /// also sent while a server is silent, and the first good answer is used.
+/// Requests under which servers crashed are sent as the home permits, see
+/// `RequestQuarantine`.
 class PlainCall {
 public:
   /// \param Context state of the instance; outlives the call.
@@ -62,11 +64,19 @@
   Task<void> cancelAttempts();
   void cancelAll(RefusalReason Reason);
   Task<AttemptResult> exchange(const BackendEntry &Server, CancelScope &Scope);
+  TimePoint latestStart() const;
+  bool mustAsk() const;
+  Task<CrashAdmission> admit();
+  Task<void> reportOutcome(const BackendEntry &Server,
+                           const AttemptResult &Attempt,
+                           AttemptOutcome Outcome);
+  void endTrial(TrialOutcome Outcome);
   AttemptOutcome classify(const AttemptResult &Attempt) const;
   bool mayRetry(AttemptOutcome Outcome);
   bool tryConsumeRetry();
   Task<void> relayResponse(const BufferedResponse &Response);
   Task<void> refuseUnsent();
+  Task<void> refuseSuspect(CrashAdmission Admission);
   Task<void> refuseAfterFailure(const AttemptResult &LastAttempt);
 
   RelayContext &Context_;
@@ -79,6 +89,8 @@
   bool MayHaveRun_ = false;            ///< A server may have run the request.
   std::optional<AttemptResult> Last_;  ///< The result for the caller.
   ServerId LastServer_;                ///< The server that it is from.
+  bool HasCrashedServer_ = false;
+  bool IsOnTrial_ = false;
 };
 
 } // namespace gooseberry
--- a/src/relayd/FailoverSearch.cpp
+++ b/src/relayd/FailoverSearch.cpp
@@ -1,10 +1,8 @@
 #include "gooseberrybeam/relayd/FailoverSearch.h"
 
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "relayd/ScopedWait.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <utility>
 
 namespace gooseberry {
@@ -32,7 +30,7 @@
   if (Parent.isCancelled())
     State_->CallScope_.cancel(*Parent.reason());
   else
-    asio::co_spawn(Context, run(State_), asio::detached);
+    spawnTask(Context, "failover search", run(State_));
 }
 
 FailoverSearch::~FailoverSearch() {
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -4,6 +4,7 @@
 #include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/relayd/RelayResponse.h"
+#include "gooseberrybeam/relayd/ServerCrashCheck.h"
 #include "relayd/ScopedWait.h"
 
 #include <algorithm>
@@ -89,6 +90,7 @@
   for (const ServerId &Each : Context_.Pauses_.paused(readBootClock()))
     Placement.ExcludedEngines_.push_back(Each);
   Placement.SharedSegments_ = Request_.CallerInfo_.SharedSegments_;
+  Placement.Fingerprint_ = Request_.Fingerprint_;
   if (LastEventId_) {
     Placement.NeedsPrefill_ = false;
     Placement.TargetLeft_ = ResumeTarget;
@@ -98,22 +100,31 @@
 
 void GenerationCall::report(GenerationStep Step, const ChosenServer &Engine,
                             std::uint32_t Tokens, Duration Elapsed) {
-  Context_.Home_.report({BookingId_, Step, Engine.Id_, Tokens, Elapsed, {}});
+  Context_.Home_.report(
+      {BookingId_, Step, Engine.Id_, Tokens, Elapsed, {}, {}});
 }
 
-// A connection that ends as the engine begins to answer may be the doing of the
-// prompt.
-void GenerationCall::reportFailure(const ChosenServer &Engine,
-                                   CallFailure Failure) {
+bool GenerationCall::isLeftAsSilent(const CallError &Error) const {
+  return Replacement_ && Error.Failure_ == CallFailure::Cancelled;
+}
+
+// An engine that goes down as it begins to answer may do so because of the
+// request.
+Task<void> GenerationCall::reportFailure(const ChosenServer &Engine,
+                                         CallError Error) {
+  if (isLeftAsSilent(Error))
+    co_return;
   const bool IsCrash =
-      Failure == CallFailure::Receive && EngineEvents_ < AnsweringEvents;
+      EngineEvents_ < AnsweringEvents &&
+      co_await hasServerCrashed(Context_.Pool_, Engine.Address_, Error);
   if (!IsCrash) {
     report(GenerationStep::ServerFailed, Engine);
-    return;
+    co_return;
   }
   Context_.Home_.report({BookingId_, GenerationStep::CrashedAtStart, Engine.Id_,
                          0, Duration::zero(),
-                         Request_.CallerInfo_.SharedSegments_});
+                         Request_.CallerInfo_.SharedSegments_,
+                         Request_.Fingerprint_});
 }
 
 ServerTarget GenerationCall::makeTarget(const ChosenServer &Engine) const {
@@ -198,6 +209,7 @@
   Target.RequestInfo_.IsPrefill_ = true;
   const TimePoint Started = readBootClock();
   ++PrefillCalls_;
+  EngineEvents_ = 0;
   const auto Search =
       watch(Engine, StallFailover(PrefillTimeout, PrefillTimeout, Started),
             DecodeCalls_ > 0);
@@ -205,22 +217,30 @@
       Context_, Request_, Target, Request_.timeLeft(), Search->callScope());
   if (Scope.isCancelled())
     co_return StepOutcome::Stopped;
-  if (!isOk(CallResult))
+  if (!isOk(CallResult)) {
+    co_await reportFailure(Engine, errorOf(CallResult));
     co_return StepOutcome::Failed;
+  }
   ServerResponse Response = takeValue(std::move(CallResult));
   CallLimits Limits;
   Limits.IdleTimeout_ = Request_.timeLeft();
   Limits.BodyTimeout_ = Request_.timeLeft();
   auto Body =
       co_await readBody(*Response.Connection_, Limits, Search->callScope());
-  if (!isOk(Body))
-    co_return Scope.isCancelled() ? StepOutcome::Stopped : StepOutcome::Failed;
+  if (Scope.isCancelled())
+    co_return StepOutcome::Stopped;
+  if (!isOk(Body)) {
+    co_await reportFailure(Engine, errorOf(Body));
+    co_return StepOutcome::Failed;
+  }
   Context_.Pool_.release(Engine.Address_, std::move(Response.Connection_));
   if (Response.Info_.IsNotExecuted_)
     co_return StepOutcome::Rejected;
   const auto Prompt = Context_.Protocol_.parsePrefillResponse(valueOf(Body));
-  if (Response.Head_.Status_ != HttpOk || !Prompt)
+  if (Response.Head_.Status_ != HttpOk || !Prompt) {
+    report(GenerationStep::ServerFailed, Engine);
     co_return StepOutcome::Failed;
+  }
   Context_.Metrics_.add(Count::PrefillTokens, Prompt->Tokens_);
   report(GenerationStep::Prefilled, Engine, Request_.CallerInfo_.PromptTokens_,
          readBootClock() - Started);
@@ -314,14 +334,12 @@
            {"elapsed_ms", elapsedMs(Request_.Exchange_)}});
 }
 
-GenerationCall::StepOutcome
+Task<GenerationCall::StepOutcome>
 GenerationCall::failStream(const ChosenServer &Engine, std::string_view Reason,
-                           CallFailure Failure) {
-  const bool IsLeftAsSilent = Replacement_ && Failure == CallFailure::Cancelled;
-  logEngineFailure(Engine, IsLeftAsSilent ? "silent" : Reason);
-  if (!IsLeftAsSilent)
-    reportFailure(Engine, Failure);
-  return StepOutcome::Failed;
+                           CallError Error) {
+  logEngineFailure(Engine, isLeftAsSilent(Error) ? "silent" : Reason);
+  co_await reportFailure(Engine, Error);
+  co_return StepOutcome::Failed;
 }
 
 Task<GenerationCall::StepOutcome>
@@ -341,10 +359,11 @@
     if (Exchange.scope().isCancelled())
       co_return StepOutcome::Stopped;
     if (!isOk(ReadResult))
-      co_return failStream(Engine, asCode(errorOf(ReadResult).Failure_),
-                           errorOf(ReadResult).Failure_);
+      co_return co_await failStream(
+          Engine, asCode(errorOf(ReadResult).Failure_), errorOf(ReadResult));
     if (Splitter.bufferedBytes() > MaxEventBytes)
-      co_return failStream(Engine, "event too large", CallFailure::Malformed);
+      co_return co_await failStream(Engine, "event too large",
+                                    {CallFailure::Malformed, true});
     if (valueOf(ReadResult) == 0)
       break;
     Splitter.append({Buffer.data(), valueOf(ReadResult)});
@@ -353,7 +372,8 @@
     if (Written == WriteOutcome::CallerGone)
       co_return StepOutcome::Stopped;
     if (Written == WriteOutcome::NoEvent)
-      co_return failStream(Engine, "not an event", CallFailure::Malformed);
+      co_return co_await failStream(Engine, "not an event",
+                                    {CallFailure::Malformed, true});
     // Tells the home that the engine is producing events. The rate follows in
     // later reports, since it takes at least two events.
     if (PreviousEvents == 0 && EngineEvents_ != 0)
@@ -366,10 +386,11 @@
   const bool HasEnded = EventsSent_ > 0 && (EngineEvents_ > 0 ||
                                             Response.Connection_->statesEnd());
   if (!HasEnded)
-    co_return failStream(Engine, "ended without an event",
-                         CallFailure::Receive);
+    co_return co_await failStream(Engine, "ended without an event",
+                                  {CallFailure::Receive, true});
   if (Splitter.hasPartialEvent())
-    co_return failStream(Engine, "ended inside an event", CallFailure::Receive);
+    co_return co_await failStream(Engine, "ended inside an event",
+                                  {CallFailure::Receive, true});
   reportProgress(Engine, true);
   Context_.Pool_.release(Engine.Address_, std::move(Response.Connection_));
   IsComplete_ = true;
@@ -425,8 +446,8 @@
     StartedDecodes_ += errorOf(CallResult).MayHaveStarted_ ? 1 : 0;
     if (Exchange.scope().isCancelled())
       co_return StepOutcome::Stopped;
-    const CallFailure Failure = errorOf(CallResult).Failure_;
-    co_return failStream(Engine, asCode(Failure), Failure);
+    const CallError Error = errorOf(CallResult);
+    co_return co_await failStream(Engine, asCode(Error.Failure_), Error);
   }
   ServerResponse Response = takeValue(std::move(CallResult));
   const bool IsStream =
@@ -453,17 +474,15 @@
     co_return true;
   if (Outcome == StepOutcome::Stopped)
     co_return false;
-  const bool IsLeftAsSilent = Replacement_ && Outcome == StepOutcome::Failed;
-  if (!IsLeftAsSilent)
-    report(Outcome == StepOutcome::Rejected ? GenerationStep::ServerFull
-                                            : GenerationStep::ServerFailed,
-           *Grant.Prefill_);
+  const bool IsLeft = Replacement_ && Outcome == StepOutcome::Failed;
+  if (Outcome == StepOutcome::Rejected)
+    report(GenerationStep::ServerFull, *Grant.Prefill_);
   logLine(LogPart::Engine, LogLevel::Info,
           "Prefill failed; engine excluded for this request.",
           {{"request", Request_.Exchange_.id().Value_},
            {"server", Grant.Prefill_->Id_.Value_},
            {"end", Outcome == StepOutcome::Rejected ? "rejected"
-                   : IsLeftAsSilent                 ? "silent"
+                   : IsLeft                         ? "silent"
                                                     : "broken"},
            {"elapsed_ms", elapsedMs(Request_.Exchange_)}});
   ExcludedServers_.push_back(Grant.Prefill_->Id_);
--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -26,6 +26,9 @@
 }
 
 bool isAmount(double Value) { return std::isfinite(Value) && Value >= 0; }
+constexpr auto LastAdmission =
+    static_cast<std::uint32_t>(CrashAdmission::Quarantined);
+constexpr auto LastOutcome = static_cast<std::uint32_t>(TrialOutcome::Ended);
 
 template <typename T>
 void writeUtilisation(T &Body,
@@ -77,6 +80,38 @@
   return Suspects;
 }
 
+template <typename T>
+void writeFingerprint(T &Body, const RequestFingerprint &Fingerprint) {
+  Body.set_fingerprint_high(Fingerprint.High_);
+  Body.set_fingerprint_low(Fingerprint.Low_);
+}
+
+template <typename T> RequestFingerprint readFingerprint(const T &Body) {
+  return {Body.fingerprint_high(), Body.fingerprint_low()};
+}
+
+template <typename T>
+void writeRequestSuspects(T &Body,
+                          const std::vector<RequestSuspect> &Suspects) {
+  for (const auto &Source : Suspects) {
+    auto &Suspect = *Body.add_request_suspects();
+    Suspect.set_high(Source.Fingerprint_.High_);
+    Suspect.set_low(Source.Fingerprint_.Low_);
+    Suspect.set_crashes(Source.Crashes_);
+    Suspect.set_age_us(Source.Age_.count());
+  }
+}
+
+template <typename T>
+std::vector<RequestSuspect> readRequestSuspects(const T &Body) {
+  std::vector<RequestSuspect> Suspects;
+  for (const auto &Suspect : Body.request_suspects())
+    Suspects.push_back({{Suspect.high(), Suspect.low()},
+                        Suspect.crashes(),
+                        Duration(Suspect.age_us())});
+  return Suspects;
+}
+
 template <typename T>
 void writeLimits(T &Body, const std::vector<ServerLimit> &Limits) {
   for (const auto &Source : Limits) {
@@ -121,6 +156,7 @@
   Body.set_attachment(Message.Attachment_);
   writeUtilisation(Body, Message.Utilisation_);
   writeSuspects(Body, Message.CrashSuspects_);
+  writeRequestSuspects(Body, Message.RequestSuspects_);
   writeLimits(Body, Message.ServerLimits_);
   writeLeaving(Body, Message.LeavingServers_);
   Body.set_is_leaving(Message.IsLeaving_);
@@ -153,6 +189,7 @@
     Body.add_exhausted(Organisation.Value_);
   writeUtilisation(Body, Message.Utilisation_);
   writeSuspects(Body, Message.CrashSuspects_);
+  writeRequestSuspects(Body, Message.RequestSuspects_);
   writeLimits(Body, Message.ServerLimits_);
   writeLeaving(Body, Message.LeavingServers_);
   for (const auto &Source : Message.Feeds_) {
@@ -183,6 +220,7 @@
   for (const auto &Server : Message.ExcludedEngines_)
     Body.add_avoid(Server.Value_);
   writeSegments(Body, Message.SharedSegments_);
+  writeFingerprint(Body, Message.Fingerprint_);
 }
 
 void write(wire::HomeServer &Body, const ChosenServer &Server) {
@@ -214,6 +252,7 @@
   Body.set_tokens(Message.Tokens_);
   Body.set_took_us(Message.Elapsed_.count());
   writeSegments(Body, Message.SharedSegments_);
+  writeFingerprint(Body, Message.Fingerprint_);
 }
 
 void write(wire::Home &Envelope, const ConfigurationRequest &Message) {
@@ -265,6 +304,27 @@
   Body.set_retry_after_us(Message.RetryAfter_.count());
 }
 
+void write(wire::Home &Envelope, const TrialRequest &Message) {
+  auto &Body = *Envelope.mutable_trial_request();
+  Body.set_ticket(Message.Ticket_);
+  Body.set_request(Message.Request_.Value_);
+  writeFingerprint(Body, Message.Fingerprint_);
+}
+
+void write(wire::Home &Envelope, const TrialAnswer &Message) {
+  auto &Body = *Envelope.mutable_trial_answer();
+  Body.set_ticket(Message.Ticket_);
+  Body.set_admission(static_cast<std::uint32_t>(Message.Admission_));
+}
+
+void write(wire::Home &Envelope, const TrialReport &Message) {
+  auto &Body = *Envelope.mutable_trial_report();
+  Body.set_request(Message.Request_.Value_);
+  writeFingerprint(Body, Message.Fingerprint_);
+  Body.set_outcome(static_cast<std::uint32_t>(Message.Outcome_));
+  Body.set_server(Message.Server_.Value_);
+}
+
 HomeHeartbeat read(const wire::HomeHeartbeat &Body) {
   HomeHeartbeat Message;
   Message.Sequence_ = Body.sequence();
@@ -275,6 +335,7 @@
   Message.Attachment_ = Body.attachment();
   Message.Utilisation_ = readUtilisation(Body);
   Message.CrashSuspects_ = readSuspects(Body);
+  Message.RequestSuspects_ = readRequestSuspects(Body);
   Message.ServerLimits_ = readLimits(Body);
   Message.LeavingServers_ = readLeaving(Body);
   Message.IsLeaving_ = Body.is_leaving();
@@ -303,6 +364,7 @@
     Message.ExhaustedOrganisations_.push_back({Organisation});
   Message.Utilisation_ = readUtilisation(Body);
   Message.CrashSuspects_ = readSuspects(Body);
+  Message.RequestSuspects_ = readRequestSuspects(Body);
   Message.ServerLimits_ = readLimits(Body);
   Message.LeavingServers_ = readLeaving(Body);
   // An instance of an earlier release states no feeds: they count as unread.
@@ -337,6 +399,7 @@
   for (const auto &Server : Body.avoid())
     Message.ExcludedEngines_.push_back({Server});
   Message.SharedSegments_ = readSegments(Body);
+  Message.Fingerprint_ = readFingerprint(Body);
   return Message;
 }
 
@@ -370,7 +433,8 @@
   return GenerationReport{
       {Body.request()},         static_cast<GenerationStep>(Body.step()),
       {Body.server()},          Body.tokens(),
-      readTime(Body.took_us()), readSegments(Body)};
+      readTime(Body.took_us()), readSegments(Body),
+      readFingerprint(Body)};
 }
 
 std::optional<SharedTableId> readTable(std::uint32_t Table) {
@@ -420,6 +484,26 @@
   return {Body.ticket(), readTime(Body.retry_after_us())};
 }
 
+TrialRequest read(const wire::HomeTrialRequest &Body) {
+  return {Body.ticket(), {Body.request()}, readFingerprint(Body)};
+}
+
+std::optional<HomeMessage> read(const wire::HomeTrialAnswer &Body) {
+  if (Body.admission() > LastAdmission)
+    return std::nullopt;
+  return TrialAnswer{Body.ticket(),
+                     static_cast<CrashAdmission>(Body.admission())};
+}
+
+std::optional<HomeMessage> read(const wire::HomeTrialReport &Body) {
+  if (Body.outcome() > LastOutcome)
+    return std::nullopt;
+  return TrialReport{{Body.request()},
+                     readFingerprint(Body),
+                     static_cast<TrialOutcome>(Body.outcome()),
+                     {Body.server()}};
+}
+
 } // namespace
 
 std::string encodeHomeMessage(const HomeMessage &Message) {
@@ -460,6 +544,12 @@
     return read(Envelope.server_token_request());
   case wire::Home::kServerTokenAnswer:
     return read(Envelope.server_token_answer());
+  case wire::Home::kTrialRequest:
+    return read(Envelope.trial_request());
+  case wire::Home::kTrialAnswer:
+    return read(Envelope.trial_answer());
+  case wire::Home::kTrialReport:
+    return read(Envelope.trial_report());
   case wire::Home::BODY_NOT_SET:
     break;
   }
--- a/src/relayd/PlainCall.cpp
+++ b/src/relayd/PlainCall.cpp
@@ -3,6 +3,7 @@
 #include "gooseberrybeam/http/HttpCall.h"
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/relayd/RelayResponse.h"
+#include "gooseberrybeam/relayd/ServerCrashCheck.h"
 #include "relayd/ScopedWait.h"
 
 #include <algorithm>
@@ -15,6 +16,10 @@
 constexpr int FirstRedirect = 300;
 /// Sent to callers when all servers are full or unavailable.
 constexpr Duration RetryAfterFull = std::chrono::milliseconds(100);
+/// Time between two questions of a request that waits for another one's trial.
+constexpr Duration TrialPollInterval = std::chrono::milliseconds(50);
+/// Sent to callers whose request has waited for another one's trial.
+constexpr Duration RetryAfterTrial = std::chrono::milliseconds(500);
 constexpr std::size_t MaxBodyBytes = std::size_t{8} << 20;
 
 bool isSuccess(int Status) {
@@ -53,11 +58,14 @@
   return Least;
 }
 
+// An answer to a request that starts later cannot meet its target.
+TimePoint PlainCall::latestStart() const {
+  return Request_.Exchange_.arrival() + Request_.Route_.TargetLatency_ / 2;
+}
+
 // Waits for a server that takes a request, if the answer can still meet its
 // target then.
 Task<std::optional<BackendEntry>> PlainCall::chooseServer(CancelScope &Scope) {
-  const TimePoint LatestStart =
-      Request_.Exchange_.arrival() + Request_.Route_.TargetLatency_ / 2;
   while (!Scope.isCancelled()) {
     auto Servers = untriedServers();
     std::erase_if(Servers, [this](const BackendEntry *Each) {
@@ -65,7 +73,7 @@
     });
     if (Servers.empty()) {
       const auto Wait = timeUntilAvailable(untriedServers());
-      if (!Wait || readBootClock() + *Wait > LatestStart)
+      if (!Wait || readBootClock() + *Wait > latestStart())
         co_return std::nullopt;
       co_await waitFor(Context_.IoContext_, *Wait, Scope);
       continue;
@@ -126,6 +134,52 @@
       .tryRetry(Context_.Home_.instanceCount(), readBootClock());
 }
 
+bool PlainCall::mustAsk() const {
+  return HasCrashedServer_ || Context_.Home_.isSuspect(Request_.Fingerprint_);
+}
+
+// Waits while another request like this is on trial, as long as the answer can
+// still meet its target.
+Task<CrashAdmission> PlainCall::admit() {
+  CancelScope &Scope = Request_.Exchange_.scope();
+  while (mustAsk()) {
+    const CrashAdmission Admission = co_await Context_.Home_.admit(
+        Request_.Exchange_.id(), Request_.Fingerprint_, Scope);
+    IsOnTrial_ = Admission == CrashAdmission::Trial;
+    const bool MayWait = !Scope.isCancelled() &&
+                         readBootClock() + TrialPollInterval <= latestStart();
+    if (Admission != CrashAdmission::Held || !MayWait)
+      co_return Admission;
+    co_await waitFor(Context_.IoContext_, TrialPollInterval, Scope);
+  }
+  co_return CrashAdmission::Free;
+}
+
+void PlainCall::endTrial(TrialOutcome Outcome) {
+  IsOnTrial_ = false;
+  Context_.Home_.report(
+      TrialReport{Request_.Exchange_.id(), Request_.Fingerprint_, Outcome, {}});
+}
+
+Task<void> PlainCall::reportOutcome(const BackendEntry &Server,
+                                    const AttemptResult &Attempt,
+                                    AttemptOutcome Outcome) {
+  const bool HasCrashed =
+      !isOk(Attempt) && co_await hasServerCrashed(
+                            Context_.Pool_, Server.Address_, errorOf(Attempt));
+  if (HasCrashed) {
+    HasCrashedServer_ = true;
+    IsOnTrial_ = false;
+    Context_.Home_.report(TrialReport{Request_.Exchange_.id(),
+                                      Request_.Fingerprint_,
+                                      TrialOutcome::Crashed, Server.Id_});
+  } else if (Outcome == AttemptOutcome::Answered && mustAsk()) {
+    endTrial(TrialOutcome::Answered);
+  } else if (IsOnTrial_) {
+    endTrial(TrialOutcome::Ended);
+  }
+}
+
 bool PlainCall::mayRetry(AttemptOutcome Outcome) {
   if (Outcome == AttemptOutcome::Answered ||
       Outcome == AttemptOutcome::Abandoned)
@@ -140,8 +194,14 @@
 Task<void> PlainCall::run() {
   Context_.retryBudget(Request_.Service_).onRequest(readBootClock());
   AttemptOutcome Outcome = AttemptOutcome::Rejected;
-  CancelScope &Scope = Request_.Exchange_.scope();
-  while (const auto Server = co_await chooseServer(Scope)) {
+  CrashAdmission Admission = CrashAdmission::Free;
+  for (;;) {
+    Admission = co_await admit();
+    if (Admission >= CrashAdmission::Held)
+      break;
+    const auto Server = co_await chooseServer(Request_.Exchange_.scope());
+    if (!Server)
+      break;
     co_await runAttempts(*Server);
     Outcome = classify(*Last_);
     if (!mayRetry(Outcome))
@@ -149,12 +209,16 @@
     Context_.Metrics_.addRetry(static_cast<std::size_t>(Outcome),
                                asCode(Outcome));
   }
+  if (IsOnTrial_)
+    endTrial(TrialOutcome::Ended);
   const bool IsRelayed = Outcome == AttemptOutcome::Answered ||
                          Outcome == AttemptOutcome::ServerError;
-  if (!Last_)
-    co_await refuseUnsent();
-  else if (IsRelayed)
+  if (Last_ && IsRelayed)
     co_await relayResponse(valueOf(*Last_));
+  else if (Admission >= CrashAdmission::Held && !MayHaveRun_)
+    co_await refuseSuspect(Admission);
+  else if (!Last_)
+    co_await refuseUnsent();
   else
     co_await refuseAfterFailure(*Last_);
 }
@@ -169,6 +233,20 @@
            : "no backend server registered for the service");
 }
 
+Task<void> PlainCall::refuseSuspect(CrashAdmission Admission) {
+  if (Admission == CrashAdmission::Quarantined)
+    co_await refuse(Context_, Request_.Exchange_,
+                    {RefusalReason::PromptQuarantined, Execution::NotRun, {}},
+                    "quarantined request " +
+                        formatFingerprint(Request_.Fingerprint_));
+  else
+    co_await refuse(
+        Context_, Request_.Exchange_,
+        {RefusalReason::QueueFull, Execution::NotRun, RetryAfterTrial},
+        "waited for the trial of request " +
+            formatFingerprint(Request_.Fingerprint_));
+}
+
 Task<void> PlainCall::relayResponse(const BufferedResponse &Response) {
   CallerExchange &Exchange = Request_.Exchange_;
   if (Context_.isDraining())
--- a/src/relayd/PlainCallAttempts.cpp
+++ b/src/relayd/PlainCallAttempts.cpp
@@ -1,10 +1,8 @@
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/relayd/PlainCall.h"
 #include "gooseberrybeam/relayd/RelayResponse.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -53,7 +51,7 @@
   Running_.push_back(Running);
   if (const auto Reason = Request_.Exchange_.scope().reason())
     Running->Scope_.cancel(*Reason);
-  asio::co_spawn(Context_.IoContext_, attempt(Running), asio::detached);
+  spawnTask(Context_.IoContext_, "attempt", attempt(Running));
 }
 
 Task<void> PlainCall::attempt(std::shared_ptr<Attempt> Running) {
@@ -79,6 +77,7 @@
                             ? std::to_string(valueOf(Result).Head_.Status_)
                             : std::string(asCode(errorOf(Result).Failure_))},
              {"elapsed_ms", elapsedMs(Request_.Exchange_)}});
+  co_await reportOutcome(Running->Server_, Result, Outcome);
   Running->Result_ = std::move(Result);
   Wake_.cancel();
   if (ChoiceScope_)
@@ -113,7 +112,7 @@
 }
 
 bool PlainCall::mayHedge() const {
-  return Request_.Route_.mayRetry() &&
+  return Request_.Route_.mayRetry() && !mustAsk() &&
          SentAttempts_ < Request_.Route_.MaxServers_;
 }
 
--- a/tests/PlannedStopTest.cpp
+++ b/tests/PlannedStopTest.cpp
@@ -56,7 +56,7 @@
     const bool IsGeneration = Path == "/write/1";
     Relay.beginDrain(10s);
     Relay.cancelRequestsOnceAt(IsGeneration ? Prefill : Server);
-    const CallerAnswer Answer = Relay.call(Path, "r1", BeforeDeadline);
+    const CallerAnswer Answer = Relay.call(Path, "r1", {}, BeforeDeadline);
     CHECK(Answer.IsWhole_);
     CHECK(Answer.Status_ == (IsGeneration ? 503 : 504));
     CHECK(Answer.Body_.find(IsGeneration ? "draining" : "backend_timeout") !=
@@ -80,7 +80,8 @@
 
   SECTION("is answered as one that may have run") {
     Relay.cancelRequestsOnceAt(Decode);
-    const CallerAnswer Answer = Relay.call("/write/1", "r1", BeforeDeadline);
+    const CallerAnswer Answer =
+        Relay.call("/write/1", "r1", {}, BeforeDeadline);
     CHECK(Answer.Status_ == 504);
     CHECK(Answer.IsWhole_);
     CHECK(Answer.Body_.find("unknown") != std::string::npos);
