Leave the slack of the retry budget to the process before, for one window

Cause, shown: a started process had its share of the slack at once, though its predecessor may have used the same share within the window; until it had read the store it counted one instance and took the whole slack; and as instances went, the others divided the slack by the smaller number at once.

Fix: a process has no slack until its first window has passed, and the slack is divided by the largest number of instances within the window. The ratio needs no change: retries and their requests are counted by the same process. A share that is earned over the window was weighed: predecessor and successor then use up to two shares in one window, which breaks the rule as soon as many restart.

RelayUnderTest stands for an instance that runs for longer than a window.

--- a/include/gooseberrybeam/relay/RetryWindow.h
+++ b/include/gooseberrybeam/relay/RetryWindow.h
@@ -6,6 +6,7 @@
 #include "gooseberrybeam/base/Time.h"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 
 namespace gooseberry {
@@ -17,15 +18,23 @@
   double Slack_ = 0; ///< Retries allowed in addition to the ratio.
 };
 
-/// One instance's part of the retry budget of a service.
+/// One process's part of the retry budget of a service.
+///
+/// The process before it on the instance may have used the instance's share of
+/// the slack, so a process has none until its first window has passed.
+/// Instances that are gone may have used theirs, so the slack is divided by the
+/// largest number of instances within the window.
 class RetryWindow {
 public:
   /// \param Limits the limits over all instances.
-  explicit RetryWindow(RetryWindowLimits Limits) : Limits_(Limits) {}
+  /// \param StartedAt when the process started.
+  RetryWindow(RetryWindowLimits Limits, TimePoint StartedAt)
+      : Limits_(Limits), SlackFrom_(StartedAt + Limits.Window_) {}
 
   /// Counts a request from a caller.
+  /// \param Instances the number of instances that share the slack.
   /// \param Now the current time.
-  void onRequest(TimePoint Now);
+  void onRequest(std::size_t Instances, TimePoint Now);
   /// Takes one retry from the budget.
   /// \param Instances the number of instances that share the slack.
   /// \param Now the current time.
@@ -39,11 +48,15 @@
     std::int64_t Number_ = -1;
     std::uint32_t Requests_ = 0;
     std::uint32_t Retries_ = 0;
+    std::size_t Instances_ = 1; ///< The largest number.
   };
 
-  Cell &cellAt(TimePoint Now);
+  Cell &cellAt(std::size_t Instances, TimePoint Now);
+  Cell sum(const Cell &Current) const;
+  double slackShare(std::size_t Instances, TimePoint Now) const;
 
   RetryWindowLimits Limits_;
+  TimePoint SlackFrom_;
   std::array<Cell, CellCount> Cells_{};
 };
 
--- a/include/gooseberrybeam/relayd/RelayContext.h
+++ b/include/gooseberrybeam/relayd/RelayContext.h
@@ -40,6 +40,7 @@
   /// Beside the directory, which says what holds for all instances: a pause
   /// binds this one only.
   ServerPauses Pauses_{Directory_};
+  TimePoint StartedAt_ = readBootClock(); ///< Of the process.
   std::uint64_t InFlight_ = 0;
   bool IsDraining_ = false;
 
@@ -53,7 +54,8 @@
   /// \param Service a service.
   /// \returns its retry budget, which is created on first use.
   RetryWindow &retryBudget(const ServiceId &Service) {
-    return RetryBudgets_.try_emplace(Service, Settings_.RetryBounds_)
+    return RetryBudgets_
+        .try_emplace(Service, Settings_.RetryBounds_, StartedAt_)
         .first->second;
   }
 };
--- a/src/relay/RetryWindow.cpp
+++ b/src/relay/RetryWindow.cpp
@@ -11,32 +11,45 @@
 
 } // namespace
 
-RetryWindow::Cell &RetryWindow::cellAt(TimePoint Now) {
+RetryWindow::Cell &RetryWindow::cellAt(std::size_t Instances, TimePoint Now) {
   const Duration Width = Limits_.Window_ / (CellCount - 1);
   const std::int64_t Number = Now.time_since_epoch() / Width;
   Cell &Current = Cells_[static_cast<std::size_t>(Number) % CellCount];
   if (Current.Number_ != Number)
-    Current = {Number, 0, 0};
+    Current = {Number, 0, 0, 1};
+  Current.Instances_ = std::max(Current.Instances_, Instances);
   return Current;
 }
 
-void RetryWindow::onRequest(TimePoint Now) { ++cellAt(Now).Requests_; }
-
-bool RetryWindow::tryRetry(std::size_t Instances, TimePoint Now) {
-  Cell &Current = cellAt(Now);
-  double Requests = 0;
-  double Retries = 0;
+RetryWindow::Cell RetryWindow::sum(const Cell &Current) const {
+  Cell Sum = {Current.Number_, 0, 0, 1};
   for (const Cell &Each : Cells_) {
     if (Current.Number_ - Each.Number_ >= static_cast<int>(CellCount))
       continue;
-    Requests += Each.Requests_;
-    Retries += Each.Retries_;
+    Sum.Requests_ += Each.Requests_;
+    Sum.Retries_ += Each.Retries_;
+    Sum.Instances_ = std::max(Sum.Instances_, Each.Instances_);
   }
-  const double Slack =
-      Limits_.Slack_ / static_cast<double>(std::max<std::size_t>(1, Instances));
+  return Sum;
+}
+
+double RetryWindow::slackShare(std::size_t Instances, TimePoint Now) const {
+  if (Now < SlackFrom_)
+    return 0;
+  return Limits_.Slack_ / static_cast<double>(Instances);
+}
+
+void RetryWindow::onRequest(std::size_t Instances, TimePoint Now) {
+  ++cellAt(Instances, Now).Requests_;
+}
+
+bool RetryWindow::tryRetry(std::size_t Instances, TimePoint Now) {
+  Cell &Current = cellAt(Instances, Now);
+  const Cell Sum = sum(Current);
   const double Allowed =
-      UsableFraction * (Limits_.RetriesPerRequest_ * Requests + Slack);
-  if (Retries + 1 > Allowed)
+      UsableFraction * (Limits_.RetriesPerRequest_ * Sum.Requests_ +
+                        slackShare(Sum.Instances_, Now));
+  if (Sum.Retries_ + 1 > Allowed)
     return false;
   ++Current.Retries_;
   return true;
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -514,7 +514,8 @@
 }
 
 Task<void> GenerationCall::run() {
-  Context_.retryBudget(Request_.Service_).onRequest(readBootClock());
+  Context_.retryBudget(Request_.Service_)
+      .onRequest(Context_.Home_.instanceCount(), readBootClock());
   StepOutcome Outcome = StepOutcome::Rejected;
   while (mayRetry(Outcome)) {
     // Rejected calls count as arrivals at the service too, so any further call
--- a/src/relayd/PlainCall.cpp
+++ b/src/relayd/PlainCall.cpp
@@ -174,7 +174,8 @@
 }
 
 Task<void> PlainCall::run() {
-  Context_.retryBudget(Request_.Service_).onRequest(readBootClock());
+  Context_.retryBudget(Request_.Service_)
+      .onRequest(Context_.Home_.instanceCount(), readBootClock());
   bool MayHaveRun = false;
   std::optional<AttemptResult> Last;
   AttemptOutcome Outcome = AttemptOutcome::Rejected;
--- a/tests/support/RelayUnderTest.h
+++ b/tests/support/RelayUnderTest.h
@@ -33,13 +33,16 @@
 /// `/write/` (a resumable stream, two attempts) of the service `writer`.
 class RelayUnderTest {
 public:
-  RelayUnderTest() {
+  /// \param RetrySlack retries beyond the ratio.
+  explicit RelayUnderTest(double RetrySlack = 100) {
     Settings_.Name_ = Self;
-    Settings_.RetryBounds_.Slack_ = 100;
+    Settings_.RetryBounds_.Slack_ = RetrySlack;
     const std::vector<RelayMember> Members = {{{{Self, 1}, "", {}}, {}}};
     Home_.setMembers(Members);
     Relay_.Configuration_ = Schema_.parseConfiguration(ConfigurationText);
     Relay_.Startup_.open();
+    // The slack is there once the first window has passed.
+    Relay_.StartedAt_ -= Settings_.RetryBounds_.Window_;
     Home_.configure(Relay_.Configuration_);
     Home_.start();
     asio::co_spawn(Context_, accept(), asio::detached);
