--- a/include/gooseberrybeam/relayd/RelayDaemon.h
+++ b/include/gooseberrybeam/relayd/RelayDaemon.h
@@ -56,7 +56,6 @@
   Task<void> accept(Port &ListenPort);
   Task<void> serveOperator(tcp::socket Socket);
   Task<void> watchSignals();
-  Task<void> watchHangups();
   void closeCallerPort();
   bool acceptWaiting();
   Task<void> waitForCallers(TimePoint End);
--- a/src/relay/RetryWindow.cpp
+++ b/src/relay/RetryWindow.cpp
@@ -11,42 +11,50 @@
 
 } // namespace
 
-std::int64_t RetryWindow::numberAt(TimePoint Now) const {
+RetryWindow::Cell &RetryWindow::cellAt(std::size_t Instances, TimePoint Now) {
   const Duration Width = Limits_.Window_ / (CellCount - 1);
-  return Now.time_since_epoch() / Width;
-}
-
-RetryWindow::Cell &RetryWindow::cellAt(TimePoint Now) {
-  const std::int64_t Number = numberAt(Now);
+  const std::int64_t Number = Now.time_since_epoch() / Width;
   Cell &Current = Cells_[static_cast<std::size_t>(Number) % CellCount];
   if (Current.Number_ != Number)
-    Current = {Number, 0, 0};
+    Current = {Number, 0, 0, 1};
+  Current.Instances_ = std::max(Current.Instances_, Instances);
   return Current;
 }
 
-void RetryWindow::onRequest(TimePoint Now) { ++cellAt(Now).Requests_; }
-
-bool RetryWindow::mayRetry(std::size_t Instances, TimePoint Now) const {
-  const std::int64_t Number = numberAt(Now);
-  double Requests = 0;
-  double Retries = 0;
+RetryWindow::Cell RetryWindow::sum(const Cell &Current) const {
+  Cell Sum = {Current.Number_, 0, 0, 1};
   for (const Cell &Each : Cells_) {
-    if (Number - Each.Number_ >= static_cast<int>(CellCount))
+    if (Current.Number_ - Each.Number_ >= static_cast<int>(CellCount))
       continue;
-    Requests += Each.Requests_;
-    Retries += Each.Retries_;
+    Sum.Requests_ += Each.Requests_;
+    Sum.Retries_ += Each.Retries_;
+    Sum.Instances_ = std::max(Sum.Instances_, Each.Instances_);
   }
-  const double Slack =
-      Limits_.Slack_ / static_cast<double>(std::max<std::size_t>(1, Instances));
+  return Sum;
+}
+
+double RetryWindow::slackShare(std::size_t Instances, TimePoint Now) const {
+  if (Now < SlackFrom_)
+    return 0;
+  return Limits_.Slack_ / static_cast<double>(Instances);
+}
+
+void RetryWindow::onRequest(std::size_t Instances, TimePoint Now) {
+  ++cellAt(Instances, Now).Requests_;
+}
+
+bool RetryWindow::mayRetry(std::size_t Instances, TimePoint Now) {
+  const Cell Sum = sum(cellAt(Instances, Now));
   const double Allowed =
-      UsableFraction * (Limits_.RetriesPerRequest_ * Requests + Slack);
-  return Retries + 1 <= Allowed;
+      UsableFraction * (Limits_.RetriesPerRequest_ * Sum.Requests_ +
+                        slackShare(Sum.Instances_, Now));
+  return Sum.Retries_ + 1 <= Allowed;
 }
 
 bool RetryWindow::tryRetry(std::size_t Instances, TimePoint Now) {
   if (!mayRetry(Instances, Now))
     return false;
-  ++cellAt(Now).Retries_;
+  ++cellAt(Instances, Now).Retries_;
   return true;
 }
 
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrybeam/relayd/RelayDaemon.h"
 
+#include "gooseberrybeam/daemon/IgnoreHangups.h"
 #include "gooseberrybeam/daemon/Incarnation.h"
 #include "gooseberrybeam/http/Endpoint.h"
 #include "gooseberrybeam/http/OpenAcceptor.h"
@@ -169,7 +170,8 @@
     spawnLoop(Context_, "accept",
               [this, &ListenPort] { return accept(*ListenPort); });
   spawnLoop(Context_, "signals", [this] { return watchSignals(); });
-  spawnLoop(Context_, "hangups", [this] { return watchHangups(); });
+  spawnLoop(Context_, "hangups",
+            [this] { return ignoreHangups(HangupSignals_); });
   spawnLoop(Context_, "ticks", [this] { return runTicks(); });
   Home_.start();
   Feeds_.start(*Store_);
@@ -527,16 +529,6 @@
             {{"failure", asCode(errorOf(Written))}});
 }
 
-Task<void> RelayDaemon::watchHangups() {
-  for (;;) {
-    auto [Error, Signal] = co_await HangupSignals_.async_wait(AsTuple);
-    if (Error)
-      co_return;
-    logLine(LogPart::Daemon, LogLevel::Info,
-            "SIGHUP ignored; settings are read only at start.", {});
-  }
-}
-
 Task<void> RelayDaemon::watchSignals() {
   auto [Error, Signal] = co_await StopSignals_.async_wait(AsTuple);
   if (Error)
--- a/tests/support/RelayUnderTest.h
+++ b/tests/support/RelayUnderTest.h
@@ -51,6 +51,8 @@
     Home_.setMembers(Members);
     Relay_.Configuration_ = Schema_.parseConfiguration(ConfigurationText);
     Relay_.Startup_.open();
+    // The slack is there once the first window has passed.
+    Relay_.StartedAt_ -= Settings_.RetryBounds_.Window_;
     Home_.configure(Relay_.Configuration_);
     Home_.start();
     asio::co_spawn(Context_, accept(), asio::detached);
