Count a request and its retries from the first call that reaches the service

Cause: (1) after a prefill engine had rejected a request, the decode call was free: retries were asked for only after a first decode call, and when none was left for another prefill the decode engine was called without one. (2) Requests that were refused without any call earned retries: the more engines shed, the more so.

Fix: a request counts when its first call is sent, and after a failed prefill or a decode call each further placement takes a retry, as before after a decode call.

Callers pay with refusals as not run where a prefill engine rejects and the budget is used up. Ruled out: read prompts count as arrivals of the rule (no play would be within it). Not examined: a second read of a prompt takes a retry though the rule may not count it, which is on the safe side.

--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -58,6 +58,7 @@
   ServerTarget makeTarget(const ChosenServer &Engine) const;
   bool mayRetry(StepOutcome Outcome) const;
   void reportFailure(const ChosenServer &Engine, CallFailure Failure);
+  void countRequest();
   bool tryConsumeRetry();
   bool excludeUnusableEngines(const PlacementGrant &Grant);
   bool isPaused(const ServerId &Server) const;
@@ -78,9 +79,7 @@
   const EngineTraits &Engine_;
   std::vector<ServerId> ExcludedServers_;
   std::uint32_t StartedDecodes_ = 0; ///< Decode calls that may have run.
-  /// All decode calls, including rejected ones.
-  std::uint32_t DecodeCalls_ = 0;
-  std::uint32_t PrefillCalls_ = 0; ///< All prefill calls.
+  std::uint32_t PrefillCalls_ = 0;   ///< All prefill calls.
   std::uint32_t Placements_ = 0;
   std::uint32_t EventsSent_ = 0; ///< Events written to the caller.
   std::optional<std::uint64_t> LastEventId_;
@@ -91,6 +90,8 @@
   TimePoint LastEventAt_;
   std::uint32_t EngineEvents_ = 0; ///< Events from the current decode engine.
   TimePoint EngineFirstEventAt_;   ///< Time of its first event.
+  bool IsCounted_ = false;         ///< In the retry budget.
+  bool HasArrived_ = false;        ///< Sent for decoding, or a prefill failed.
   bool MayHaveRun_ = false;        ///< An engine may have run the request.
   bool IsComplete_ = false;        ///< The stream reached its regular end.
 };
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <span>
+#include <utility>
 
 namespace gooseberry {
 namespace {
@@ -129,6 +130,13 @@
   return Target;
 }
 
+// A request that is refused without a call earns no retry.
+void GenerationCall::countRequest() {
+  if (!std::exchange(IsCounted_, true))
+    Context_.retryBudget(Request_.Service_)
+        .onRequest(Context_.Home_.instanceCount(), readBootClock());
+}
+
 bool GenerationCall::tryConsumeRetry() {
   return Context_.retryBudget(Request_.Service_)
       .tryRetry(Context_.Home_.instanceCount(), readBootClock());
@@ -200,6 +208,7 @@
   ServerTarget Target = makeTarget(Engine);
   Target.RequestInfo_.IsPrefill_ = true;
   const TimePoint Started = readBootClock();
+  countRequest();
   ++PrefillCalls_;
   auto CallResult =
       co_await callServer(Context_, Request_, Target, PrefillTimeout, Scope);
@@ -395,7 +404,8 @@
   CallerExchange &Exchange = Request_.Exchange_;
   if (isPaused(Engine.Id_))
     co_return StepOutcome::Rejected;
-  ++DecodeCalls_;
+  countRequest();
+  HasArrived_ = true;
   EngineEvents_ = 0;
   DecodeAt_ = readBootClock();
   ServerTarget Target = makeTarget(Engine);
@@ -448,6 +458,7 @@
            {"end", Outcome == StepOutcome::Rejected ? "rejected" : "broken"},
            {"elapsed_ms", elapsedMs(Request_.Exchange_)}});
   ExcludedServers_.push_back(Grant.Prefill_->Id_);
+  HasArrived_ = true;
   co_return false;
 }
 
@@ -514,13 +525,11 @@
 }
 
 Task<void> GenerationCall::run() {
-  Context_.retryBudget(Request_.Service_)
-      .onRequest(Context_.Home_.instanceCount(), readBootClock());
   StepOutcome Outcome = StepOutcome::Rejected;
   while (mayRetry(Outcome)) {
     // Rejected calls count as arrivals at the service too, so any further call
     // consumes retry budget.
-    if (DecodeCalls_ > 0 && !tryConsumeRetry())
+    if (HasArrived_ && !tryConsumeRetry())
       break;
     ++Placements_;
     auto Placement = co_await place();
--- a/src/relayd/PlainCall.cpp
+++ b/src/relayd/PlainCall.cpp
@@ -140,6 +140,10 @@
   const ServerId Id = Server.Id_;
   ServiceBalancer &Balancer = Context_.Balancers_[Request_.Service_];
   const TimePoint StartedAt = readBootClock();
+  // A request that is refused unsent earns no retry.
+  if (TriedServers_.empty())
+    Context_.retryBudget(Request_.Service_)
+        .onRequest(Context_.Home_.instanceCount(), StartedAt);
   TriedServers_.push_back(Id);
   ++SentAttempts_;
   Balancer.onStart(Id, StartedAt);
@@ -174,8 +178,6 @@
 }
 
 Task<void> PlainCall::run() {
-  Context_.retryBudget(Request_.Service_)
-      .onRequest(Context_.Home_.instanceCount(), readBootClock());
   bool MayHaveRun = false;
   std::optional<AttemptResult> Last;
   AttemptOutcome Outcome = AttemptOutcome::Rejected;
