--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -67,6 +67,7 @@
   bool mayRetry(StepOutcome Outcome) const;
   bool isLeftAsSilent(const CallError &Error) const;
   Task<void> reportFailure(const ChosenServer &Engine, CallError Error);
+  void countRequest();
   bool tryConsumeRetry();
   bool mayMoveDecode() const;
   std::unique_ptr<FailoverSearch>
@@ -102,9 +103,7 @@
   std::optional<PlacementGrant> Replacement_;
   std::vector<ServerId> ExcludedServers_;
   std::uint32_t StartedDecodes_ = 0; ///< Decode calls that may have run.
-  /// All decode calls, including rejected ones.
-  std::uint32_t DecodeCalls_ = 0;
-  std::uint32_t PrefillCalls_ = 0; ///< All prefill calls.
+  std::uint32_t PrefillCalls_ = 0;   ///< All prefill calls.
   std::uint32_t Placements_ = 0;
   std::uint32_t EventsSent_ = 0; ///< Events written to the caller.
   std::optional<std::uint64_t> LastEventId_;
@@ -116,6 +115,8 @@
   TimePoint LastEventAt_;
   std::uint32_t EngineEvents_ = 0; ///< Events from the current decode engine.
   TimePoint EngineFirstEventAt_;   ///< Time of its first event.
+  bool IsCounted_ = false;         ///< In the retry budget.
+  bool HasArrived_ = false;        ///< Sent for decoding, or a prefill failed.
   bool MayHaveRun_ = false;        ///< An engine may have run the request.
   bool IsComplete_ = false;        ///< The stream reached its regular end.
 };
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <span>
+#include <utility>
 
 namespace gooseberry {
 namespace {
@@ -137,6 +138,13 @@
   return Target;
 }
 
+// A request that is refused without a call earns no retry.
+void GenerationCall::countRequest() {
+  if (!std::exchange(IsCounted_, true))
+    Context_.retryBudget(Request_.Service_)
+        .onRequest(Context_.Home_.instanceCount(), readBootClock());
+}
+
 bool GenerationCall::tryConsumeRetry() {
   return Context_.retryBudget(Request_.Service_)
       .tryRetry(Context_.Home_.instanceCount(), readBootClock());
@@ -208,11 +216,12 @@
   ServerTarget Target = makeTarget(Engine);
   Target.RequestInfo_.IsPrefill_ = true;
   const TimePoint Started = readBootClock();
+  countRequest();
   ++PrefillCalls_;
   EngineEvents_ = 0;
   const auto Search =
       watch(Engine, StallFailover(PrefillTimeout, PrefillTimeout, Started),
-            DecodeCalls_ > 0);
+            HasArrived_);
   auto CallResult = co_await callServer(
       Context_, Request_, Target, Request_.timeLeft(), Search->callScope());
   if (Scope.isCancelled())
@@ -427,7 +436,8 @@
   CallerExchange &Exchange = Request_.Exchange_;
   if (isPaused(Engine.Id_))
     co_return StepOutcome::Rejected;
-  ++DecodeCalls_;
+  countRequest();
+  HasArrived_ = true;
   EngineEvents_ = 0;
   DecodeAt_ = readBootClock();
   ServerTarget Target = makeTarget(Engine);
@@ -486,6 +496,7 @@
                                                     : "broken"},
            {"elapsed_ms", elapsedMs(Request_.Exchange_)}});
   ExcludedServers_.push_back(Grant.Prefill_->Id_);
+  HasArrived_ = true;
   co_return false;
 }
 
@@ -557,13 +568,11 @@
 }
 
 Task<void> GenerationCall::run() {
-  Context_.retryBudget(Request_.Service_)
-      .onRequest(Context_.Home_.instanceCount(), readBootClock());
   StepOutcome Outcome = StepOutcome::Rejected;
   while (mayRetry(Outcome)) {
     // Rejected calls count as arrivals at the service too, so any further call
     // consumes retry budget.
-    if (!Replacement_ && DecodeCalls_ > 0 && !tryConsumeRetry())
+    if (!Replacement_ && HasArrived_ && !tryConsumeRetry())
       break;
     ++Placements_;
     auto Placement = co_await nextPlacement();
--- a/src/relayd/PlainCall.cpp
+++ b/src/relayd/PlainCall.cpp
@@ -192,8 +192,6 @@
 }
 
 Task<void> PlainCall::run() {
-  Context_.retryBudget(Request_.Service_)
-      .onRequest(Context_.Home_.instanceCount(), readBootClock());
   AttemptOutcome Outcome = AttemptOutcome::Rejected;
   CrashAdmission Admission = CrashAdmission::Free;
   for (;;) {
--- a/src/relayd/PlainCallAttempts.cpp
+++ b/src/relayd/PlainCallAttempts.cpp
@@ -44,6 +44,10 @@
 }
 
 void PlainCall::start(const BackendEntry &Server) {
+  // A request that is refused unsent earns no retry.
+  if (TriedServers_.empty())
+    Context_.retryBudget(Request_.Service_)
+        .onRequest(Context_.Home_.instanceCount(), readBootClock());
   TriedServers_.push_back(Server.Id_);
   ++SentAttempts_;
   auto Running = std::make_shared<Attempt>();
