--- a/tests/ServerCrashCallTest.cpp
+++ b/tests/ServerCrashCallTest.cpp
@@ -54,7 +54,7 @@
   ScriptedAnswer answer(const ScriptedRequest &Request, bool IsEngine) {
     if (Request.Body_ == Deadly || Request.Id_.starts_with(Deadly)) {
       ++Reached_;
-      return {"", true, true};
+      return {"", true, {}, true};
     }
     return IsEngine ? makeStream(Request)
                     : ScriptedAnswer{makeSuccess(Request.Id_, "answer")};
@@ -155,7 +155,7 @@
                     IsEngine ? std::optional(EngineRole::Decode) : std::nullopt,
                     [&Reached, IsEngine](const ScriptedRequest &Request) {
                       if (++Reached % 3 != 0)
-                        return ScriptedAnswer{"", true, true};
+                        return ScriptedAnswer{"", true, {}, true};
                       return IsEngine ? makeStream(Request)
                                       : ScriptedAnswer{
                                             makeSuccess(Request.Id_, "answer")};
