Say in the soak how a relay ended by itself

The sentence now has the signal or the status of the last such end; what counts as a failure is unchanged.

--- a/tools/gbsoak/RelayProcess.cpp
+++ b/tools/gbsoak/RelayProcess.cpp
@@ -19,6 +19,12 @@
   return "127.0.0.1:" + std::to_string(Port);
 }
 
+std::string describeEnd(int Status) {
+  if (WIFSIGNALED(Status))
+    return "signal " + std::to_string(WTERMSIG(Status));
+  return "status " + std::to_string(WEXITSTATUS(Status));
+}
+
 } // namespace
 
 RelayProcess::RelayProcess(RelayPlace Place) : Place_(std::move(Place)) {
@@ -67,7 +73,7 @@
   posix_spawn_file_actions_destroy(&Actions);
   if (Error != 0) {
     Process_ = -1;
-    HasFailed_ = true;
+    Failure_ = "not started";
   }
 }
 
@@ -84,7 +90,8 @@
     return false;
   const bool IsKilled = WIFSIGNALED(Status) && WTERMSIG(Status) == SIGKILL;
   const bool IsClean = WIFEXITED(Status) && WEXITSTATUS(Status) == 0;
-  HasFailed_ = HasFailed_ || (!IsKilled && !IsClean);
+  if (!IsKilled && !IsClean)
+    Failure_ = describeEnd(Status);
   Process_ = -1;
   return true;
 }
--- a/tools/gbsoak/RelayProcess.h
+++ b/tools/gbsoak/RelayProcess.h
@@ -35,7 +35,9 @@
   /// \returns whether the process has ended; reaps it.
   bool hasEnded();
   /// \returns whether it ended by itself with a failure.
-  bool hasFailed() const { return HasFailed_; }
+  bool hasFailed() const { return !Failure_.empty(); }
+  /// \returns how it last did so, e.g. `signal 1`; empty if it did not.
+  const std::string &failure() const { return Failure_; }
   /// \returns the address for callers, `ip:port`.
   std::string callers() const;
   /// \returns the address for readiness checks, `ip:port`.
@@ -46,7 +48,7 @@
 
   RelayPlace Place_;
   pid_t Process_ = -1;
-  bool HasFailed_ = false;
+  std::string Failure_;
 };
 
 } // namespace gooseberry
--- a/tools/gbsoak/SoakWorld.cpp
+++ b/tools/gbsoak/SoakWorld.cpp
@@ -330,7 +330,7 @@
     if (!Each->hasEnded())
       Faults_.push_back("a relay did not end after SIGTERM");
     if (Each->hasFailed())
-      Faults_.push_back("a relay ended by itself");
+      Faults_.push_back("a relay ended by itself: " + Each->failure());
   }
 }
 
