Let concurrent runs of EarlySignalTest use ports of their own

Two runs on one machine tested the same ports for being free, from 20000 on, before their relays opened them, so one relay could find its port taken and end with status 1. Not seen; found on reading. The first port depends on the process now. The checks are unchanged; the test passes.

--- a/tests/EarlySignalTest.cpp
+++ b/tests/EarlySignalTest.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <signal.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 using namespace gooseberry;
 
@@ -23,7 +24,9 @@
 };
 
 std::uint16_t findFreePort() {
-  static std::uint16_t Next = FirstPort;
+  // Runs beside this one start elsewhere.
+  static auto Next = static_cast<std::uint16_t>(
+      FirstPort + ::getpid() % ((LastPort - FirstPort) / 2));
   asio::io_context Context;
   for (; Next < LastPort; ++Next) {
     tcp::acceptor Acceptor(Context);
