--- a/include/gooseberrybeam/relayd/ServerCrashCheck.h
+++ b/include/gooseberrybeam/relayd/ServerCrashCheck.h
@@ -12,7 +12,7 @@
 /// Checks whether a call failed as its server went down: the connection ended
 /// after the request was sent, and the server takes no new one. A connection
 /// that it does take is kept for the next request.
-/// \param Pool makes and keeps connections.
+/// \param Pool keeps connections.
 /// \param Server the server.
 /// \param Error how the call failed.
 /// \returns whether the server is down.
--- a/tests/ServerCrashCallTest.cpp
+++ b/tests/ServerCrashCallTest.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace gooseberry;
 
 namespace {
@@ -36,10 +38,18 @@
   }
 
   /// Sends the deadly request as a new attempt, after all servers are back.
-  CallerAnswer sendDeadly(std::string_view Path, CallerContent Content) {
+  CallerAnswer sendDeadly(std::string_view Path, const CallerContent &Content) {
+    Relay_.restartServers();
+    return Relay_.call(Path, "deadly" + std::to_string(++Sent_), Content);
+  }
+  /// Sends the deadly request as several new attempts together.
+  std::vector<CallerAnswer> sendDeadlyAtOnce(std::string_view Path) {
     Relay_.restartServers();
-    return Relay_.call(Path, "deadly" + std::to_string(++Sent_),
-                       std::move(Content));
+    std::vector<std::string> Ids;
+    for (int I = 0; I != Attempts; ++I)
+      Ids.push_back("deadly" + std::to_string(++Sent_));
+    return Relay_.callAtOnce(Path, Ids,
+                             {beast::http::verb::post, std::string(Deadly)});
   }
   /// Sends a sound request.
   CallerAnswer sendSound(std::string_view Path, beast::http::verb Method) {
@@ -115,6 +125,21 @@
   CHECK(SoundServed == Attempts);
 }
 
+TEST_CASE("Of attempts that come together, one tries a suspect request",
+          "[relay][budget]") {
+  const std::string Path = GENERATE("/book/1", "/check/1");
+  DeadlyPlay Play(std::nullopt);
+  const CallerContent Content = {beast::http::verb::post, std::string(Deadly)};
+  while (Play.reached() < 2)
+    Play.sendDeadly(Path, Content);
+  const std::vector<CallerAnswer> Answers = Play.sendDeadlyAtOnce(Path);
+  CHECK(Play.reached() == 3);
+  CHECK(std::count_if(Answers.begin(), Answers.end(), isNotRun) ==
+        Attempts - 1);
+  CHECK(isQuarantined(Play.sendDeadly(Path, Content)));
+  CHECK(Play.sendSound(Path, beast::http::verb::post).Status_ == 200);
+}
+
 TEST_CASE("A request whose servers close connections and take new ones is not "
           "quarantined",
           "[relay][budget]") {
--- a/tests/support/RelayUnderTest.h
+++ b/tests/support/RelayUnderTest.h
@@ -99,19 +99,34 @@
   /// \param Content its method and body.
   /// \param Timeout how long the answer is awaited.
   CallerAnswer call(std::string_view Path, std::string_view Id,
-                    CallerContent Content = {},
+                    const CallerContent &Content = {},
                     Duration Timeout = CallTimeout) {
-    CallerAnswer Answer;
-    bool IsOver = false;
-    const auto Run = [&]() -> Task<void> {
-      co_await exchange(std::string(Path), std::string(Id), Content, Answer);
-      IsOver = true;
+    return callAtOnce(Path, {std::string(Id)}, Content, Timeout).front();
+  }
+
+  /// Sends requests together, each as a caller of its own, and waits for all
+  /// answers.
+  /// \param Path a path on one of the routes.
+  /// \param Ids the ids of the requests.
+  /// \param Content the method and body of each of them.
+  /// \param Timeout how long the answers are awaited.
+  /// \returns the answers in the order of the ids.
+  std::vector<CallerAnswer> callAtOnce(std::string_view Path,
+                                       const std::vector<std::string> &Ids,
+                                       const CallerContent &Content,
+                                       Duration Timeout = CallTimeout) {
+    std::vector<CallerAnswer> Answers(Ids.size());
+    std::size_t Pending = Ids.size();
+    const auto Run = [&](std::size_t Index) -> Task<void> {
+      co_await exchange(std::string(Path), Ids[Index], Content, Answers[Index]);
+      --Pending;
     };
-    asio::co_spawn(Context_, Run, asio::detached);
+    for (std::size_t I = 0; I != Ids.size(); ++I)
+      asio::co_spawn(Context_, Run(I), asio::detached);
     const TimePoint End = readBootClock() + Timeout;
-    while (!IsOver && readBootClock() < End)
+    while (Pending != 0 && readBootClock() < End)
       Context_.run_one_for(std::chrono::milliseconds(10));
-    return Answer;
+    return Answers;
   }
 
   /// Begins a shutdown of which the load balancer has been told.
