--- a/include/gooseberrybeam/relay/GenerationPlacer.h
+++ b/include/gooseberrybeam/relay/GenerationPlacer.h
@@ -11,6 +11,7 @@
 #include "gooseberrybeam/relay/PromptQuarantine.h"
 #include "gooseberrybeam/relay/RefusalTracker.h"
 #include "gooseberrybeam/relay/RelayConfiguration.h"
+#include "gooseberrybeam/relay/RequestQuarantine.h"
 #include "gooseberrybeam/relay/ServerLimitLedger.h"
 
 #include <memory>
@@ -32,8 +33,8 @@
 /// order is decided as late as possible. When a burst exceeds the KV memory of
 /// the decode engines, generations that can still meet their target latency go
 /// first, and generations that cannot finish before their deadline are refused
-/// before they run. Prompts that crash engines are kept from them, see
-/// `PromptQuarantine`.
+/// before they run. Prompts and whole requests that crash engines are kept from
+/// them, see `PromptQuarantine` and `RequestQuarantine`.
 class GenerationPlacer {
 public:
   /// \param Directory the registered backend servers; must outlive the placer.
@@ -84,6 +85,13 @@
     Quarantine_.merge(Found, Now);
   }
 
+  /// \returns the requests that crash servers, or may; grants respect it.
+  RequestQuarantine &requestQuarantine() { return RequestQuarantine_; }
+  /// \returns the requests that crash servers, or may.
+  const RequestQuarantine &requestQuarantine() const {
+    return RequestQuarantine_;
+  }
+
   /// \returns the limits that servers state; grants stay within them.
   ServerLimitLedger &serverLimits() { return ServerLimits_; }
 
@@ -143,7 +151,7 @@
     FairQueue Queue_;
     /// Streams whose decode engine failed, oldest first.
     std::vector<RequestId> MovedStreams_;
-    /// Requests that wait for the trial of another one with their segments.
+    /// Requests that wait for the trial of another one like them.
     std::vector<RequestId> HeldRequests_;
     double MeanOutputTokens_ = 0; ///< Smoothed; 0 before any sample.
     double PrefillTokensPerMs_ = 0;
@@ -188,7 +196,7 @@
                 const GenerationState &Generation, const EngineTraits &Traits,
                 TimePoint Now);
   QueueItem makeQueueItem(const GenerationState &Generation) const;
-  PromptAdmission admit(GenerationState &Generation, TimePoint Now);
+  CrashAdmission admit(GenerationState &Generation, TimePoint Now);
   void queueHeldRequests(PoolState &Pool, TimePoint Now,
                          std::vector<PlacementDecision> &Decisions);
   void placeMovedStreams(std::vector<DecodeCandidate> &Candidates,
@@ -215,6 +223,7 @@
   void release(GenerationState &Generation, TimePoint Now);
   void releasePrefill(GenerationState &Generation, TimePoint Now);
   void erase(const RequestId &Request, TimePoint Now);
+  void recordAnswer(const PlacementRequest &Placement, TimePoint Now);
   void recordPrefill(const GenerationReport &Report);
   void recordDecode(GenerationState &Generation, const GenerationReport &Report,
                     TimePoint Now);
@@ -226,6 +235,7 @@
   std::unordered_map<RequestId, GenerationState> Generations_;
   RefusalTracker Refusals_;
   PromptQuarantine Quarantine_;
+  RequestQuarantine RequestQuarantine_;
   ServerLimitLedger ServerLimits_;
 };
 
--- a/include/gooseberrybeam/relay/HomeCoordinator.h
+++ b/include/gooseberrybeam/relay/HomeCoordinator.h
@@ -66,6 +66,26 @@
   void mergeCrashSuspects(std::span<const CrashSuspect> Found, TimePoint Now) {
     Placer_.mergeCrashSuspects(Found, Now);
   }
+  /// \returns the requests that crash servers, or may.
+  const RequestQuarantine &requestQuarantine() const {
+    return Placer_.requestQuarantine();
+  }
+  /// Adds requests that were found earlier.
+  /// \param Found suspect and quarantined requests.
+  /// \param Now the current time.
+  void mergeRequestSuspects(std::span<const RequestSuspect> Found,
+                            TimePoint Now) {
+    Placer_.requestQuarantine().merge(Found, Now);
+  }
+  /// Decides whether a request to a plain service may start; its trial begins
+  /// if it is suspect and may.
+  /// \param Request the request.
+  /// \param Now the current time.
+  /// \returns whether it may.
+  CrashAdmission admit(const TrialRequest &Request, TimePoint Now);
+  /// Records what became of a request to a plain service.
+  /// \param Now the current time.
+  void onTrialReport(const TrialReport &Report, TimePoint Now);
   /// \returns the limits that backend servers state.
   std::vector<ServerLimit> serverLimits() {
     return Placer_.serverLimits().limits();
--- a/include/gooseberrybeam/relay/HomeMessages.h
+++ b/include/gooseberrybeam/relay/HomeMessages.h
@@ -9,6 +9,7 @@
 #include "gooseberrybeam/relay/PromptQuarantine.h"
 #include "gooseberrybeam/relay/ServerLimit.h"
 #include "gooseberrybeam/relay/TableUpdate.h"
+#include "gooseberrybeam/relay/TrialMessages.h"
 
 #include <array>
 #include <optional>
@@ -60,6 +61,7 @@
   std::vector<LimitUtilisation> Utilisation_;
   /// On attachment: what the last home had found.
   std::vector<CrashSuspect> CrashSuspects_;
+  std::vector<RequestSuspect> RequestSuspects_; ///< Likewise.
   /// On attachment: the limits that backend servers state.
   std::vector<ServerLimit> ServerLimits_;
   /// If attached: servers that have said in a response that they leave.
@@ -81,6 +83,8 @@
   std::vector<LimitUtilisation> Utilisation_; ///< Of limits at least half used.
   /// Prompt segments that crash engines, or may.
   std::vector<CrashSuspect> CrashSuspects_;
+  /// Requests that crash servers, or may.
+  std::vector<RequestSuspect> RequestSuspects_;
   /// The limits that backend servers state.
   std::vector<ServerLimit> ServerLimits_;
   /// Servers that have said in a response that they leave.
@@ -137,7 +141,8 @@
     std::variant<HomeHeartbeat, HomeReply, PlacementRequest, PlacementGrant,
                  PlacementDenial, GenerationReport, ConfigurationRequest,
                  ConfigurationCopy, TableRequest, TableUpdate,
-                 ServerLimitReport, ServerTokenRequest, ServerTokenAnswer>;
+                 ServerLimitReport, ServerTokenRequest, ServerTokenAnswer,
+                 TrialRequest, TrialAnswer, TrialReport>;
 
 } // namespace gooseberry
 
--- a/include/gooseberrybeam/relay/PlacementTypes.h
+++ b/include/gooseberrybeam/relay/PlacementTypes.h
@@ -6,6 +6,7 @@
 #include "gooseberrybeam/base/Ids.h"
 #include "gooseberrybeam/base/Refusal.h"
 #include "gooseberrybeam/base/Time.h"
+#include "gooseberrybeam/relay/RequestFingerprint.h"
 
 #include <cstdint>
 #include <optional>
@@ -35,6 +36,7 @@
   std::vector<ServerId> ExcludedEngines_; ///< Engines that failed this request.
   /// Segments of the prompt that other prompts may contain too.
   std::vector<PromptSegmentId> SharedSegments_;
+  RequestFingerprint Fingerprint_ = {};
 
   friend bool operator==(const PlacementRequest &,
                          const PlacementRequest &) = default;
@@ -82,7 +84,7 @@
   ServerFull,     ///< The engine rejected the request.
   ServerFailed,   ///< The engine disconnected or timed out.
   ServerReplaced, ///< The engine was replaced or is leaving.
-  /// The engine closed the connection as it began to answer.
+  /// The engine closed the connection as it began to answer, and is down.
   CrashedAtStart,
 };
 
@@ -95,6 +97,7 @@
   Duration Elapsed_{0};
   /// Of the prompt; set for `CrashedAtStart` only.
   std::vector<PromptSegmentId> SharedSegments_;
+  RequestFingerprint Fingerprint_ = {}; ///< Set for `CrashedAtStart` only.
 
   friend bool operator==(const GenerationReport &,
                          const GenerationReport &) = default;
--- a/include/gooseberrybeam/relay/PromptQuarantine.h
+++ b/include/gooseberrybeam/relay/PromptQuarantine.h
@@ -3,8 +3,7 @@
 #ifndef GOOSEBERRYBEAM_RELAY_PROMPTQUARANTINE_H
 #define GOOSEBERRYBEAM_RELAY_PROMPTQUARANTINE_H
 
-#include "gooseberrybeam/base/Ids.h"
-#include "gooseberrybeam/base/Time.h"
+#include "gooseberrybeam/relay/CrashRecord.h"
 
 #include <cstdint>
 #include <span>
@@ -13,10 +12,6 @@
 
 namespace gooseberry {
 
-/// Crashed engines after which segments are quarantined. Engines crash for
-/// other reasons too, now and then under the same request.
-inline constexpr std::uint32_t QuarantineCrashes = 3;
-
 /// Prompt segments that were in each of several requests under which engines
 /// crashed, and in no request that an engine has answered since.
 struct CrashSuspect {
@@ -27,14 +22,6 @@
   friend bool operator==(const CrashSuspect &, const CrashSuspect &) = default;
 };
 
-/// Whether a request may start on an engine.
-enum class PromptAdmission : std::uint8_t {
-  Free,        ///< It has no suspect segments.
-  Trial,       ///< It has; its outcome tells whether they crash engines.
-  Held,        ///< Another request with them is on trial.
-  Quarantined, ///< Its segments crash engines.
-};
-
 /// Quarantine for prompts that crash every engine that begins to answer them.
 /// A request is suspect if its engine closed the connection before it had sent
 /// more than a few events. While segments are suspect, requests that have them
@@ -50,8 +37,8 @@
   /// \param Segments the shared segments of a request.
   /// \param Now the current time.
   /// \returns whether the request may start now.
-  PromptAdmission admissionOf(std::span<const PromptSegmentId> Segments,
-                              TimePoint Now) const;
+  CrashAdmission admissionOf(std::span<const PromptSegmentId> Segments,
+                             TimePoint Now) const;
   /// Records that engines were granted to a request; its trial begins if it has
   /// suspect segments.
   /// \param Request the request.
@@ -88,18 +75,9 @@
 private:
   struct Suspect {
     std::vector<PromptSegmentId> Segments_; ///< Sorted; never empty.
-    std::uint32_t Crashes_ = 0;
-    TimePoint LastCrashAt_;
-    ServerId LastServer_;      ///< The engine of the last crash.
-    RequestId TrialRequest_;   ///< Empty: no request is on trial.
-    TimePoint TrialStartedAt_; ///< When its engines were granted.
+    CrashRecord Record_;
   };
 
-  static bool isQuarantined(const Suspect &Each, TimePoint Now);
-  static bool isSameCrash(const Suspect &Each, const ServerId &Server,
-                          TimePoint Now);
-  static void countCrash(Suspect &Each, const RequestId &Request,
-                         const ServerId &Server, TimePoint Now);
   std::vector<PromptSegmentId>
   blamedSegments(std::span<const PromptSegmentId> Segments,
                  TimePoint Now) const;
--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -53,11 +53,11 @@
   };
 
   Task<WriteOutcome> writeEvents(EventSplitter &Splitter);
-  StepOutcome failStream(const ChosenServer &Engine, std::string_view Reason,
-                         CallFailure Failure);
+  Task<StepOutcome> failStream(const ChosenServer &Engine,
+                               std::string_view Reason, CallError Error);
   ServerTarget makeTarget(const ChosenServer &Engine) const;
   bool mayRetry(StepOutcome Outcome) const;
-  void reportFailure(const ChosenServer &Engine, CallFailure Failure);
+  Task<void> reportFailure(const ChosenServer &Engine, CallError Error);
   bool tryConsumeRetry();
   bool excludeUnusableEngines(const PlacementGrant &Grant);
   bool isPaused(const ServerId &Server) const;
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -94,6 +94,26 @@
   void mergeCrashSuspects(std::span<const CrashSuspect> Found) {
     Coordinator_.mergeCrashSuspects(Found, readBootClock());
   }
+  /// Adds requests that were found before a restart.
+  /// \param Found quarantined requests.
+  void mergeRequestSuspects(std::span<const RequestSuspect> Found) {
+    Coordinator_.mergeRequestSuspects(Found, readBootClock());
+  }
+  /// \param Request the fingerprint of a request.
+  /// \returns whether the home has to be asked before a server gets it.
+  bool isSuspect(const RequestFingerprint &Request) const;
+  /// Asks the home whether a request to a plain service may start that is
+  /// suspect, or under which a server has crashed.
+  /// \param Id the request.
+  /// \param Request its fingerprint.
+  /// \param Scope ends the wait for the answer when cancelled.
+  /// \returns whether it may; if the home does not answer, it may not if it is
+  /// suspect.
+  Task<CrashAdmission> admit(RequestId Id, RequestFingerprint Request,
+                             CancelScope &Scope);
+  /// Tells the home what became of a request to a plain service.
+  /// \param Report the outcome.
+  void report(const TrialReport &Report);
   /// Records what a backend server states in a response; tells the home.
   /// \param Server the server.
   /// \param RequestsPerSecond its limit; none if it states none.
@@ -148,7 +168,25 @@
     asio::steady_timer *Timer_ = nullptr;
   };
 
+  /// A question about a suspect request that is being answered.
+  struct PendingTrial {
+    std::optional<CrashAdmission> Admission_;
+    asio::steady_timer *Timer_ = nullptr;
+  };
+
+  /// A crash that was reported.
+  struct TimedCrash {
+    TrialReport Report_;
+    TimePoint At_;
+  };
+
   Task<void> runTicks();
+  void handleTrialAnswer(const TrialAnswer &Answer);
+  void handleTrialReport(const TrialReport &Report);
+  void rememberCrash(const TrialReport &Report);
+  void repeatCrashes();
+  CrashAdmission admissionWithoutHome(const RequestFingerprint &Request) const;
+  std::uint32_t knownCrashesOf(const RequestFingerprint &Request) const;
   void handleTokenAnswer(const ServerTokenAnswer &Answer);
   void addRecentUsage(const OrganisationId &Organisation, double Tokens);
   void tick();
@@ -201,9 +239,13 @@
   std::vector<LimitUtilisation> Utilisation_;
   /// From the latest reply of the home, for the next one.
   std::vector<CrashSuspect> CrashSuspects_;
+  /// Likewise.
+  std::vector<RequestSuspect> RequestSuspects_;
+  std::deque<TimedCrash> RecentCrashes_; ///< Oldest first.
   StatedLimits StatedLimits_;
   /// By ticket.
   std::unordered_map<std::uint64_t, PendingToken *> PendingTokens_;
+  std::unordered_map<std::uint64_t, PendingTrial *> PendingTrials_;
   std::uint64_t LastTicket_ = 0;
   /// When the limit of a server admits another request, after a denial.
   std::unordered_map<ServerId, TimePoint> AvailableAt_;
--- a/include/gooseberrybeam/relayd/PlainCall.h
+++ b/include/gooseberrybeam/relayd/PlainCall.h
@@ -13,7 +13,8 @@
 namespace gooseberry {
 
 /// Tries up to as many servers as the route allows. A request that a server may
-/// have run is retried only if its route permits that.
+/// have run is retried only if its route permits that. Requests under which
+/// servers crashed are sent as the home permits, see `RequestQuarantine`.
 class PlainCall {
 public:
   /// \param Context state of the instance; outlives the call.
@@ -40,10 +41,18 @@
   timeUntilAvailable(std::span<const BackendEntry *const> Servers) const;
   Task<AttemptResult> attempt(const BackendEntry &Server);
   Task<AttemptResult> exchange(const BackendEntry &Server);
+  TimePoint latestStart() const;
+  bool mustAsk() const;
+  Task<CrashAdmission> admit();
+  Task<void> reportOutcome(const BackendEntry &Server,
+                           const AttemptResult &Attempt,
+                           AttemptOutcome Outcome);
+  void endTrial(TrialOutcome Outcome);
   AttemptOutcome classify(const AttemptResult &Attempt) const;
   bool mayRetry(AttemptOutcome Outcome, bool MayHaveRun);
   Task<void> relayResponse(const BufferedResponse &Response);
   Task<void> refuseUnsent();
+  Task<void> refuseSuspect(CrashAdmission Admission);
   Task<void> refuseAfterFailure(const AttemptResult &LastAttempt,
                                 bool MayHaveRun);
 
@@ -51,6 +60,8 @@
   RelayRequest &Request_;
   std::vector<ServerId> TriedServers_;
   std::uint32_t SentAttempts_ = 0; ///< Attempts in progress or possibly run.
+  bool HasCrashedServer_ = false;
+  bool IsOnTrial_ = false;
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/relayd/QuarantineRow.h
+++ b/include/gooseberrybeam/relayd/QuarantineRow.h
@@ -1,9 +1,11 @@
 /// \file
-/// The row of the store that keeps quarantined prompts over restarts.
+/// The row of the store that keeps quarantined prompts and requests over
+/// restarts.
 #ifndef GOOSEBERRYBEAM_RELAYD_QUARANTINEROW_H
 #define GOOSEBERRYBEAM_RELAYD_QUARANTINEROW_H
 
 #include "gooseberrybeam/relay/PromptQuarantine.h"
+#include "gooseberrybeam/relay/RequestQuarantine.h"
 #include "gooseberrybeam/relayd/RowStore.h"
 
 #include <span>
@@ -21,14 +23,26 @@
 std::vector<CrashSuspect>
 quarantinedOnly(std::span<const CrashSuspect> Suspects);
 
+/// \param Suspects what a home has found.
+/// \returns the requests that are quarantined, likewise.
+std::vector<RequestSuspect>
+quarantinedOnly(std::span<const RequestSuspect> Suspects);
+
 /// \param Quarantined quarantined segments.
-/// \returns the row, with a JSON array of arrays of segments as value.
-StoreRow makeQuarantineRow(std::span<const CrashSuspect> Quarantined);
+/// \param Requests quarantined requests.
+/// \returns the row. Its value is a JSON array with an array of segments for
+/// each prompt and a string for each request.
+StoreRow makeQuarantineRow(std::span<const CrashSuspect> Quarantined,
+                           std::span<const RequestSuspect> Requests = {});
 
 /// \param Row the row.
 /// \returns the quarantined segments; entries that are malformed are left out.
 std::vector<CrashSuspect> parseQuarantineRow(const StoreRow &Row);
 
+/// \param Row the row.
+/// \returns the quarantined requests; entries that are malformed are left out.
+std::vector<RequestSuspect> parseQuarantinedRequests(const StoreRow &Row);
+
 } // namespace gooseberry
 
 #endif // GOOSEBERRYBEAM_RELAYD_QUARANTINEROW_H
--- a/include/gooseberrybeam/relayd/RelayDaemon.h
+++ b/include/gooseberrybeam/relayd/RelayDaemon.h
@@ -62,7 +62,7 @@
   Task<void> writeInstanceRow();
   void loadQuarantine();
   void saveQuarantine();
-  Task<void> writeQuarantineRow(std::vector<CrashSuspect> Quarantined);
+  Task<void> writeQuarantineRow(StoreRow Row);
   Task<void> createPeerKey();
   Task<void> removeRow(StoreRow Row);
   Task<void> removeUnresponsive(InstanceId Instance, StoreRow Row);
@@ -102,7 +102,9 @@
   TimePoint HomeSince_; ///< Start of the time as home with a transport.
   asio::signal_set StopSignals_;
   asio::signal_set HangupSignals_;
-  std::vector<CrashSuspect> SavedQuarantine_; ///< As its row holds it.
+  /// As its row holds it.
+  std::vector<CrashSuspect> SavedQuarantine_;
+  std::vector<RequestSuspect> SavedRequests_; ///< Likewise.
   StoreVersion QuarantineVersion_; ///< Of its row; unknown if there is none.
   bool IsQuarantineBeingWritten_ = false;
   bool IsInstanceRowBeingWritten_ = false;
--- a/include/gooseberrybeam/relayd/RelayRequest.h
+++ b/include/gooseberrybeam/relayd/RelayRequest.h
@@ -5,6 +5,7 @@
 
 #include "gooseberrybeam/http/CallerExchange.h"
 #include "gooseberrybeam/relay/RelayConfiguration.h"
+#include "gooseberrybeam/relay/RequestFingerprint.h"
 #include "gooseberrybeam/relayd/RelayProtocol.h"
 
 #include <memory>
@@ -28,6 +29,7 @@
   HttpFields Fields_; ///< Without hop-by-hop fields.
   std::string Body_;
   std::vector<BackendId> CalledServers_; ///< Servers that it was sent to.
+  RequestFingerprint Fingerprint_;
 
   /// \returns the name of the organisation; empty on public routes.
   OrganisationId organisationName() const {
--- a/src/relay/GenerationPlacer.cpp
+++ b/src/relay/GenerationPlacer.cpp
@@ -199,6 +199,7 @@
   std::erase(Pool.MovedStreams_, Request);
   std::erase(Pool.HeldRequests_, Request);
   Quarantine_.onReleased(Request);
+  RequestQuarantine_.onReleased(Request);
   Generations_.erase(Found);
 }
 
@@ -211,6 +212,12 @@
     erase(Request, TimePoint(Duration::zero()));
 }
 
+void GenerationPlacer::recordAnswer(const PlacementRequest &Placement,
+                                    TimePoint Now) {
+  Quarantine_.onAnswered(Placement.SharedSegments_, Now);
+  RequestQuarantine_.onAnswered(Placement.Fingerprint_, Now);
+}
+
 void GenerationPlacer::recordPrefill(const GenerationReport &Report) {
   const auto Found = Generations_.find(Report.Request_);
   if (Found == Generations_.end() || Report.Elapsed_ <= Duration::zero())
@@ -240,7 +247,7 @@
   Generation.OutputUpdatedAt_ = Now;
   Generation.HasEvents_ = true;
   if (Report.Tokens_ > 0)
-    Quarantine_.onAnswered(Generation.Placement_.SharedSegments_, Now);
+    recordAnswer(Generation.Placement_, Now);
   EngineState &Engine = Engines_[Report.Server_];
   Engine.Health_.onSuccess();
   if (!Generation.Prefill_.Value_.empty())
@@ -269,7 +276,7 @@
     if (Found != Generations_.end() && Report.Elapsed_ > Duration::zero()) {
       smooth(poolOf(Found->second.Placement_.Service_).MeanOutputTokens_,
              Report.Tokens_, PoolSampleWeight);
-      Quarantine_.onAnswered(Found->second.Placement_.SharedSegments_, Now);
+      recordAnswer(Found->second.Placement_, Now);
     }
     erase(Report.Request_, Now);
     return;
@@ -287,6 +294,8 @@
   case GenerationStep::CrashedAtStart:
     Quarantine_.onCrash(Report.Request_, Report.SharedSegments_, Report.Server_,
                         Now);
+    RequestQuarantine_.onCrash(Report.Request_, Report.Fingerprint_,
+                               Report.Server_, Now);
     Engines_[Report.Server_].Health_.onFailure(Now);
     return;
   case GenerationStep::ServerFailed:
@@ -312,6 +321,8 @@
   Generation.OutputUpdatedAt_ = Now;
   Quarantine_.onGranted(Generation.Placement_.Request_,
                         Generation.Placement_.SharedSegments_, Now);
+  RequestQuarantine_.onStarted(Generation.Placement_.Request_,
+                               Generation.Placement_.Fingerprint_, Now);
   ++Engines.Decode_->Starting_;
   Engines.Decode_->HasStartingSuspect_ |= Generation.IsSuspect_;
   const BackendEntry &Decode = *Engines.Decode_->Entry_;
@@ -389,11 +400,13 @@
   }
 }
 
-PromptAdmission GenerationPlacer::admit(GenerationState &Generation,
-                                        TimePoint Now) {
-  const PromptAdmission Admission =
-      Quarantine_.admissionOf(Generation.Placement_.SharedSegments_, Now);
-  Generation.IsSuspect_ = Admission != PromptAdmission::Free;
+CrashAdmission GenerationPlacer::admit(GenerationState &Generation,
+                                       TimePoint Now) {
+  const PlacementRequest &Placement = Generation.Placement_;
+  const CrashAdmission Admission =
+      std::max(Quarantine_.admissionOf(Placement.SharedSegments_, Now),
+               RequestQuarantine_.admissionOf(Placement.Fingerprint_, Now));
+  Generation.IsSuspect_ = Admission != CrashAdmission::Free;
   return Admission;
 }
 
@@ -403,12 +416,12 @@
   const std::vector<RequestId> Held = std::exchange(Pool.HeldRequests_, {});
   for (const RequestId &Request : Held) {
     GenerationState &Generation = Generations_.at(Request);
-    const PromptAdmission Admission = admit(Generation, Now);
-    if (Admission == PromptAdmission::Quarantined)
+    const CrashAdmission Admission = admit(Generation, Now);
+    if (Admission == CrashAdmission::Quarantined)
       deny(Request, RefusalReason::PromptQuarantined, {}, Now, Decisions);
     else if (Generation.StartDeadline_ < Now)
       deny(Request, RefusalReason::DeadlineUnreachable, {}, Now, Decisions);
-    else if (Admission == PromptAdmission::Held)
+    else if (Admission == CrashAdmission::Held)
       Pool.HeldRequests_.push_back(Request);
     else
       Pool.Queue_.push(makeQueueItem(Generation));
@@ -424,14 +437,14 @@
   const std::vector<RequestId> Waiting = std::exchange(Pool.MovedStreams_, {});
   for (const RequestId &Request : Waiting) {
     GenerationState &Generation = Generations_.at(Request);
-    const PromptAdmission Admission = admit(Generation, Now);
-    if (Admission == PromptAdmission::Quarantined) {
+    const CrashAdmission Admission = admit(Generation, Now);
+    if (Admission == CrashAdmission::Quarantined) {
       deny(Request, RefusalReason::PromptQuarantined, {}, Now, Decisions);
     } else if (Generation.StartDeadline_ < Now) {
       deny(Request, RefusalReason::DeadlineUnreachable, {}, Now, Decisions);
     } else {
       const auto Chosen =
-          Admission == PromptAdmission::Held
+          Admission == CrashAdmission::Held
               ? std::nullopt
               : chooseEngines(Candidates, Pool, Generation, Traits, Now);
       if (Chosen)
@@ -449,12 +462,12 @@
   while (const auto Next = Pool.Queue_.peek(Now)) {
     const RequestId &Request = *Next;
     GenerationState &Generation = Generations_.at(Request);
-    const PromptAdmission Admission = admit(Generation, Now);
-    if (Admission == PromptAdmission::Quarantined) {
+    const CrashAdmission Admission = admit(Generation, Now);
+    if (Admission == CrashAdmission::Quarantined) {
       deny(Request, RefusalReason::PromptQuarantined, {}, Now, Decisions);
       continue;
     }
-    if (Admission == PromptAdmission::Held) {
+    if (Admission == CrashAdmission::Held) {
       Pool.Queue_.erase(Request);
       Pool.HeldRequests_.push_back(Request);
       continue;
--- a/src/relay/HomeCoordinator.cpp
+++ b/src/relay/HomeCoordinator.cpp
@@ -46,6 +46,26 @@
   return Wait;
 }
 
+CrashAdmission HomeCoordinator::admit(const TrialRequest &Request,
+                                      TimePoint Now) {
+  RequestQuarantine &Quarantine = Placer_.requestQuarantine();
+  const CrashAdmission Admission =
+      Quarantine.admissionOf(Request.Fingerprint_, Now);
+  if (Admission == CrashAdmission::Trial)
+    Quarantine.onStarted(Request.Request_, Request.Fingerprint_, Now);
+  return Admission;
+}
+
+void HomeCoordinator::onTrialReport(const TrialReport &Report, TimePoint Now) {
+  RequestQuarantine &Quarantine = Placer_.requestQuarantine();
+  if (Report.Outcome_ == TrialOutcome::Crashed)
+    Quarantine.onCrash(Report.Request_, Report.Fingerprint_, Report.Server_,
+                       Now);
+  if (Report.Outcome_ == TrialOutcome::Answered)
+    Quarantine.onAnswered(Report.Fingerprint_, Now);
+  Quarantine.onReleased(Report.Request_);
+}
+
 void HomeCoordinator::configure(
     std::shared_ptr<const RelayConfiguration> Configuration, TimePoint Now) {
   Limits_.configure(Configuration, Now);
@@ -95,6 +115,7 @@
     Placer_.adopt(Sender, Each, Now);
   recordUsage(Sender, Message, Now);
   Placer_.mergeCrashSuspects(Message.CrashSuspects_, Now);
+  mergeRequestSuspects(Message.RequestSuspects_, Now);
   Placer_.serverLimits().merge(Message.ServerLimits_, Now);
   for (const auto &Each : Message.TokenUsage_)
     if (Limits_.isExhausted(Each.Organisation_, Now))
--- a/src/relay/PromptQuarantine.cpp
+++ b/src/relay/PromptQuarantine.cpp
@@ -8,15 +8,6 @@
 namespace gooseberry {
 namespace {
 
-constexpr Duration QuarantineTime = std::chrono::minutes(10);
-/// Suspicion without a further crash ends after this time.
-constexpr Duration SuspicionTime = std::chrono::minutes(1);
-/// Segments that were answered this recently are presumed harmless.
-constexpr Duration AnsweredMemory = std::chrono::minutes(1);
-/// A trial without an outcome ends after this time.
-constexpr Duration MaxTrialTime = std::chrono::seconds(2);
-/// Failures on one engine within this time are one crash.
-constexpr Duration CrashReportSpread = std::chrono::seconds(1);
 constexpr std::size_t MaxSuspects = 64;
 constexpr std::size_t MaxAnsweredSegments = 8192;
 
@@ -45,34 +36,16 @@
 
 } // namespace
 
-bool PromptQuarantine::isQuarantined(const Suspect &Each, TimePoint Now) {
-  return Each.Crashes_ >= QuarantineCrashes &&
-         Now < Each.LastCrashAt_ + QuarantineTime;
-}
-
-bool PromptQuarantine::isSameCrash(const Suspect &Each, const ServerId &Server,
-                                   TimePoint Now) {
-  return Each.LastServer_ == Server &&
-         Now < Each.LastCrashAt_ + CrashReportSpread;
-}
-
-PromptAdmission
+CrashAdmission
 PromptQuarantine::admissionOf(std::span<const PromptSegmentId> Segments,
                               TimePoint Now) const {
   if (Suspects_.empty() || Segments.empty())
-    return PromptAdmission::Free;
+    return CrashAdmission::Free;
   const auto Sorted = makeSorted(Segments);
-  PromptAdmission Admission = PromptAdmission::Free;
-  for (const Suspect &Each : Suspects_) {
-    if (!includesAll(Sorted, Each.Segments_))
-      continue;
-    if (isQuarantined(Each, Now))
-      return PromptAdmission::Quarantined;
-    const bool IsOnTrial = !Each.TrialRequest_.isEmpty() &&
-                           Now < Each.TrialStartedAt_ + MaxTrialTime;
-    Admission = std::max(Admission, IsOnTrial ? PromptAdmission::Held
-                                              : PromptAdmission::Trial);
-  }
+  CrashAdmission Admission = CrashAdmission::Free;
+  for (const Suspect &Each : Suspects_)
+    if (includesAll(Sorted, Each.Segments_))
+      Admission = std::max(Admission, Each.Record_.admission(Now));
   return Admission;
 }
 
@@ -80,12 +53,9 @@
                                  std::span<const PromptSegmentId> Segments,
                                  TimePoint Now) {
   const auto Sorted = makeSorted(Segments);
-  for (Suspect &Each : Suspects_) {
-    if (!includesAll(Sorted, Each.Segments_))
-      continue;
-    Each.TrialRequest_ = Request;
-    Each.TrialStartedAt_ = Now;
-  }
+  for (Suspect &Each : Suspects_)
+    if (includesAll(Sorted, Each.Segments_))
+      Each.Record_.startTrial(Request, Now);
 }
 
 std::vector<PromptSegmentId>
@@ -101,19 +71,6 @@
   return Unanswered.empty() ? Sorted : Unanswered;
 }
 
-// Several engines may crash at once for another reason, so only a trial
-// completes the evidence.
-void PromptQuarantine::countCrash(Suspect &Each, const RequestId &Request,
-                                  const ServerId &Server, TimePoint Now) {
-  const bool WasOnTrial = Each.TrialRequest_ == Request;
-  if (WasOnTrial || Each.Crashes_ + 1 < QuarantineCrashes)
-    ++Each.Crashes_;
-  Each.LastCrashAt_ = Now;
-  Each.LastServer_ = Server;
-  if (WasOnTrial)
-    Each.TrialRequest_ = RequestId();
-}
-
 void PromptQuarantine::onCrash(const RequestId &Request,
                                std::span<const PromptSegmentId> Segments,
                                const ServerId &Server, TimePoint Now) {
@@ -123,7 +80,7 @@
     return;
   bool IsCounted = false;
   for (Suspect &Each : Suspects_) {
-    if (isSameCrash(Each, Server, Now)) {
+    if (Each.Record_.isSameCrash(Server, Now)) {
       IsCounted = IsCounted || Each.Segments_ == Blamed;
       continue;
     }
@@ -131,11 +88,11 @@
     if (Common.empty())
       continue;
     Each.Segments_ = std::move(Common);
-    countCrash(Each, Request, Server, Now);
+    Each.Record_.countCrash(Request, Server, Now);
     IsCounted = true;
   }
   if (!IsCounted)
-    add({Blamed, 1, Now, Server, {}, {}});
+    add({Blamed, {1, Now, Server, {}, {}}});
   mergeEqual();
 }
 
@@ -159,14 +116,14 @@
 
 void PromptQuarantine::onReleased(const RequestId &Request) {
   for (Suspect &Each : Suspects_)
-    if (Each.TrialRequest_ == Request)
-      Each.TrialRequest_ = RequestId();
+    Each.Record_.endTrial(Request);
 }
 
 std::vector<CrashSuspect> PromptQuarantine::suspects(TimePoint Now) const {
   std::vector<CrashSuspect> Found;
   for (const Suspect &Each : Suspects_)
-    Found.push_back({Each.Segments_, Each.Crashes_, Now - Each.LastCrashAt_});
+    Found.push_back({Each.Segments_, Each.Record_.Crashes_,
+                     Now - Each.Record_.LastCrashAt_});
   return Found;
 }
 
@@ -178,7 +135,7 @@
       return AnsweredAt_.contains(Segment);
     });
     if (!Segments.empty())
-      add({std::move(Segments), Each.Crashes_, Now - Each.Age_, {}, {}, {}});
+      add({std::move(Segments), {Each.Crashes_, Now - Each.Age_, {}, {}, {}}});
   }
   mergeEqual();
   removeExpired(Now);
@@ -187,25 +144,20 @@
 void PromptQuarantine::add(Suspect Added) {
   assert(!Added.Segments_.empty());
   if (Suspects_.size() >= MaxSuspects)
-    Suspects_.erase(
-        std::min_element(Suspects_.begin(), Suspects_.end(),
-                         [](const Suspect &A, const Suspect &B) {
-                           return std::pair(A.Crashes_, A.LastCrashAt_) <
-                                  std::pair(B.Crashes_, B.LastCrashAt_);
-                         }));
+    Suspects_.erase(std::min_element(
+        Suspects_.begin(), Suspects_.end(),
+        [](const Suspect &A, const Suspect &B) {
+          return std::pair(A.Record_.Crashes_, A.Record_.LastCrashAt_) <
+                 std::pair(B.Record_.Crashes_, B.Record_.LastCrashAt_);
+        }));
   Suspects_.push_back(std::move(Added));
 }
 
-// Segments that leave quarantine are suspect once more: the next crash
-// quarantines them again.
 void PromptQuarantine::removeExpired(TimePoint Now) {
   for (Suspect &Each : Suspects_)
-    if (Each.Crashes_ >= QuarantineCrashes && !isQuarantined(Each, Now)) {
-      Each.Crashes_ = QuarantineCrashes - 1;
-      Each.LastCrashAt_ = Now;
-    }
+    Each.Record_.updateQuarantine(Now);
   std::erase_if(Suspects_, [Now](const Suspect &Each) {
-    return !isQuarantined(Each, Now) && Each.LastCrashAt_ + SuspicionTime < Now;
+    return Each.Record_.isExpired(Now);
   });
   std::erase_if(AnsweredAt_, [Now](const auto &Each) {
     return Each.second + AnsweredMemory < Now;
@@ -222,7 +174,7 @@
                                    });
     if (Same == Merged.end())
       Merged.push_back(std::move(Each));
-    else if (Same->Crashes_ < Each.Crashes_)
+    else if (Same->Record_.Crashes_ < Each.Record_.Crashes_)
       *Same = std::move(Each);
   }
   Suspects_ = std::move(Merged);
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -4,6 +4,7 @@
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/relay/EventStallTimer.h"
 #include "gooseberrybeam/relayd/RelayResponse.h"
+#include "gooseberrybeam/relayd/ServerCrashCheck.h"
 #include "relayd/ScopedWait.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -91,6 +92,7 @@
   for (const ServerId &Each : Context_.Pauses_.paused(readBootClock()))
     Placement.ExcludedEngines_.push_back(Each);
   Placement.SharedSegments_ = Request_.CallerInfo_.SharedSegments_;
+  Placement.Fingerprint_ = Request_.Fingerprint_;
   if (LastEventId_) {
     Placement.NeedsPrefill_ = false;
     Placement.TargetLeft_ = ResumeTarget;
@@ -101,22 +103,24 @@
 void GenerationCall::report(GenerationStep Step, const ChosenServer &Engine,
                             std::uint32_t Tokens, Duration Elapsed) {
   Context_.Home_.report(
-      {Request_.Exchange_.id(), Step, Engine.Id_, Tokens, Elapsed, {}});
+      {Request_.Exchange_.id(), Step, Engine.Id_, Tokens, Elapsed, {}, {}});
 }
 
-// A connection that ends as the engine begins to answer may be the doing of the
-// prompt.
-void GenerationCall::reportFailure(const ChosenServer &Engine,
-                                   CallFailure Failure) {
+// An engine that goes down as it begins to answer may do so because of the
+// request.
+Task<void> GenerationCall::reportFailure(const ChosenServer &Engine,
+                                         CallError Error) {
   const bool IsCrash =
-      Failure == CallFailure::Receive && EngineEvents_ < AnsweringEvents;
+      EngineEvents_ < AnsweringEvents &&
+      co_await hasServerCrashed(Context_.Pool_, Engine.Address_, Error);
   if (!IsCrash) {
     report(GenerationStep::ServerFailed, Engine);
-    return;
+    co_return;
   }
-  Context_.Home_.report(
-      {Request_.Exchange_.id(), GenerationStep::CrashedAtStart, Engine.Id_, 0,
-       Duration::zero(), Request_.CallerInfo_.SharedSegments_});
+  Context_.Home_.report({Request_.Exchange_.id(),
+                         GenerationStep::CrashedAtStart, Engine.Id_, 0,
+                         Duration::zero(), Request_.CallerInfo_.SharedSegments_,
+                         Request_.Fingerprint_});
 }
 
 ServerTarget GenerationCall::makeTarget(const ChosenServer &Engine) const {
@@ -201,24 +205,33 @@
   Target.RequestInfo_.IsPrefill_ = true;
   const TimePoint Started = readBootClock();
   ++PrefillCalls_;
+  EngineEvents_ = 0;
   auto CallResult =
       co_await callServer(Context_, Request_, Target, PrefillTimeout, Scope);
   if (Scope.isCancelled())
     co_return StepOutcome::Stopped;
-  if (!isOk(CallResult))
+  if (!isOk(CallResult)) {
+    co_await reportFailure(Engine, errorOf(CallResult));
     co_return StepOutcome::Failed;
+  }
   ServerResponse Response = takeValue(std::move(CallResult));
   CallLimits Limits;
   Limits.BodyTimeout_ = PrefillTimeout;
   auto Body = co_await readBody(*Response.Connection_, Limits, Scope);
-  if (!isOk(Body))
-    co_return Scope.isCancelled() ? StepOutcome::Stopped : StepOutcome::Failed;
+  if (Scope.isCancelled())
+    co_return StepOutcome::Stopped;
+  if (!isOk(Body)) {
+    co_await reportFailure(Engine, errorOf(Body));
+    co_return StepOutcome::Failed;
+  }
   Context_.Pool_.release(Engine.Address_, std::move(Response.Connection_));
   if (Response.Info_.IsNotExecuted_)
     co_return StepOutcome::Rejected;
   const auto Prompt = Context_.Protocol_.parsePrefillResponse(valueOf(Body));
-  if (Response.Head_.Status_ != HttpOk || !Prompt)
+  if (Response.Head_.Status_ != HttpOk || !Prompt) {
+    report(GenerationStep::ServerFailed, Engine);
     co_return StepOutcome::Failed;
+  }
   Context_.Metrics_.add(Count::PrefillTokens, Prompt->Tokens_);
   report(GenerationStep::Prefilled, Engine, Request_.CallerInfo_.PromptTokens_,
          readBootClock() - Started);
@@ -294,12 +307,12 @@
            {"elapsed_ms", elapsedMs(Request_.Exchange_)}});
 }
 
-GenerationCall::StepOutcome
+Task<GenerationCall::StepOutcome>
 GenerationCall::failStream(const ChosenServer &Engine, std::string_view Reason,
-                           CallFailure Failure) {
+                           CallError Error) {
   logEngineFailure(Engine, Reason);
-  reportFailure(Engine, Failure);
-  return StepOutcome::Failed;
+  co_await reportFailure(Engine, Error);
+  co_return StepOutcome::Failed;
 }
 
 Task<GenerationCall::StepOutcome>
@@ -328,10 +341,11 @@
     if (Exchange.scope().isCancelled())
       co_return StepOutcome::Stopped;
     if (!isOk(ReadResult))
-      co_return failStream(Engine, asCode(errorOf(ReadResult).Failure_),
-                           errorOf(ReadResult).Failure_);
+      co_return co_await failStream(
+          Engine, asCode(errorOf(ReadResult).Failure_), errorOf(ReadResult));
     if (Splitter.bufferedBytes() > MaxEventBytes)
-      co_return failStream(Engine, "event too large", CallFailure::Malformed);
+      co_return co_await failStream(Engine, "event too large",
+                                    {CallFailure::Malformed, true});
     if (valueOf(ReadResult) == 0)
       break;
     Splitter.append({Buffer.data(), valueOf(ReadResult)});
@@ -340,7 +354,8 @@
     if (Written == WriteOutcome::CallerGone)
       co_return StepOutcome::Stopped;
     if (Written == WriteOutcome::NoEvent)
-      co_return failStream(Engine, "not an event", CallFailure::Malformed);
+      co_return co_await failStream(Engine, "not an event",
+                                    {CallFailure::Malformed, true});
     if (EngineEvents_ != PreviousEvents)
       Stall.onEvent(readBootClock());
     // Tells the home that the engine is producing events. The rate follows in
@@ -355,10 +370,11 @@
   const bool HasEnded = EventsSent_ > 0 && (EngineEvents_ > 0 ||
                                             Response.Connection_->statesEnd());
   if (!HasEnded)
-    co_return failStream(Engine, "ended without an event",
-                         CallFailure::Receive);
+    co_return co_await failStream(Engine, "ended without an event",
+                                  {CallFailure::Receive, true});
   if (Splitter.hasPartialEvent())
-    co_return failStream(Engine, "ended inside an event", CallFailure::Receive);
+    co_return co_await failStream(Engine, "ended inside an event",
+                                  {CallFailure::Receive, true});
   reportProgress(Engine, true);
   Context_.Pool_.release(Engine.Address_, std::move(Response.Connection_));
   IsComplete_ = true;
@@ -412,7 +428,7 @@
     if (Exchange.scope().isCancelled())
       co_return StepOutcome::Stopped;
     logEngineFailure(Engine, asCode(errorOf(CallResult).Failure_));
-    reportFailure(Engine, errorOf(CallResult).Failure_);
+    co_await reportFailure(Engine, errorOf(CallResult));
     co_return StepOutcome::Failed;
   }
   ServerResponse Response = takeValue(std::move(CallResult));
@@ -438,9 +454,8 @@
     co_return true;
   if (Outcome == StepOutcome::Stopped)
     co_return false;
-  report(Outcome == StepOutcome::Rejected ? GenerationStep::ServerFull
-                                          : GenerationStep::ServerFailed,
-         *Grant.Prefill_);
+  if (Outcome == StepOutcome::Rejected)
+    report(GenerationStep::ServerFull, *Grant.Prefill_);
   logLine(LogPart::Engine, LogLevel::Info,
           "Prefill failed; engine excluded for this request.",
           {{"request", Request_.Exchange_.id().Value_},
--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -9,6 +9,9 @@
 
 constexpr auto LastStep =
     static_cast<std::uint32_t>(GenerationStep::CrashedAtStart);
+constexpr auto LastAdmission =
+    static_cast<std::uint32_t>(CrashAdmission::Quarantined);
+constexpr auto LastOutcome = static_cast<std::uint32_t>(TrialOutcome::Ended);
 
 template <typename T>
 void writeUtilisation(T &Body,
@@ -59,6 +62,38 @@
   return Suspects;
 }
 
+template <typename T>
+void writeFingerprint(T &Body, const RequestFingerprint &Fingerprint) {
+  Body.set_fingerprint_high(Fingerprint.High_);
+  Body.set_fingerprint_low(Fingerprint.Low_);
+}
+
+template <typename T> RequestFingerprint readFingerprint(const T &Body) {
+  return {Body.fingerprint_high(), Body.fingerprint_low()};
+}
+
+template <typename T>
+void writeRequestSuspects(T &Body,
+                          const std::vector<RequestSuspect> &Suspects) {
+  for (const auto &Source : Suspects) {
+    auto &Suspect = *Body.add_request_suspects();
+    Suspect.set_high(Source.Fingerprint_.High_);
+    Suspect.set_low(Source.Fingerprint_.Low_);
+    Suspect.set_crashes(Source.Crashes_);
+    Suspect.set_age_us(Source.Age_.count());
+  }
+}
+
+template <typename T>
+std::vector<RequestSuspect> readRequestSuspects(const T &Body) {
+  std::vector<RequestSuspect> Suspects;
+  for (const auto &Suspect : Body.request_suspects())
+    Suspects.push_back({{Suspect.high(), Suspect.low()},
+                        Suspect.crashes(),
+                        Duration(Suspect.age_us())});
+  return Suspects;
+}
+
 template <typename T>
 void writeLimits(T &Body, const std::vector<ServerLimit> &Limits) {
   for (const auto &Source : Limits) {
@@ -102,6 +137,7 @@
   Body.set_attachment(Message.Attachment_);
   writeUtilisation(Body, Message.Utilisation_);
   writeSuspects(Body, Message.CrashSuspects_);
+  writeRequestSuspects(Body, Message.RequestSuspects_);
   writeLimits(Body, Message.ServerLimits_);
   writeLeaving(Body, Message.LeavingServers_);
   Body.set_is_leaving(Message.IsLeaving_);
@@ -134,6 +170,7 @@
     Body.add_exhausted(Organisation.Value_);
   writeUtilisation(Body, Message.Utilisation_);
   writeSuspects(Body, Message.CrashSuspects_);
+  writeRequestSuspects(Body, Message.RequestSuspects_);
   writeLimits(Body, Message.ServerLimits_);
   writeLeaving(Body, Message.LeavingServers_);
   for (const auto &Source : Message.Feeds_) {
@@ -164,6 +201,7 @@
   for (const auto &Server : Message.ExcludedEngines_)
     Body.add_avoid(Server.Value_);
   writeSegments(Body, Message.SharedSegments_);
+  writeFingerprint(Body, Message.Fingerprint_);
 }
 
 void write(wire::HomeServer &Body, const ChosenServer &Server) {
@@ -195,6 +233,7 @@
   Body.set_tokens(Message.Tokens_);
   Body.set_took_us(Message.Elapsed_.count());
   writeSegments(Body, Message.SharedSegments_);
+  writeFingerprint(Body, Message.Fingerprint_);
 }
 
 void write(wire::Home &Envelope, const ConfigurationRequest &Message) {
@@ -246,6 +285,27 @@
   Body.set_retry_after_us(Message.RetryAfter_.count());
 }
 
+void write(wire::Home &Envelope, const TrialRequest &Message) {
+  auto &Body = *Envelope.mutable_trial_request();
+  Body.set_ticket(Message.Ticket_);
+  Body.set_request(Message.Request_.Value_);
+  writeFingerprint(Body, Message.Fingerprint_);
+}
+
+void write(wire::Home &Envelope, const TrialAnswer &Message) {
+  auto &Body = *Envelope.mutable_trial_answer();
+  Body.set_ticket(Message.Ticket_);
+  Body.set_admission(static_cast<std::uint32_t>(Message.Admission_));
+}
+
+void write(wire::Home &Envelope, const TrialReport &Message) {
+  auto &Body = *Envelope.mutable_trial_report();
+  Body.set_request(Message.Request_.Value_);
+  writeFingerprint(Body, Message.Fingerprint_);
+  Body.set_outcome(static_cast<std::uint32_t>(Message.Outcome_));
+  Body.set_server(Message.Server_.Value_);
+}
+
 HomeHeartbeat read(const wire::HomeHeartbeat &Body) {
   HomeHeartbeat Message;
   Message.Sequence_ = Body.sequence();
@@ -256,6 +316,7 @@
   Message.Attachment_ = Body.attachment();
   Message.Utilisation_ = readUtilisation(Body);
   Message.CrashSuspects_ = readSuspects(Body);
+  Message.RequestSuspects_ = readRequestSuspects(Body);
   Message.ServerLimits_ = readLimits(Body);
   Message.LeavingServers_ = readLeaving(Body);
   Message.IsLeaving_ = Body.is_leaving();
@@ -283,6 +344,7 @@
     Message.ExhaustedOrganisations_.push_back({Organisation});
   Message.Utilisation_ = readUtilisation(Body);
   Message.CrashSuspects_ = readSuspects(Body);
+  Message.RequestSuspects_ = readRequestSuspects(Body);
   Message.ServerLimits_ = readLimits(Body);
   Message.LeavingServers_ = readLeaving(Body);
   // An instance of an earlier release states no feeds: they count as unread.
@@ -317,6 +379,7 @@
   for (const auto &Server : Body.avoid())
     Message.ExcludedEngines_.push_back({Server});
   Message.SharedSegments_ = readSegments(Body);
+  Message.Fingerprint_ = readFingerprint(Body);
   return Message;
 }
 
@@ -350,7 +413,8 @@
   return GenerationReport{
       {Body.request()},         static_cast<GenerationStep>(Body.step()),
       {Body.server()},          Body.tokens(),
-      Duration(Body.took_us()), readSegments(Body)};
+      Duration(Body.took_us()), readSegments(Body),
+      readFingerprint(Body)};
 }
 
 std::optional<SharedTableId> readTable(std::uint32_t Table) {
@@ -398,6 +462,26 @@
   return {Body.ticket(), Duration(Body.retry_after_us())};
 }
 
+TrialRequest read(const wire::HomeTrialRequest &Body) {
+  return {Body.ticket(), {Body.request()}, readFingerprint(Body)};
+}
+
+std::optional<HomeMessage> read(const wire::HomeTrialAnswer &Body) {
+  if (Body.admission() > LastAdmission)
+    return std::nullopt;
+  return TrialAnswer{Body.ticket(),
+                     static_cast<CrashAdmission>(Body.admission())};
+}
+
+std::optional<HomeMessage> read(const wire::HomeTrialReport &Body) {
+  if (Body.outcome() > LastOutcome)
+    return std::nullopt;
+  return TrialReport{{Body.request()},
+                     readFingerprint(Body),
+                     static_cast<TrialOutcome>(Body.outcome()),
+                     {Body.server()}};
+}
+
 } // namespace
 
 std::string encodeHomeMessage(const HomeMessage &Message) {
@@ -438,6 +522,12 @@
     return read(Envelope.server_token_request());
   case wire::Home::kServerTokenAnswer:
     return read(Envelope.server_token_answer());
+  case wire::Home::kTrialRequest:
+    return read(Envelope.trial_request());
+  case wire::Home::kTrialAnswer:
+    return read(Envelope.trial_answer());
+  case wire::Home::kTrialReport:
+    return read(Envelope.trial_report());
   case wire::Home::BODY_NOT_SET:
     break;
   }
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -181,6 +181,7 @@
   Heartbeat.TokenUsage_ = recentTokenUsage();
   Heartbeat.Utilisation_ = PreviousHomeUtilisation_;
   Heartbeat.CrashSuspects_ = CrashSuspects_;
+  Heartbeat.RequestSuspects_ = RequestSuspects_;
   Heartbeat.ServerLimits_ = StatedLimits_.all();
   Heartbeat.LeavingServers_ = Directory_.announcedLeaving();
   UnreportedUsage_.clear();
@@ -200,8 +201,10 @@
   if (Sequence < AttachSequence_)
     return;
   const std::uint64_t Incarnation = MemberIds_[Sender].Incarnation_;
-  if (!HomeIncarnation_)
+  if (!HomeIncarnation_) {
     HomeIncarnation_ = Incarnation;
+    repeatCrashes();
+  }
   if (*HomeIncarnation_ == Incarnation)
     return;
   logLine(LogPart::Membership, LogLevel::Info, "Home restarted; reattaching.",
@@ -297,7 +300,14 @@
           },
           [this](const ServerTokenAnswer &Answer) {
             handleTokenAnswer(Answer);
-          }},
+          },
+          [this, &Sender](const TrialRequest &Request) {
+            const CrashAdmission Admission =
+                Coordinator_.admit(Request, readBootClock());
+            send(Sender, TrialAnswer{Request.Ticket_, Admission});
+          },
+          [this](const TrialAnswer &Answer) { handleTrialAnswer(Answer); },
+          [this](const TrialReport &Report) { handleTrialReport(Report); }},
       Message);
 }
 
@@ -363,6 +373,7 @@
   if (Message.IsAttached_) {
     Reply.Utilisation_ = Coordinator_.utilisation(Now);
     Reply.CrashSuspects_ = Coordinator_.crashSuspects(Now);
+    Reply.RequestSuspects_ = Coordinator_.requestQuarantine().suspects(Now);
     Reply.ServerLimits_ = Coordinator_.serverLimits();
     Reply.LeavingServers_ = Directory_.announcedLeaving();
   }
@@ -396,6 +407,7 @@
     handleFeeds(Message);
   Utilisation_ = Message.Utilisation_;
   CrashSuspects_ = Message.CrashSuspects_;
+  RequestSuspects_ = Message.RequestSuspects_;
   handleLeaving(Message.LeavingServers_, Sender);
   StatedLimits_.assign(Message.ServerLimits_, readBootClock());
   ExhaustedOrganisations_.clear();
@@ -417,7 +429,7 @@
   if (std::holds_alternative<PlacementGrant>(Answer) &&
       !RunningGenerations_.contains(Request))
     send(Sender,
-         GenerationReport{Request, GenerationStep::Ended, {}, 0, {}, {}});
+         GenerationReport{Request, GenerationStep::Ended, {}, 0, {}, {}, {}});
 }
 
 void HomeLink::sendDecisionsRateLimited() {
@@ -436,8 +448,9 @@
 }
 
 void HomeLink::logCrash(const GenerationReport &Report) const {
+  const TimePoint Now = readBootClock();
   std::string Suspects;
-  for (const CrashSuspect &Each : Coordinator_.crashSuspects(readBootClock())) {
+  for (const CrashSuspect &Each : Coordinator_.crashSuspects(Now)) {
     for (const PromptSegmentId &Segment : Each.Segments_)
       Suspects += Segment.Value_ + ' ';
     Suspects += text(Each.Crashes_) + ';';
@@ -446,6 +459,9 @@
           "Engine closed the connection as it began to answer.",
           {{"request", Report.Request_.Value_},
            {"server", Report.Server_.Value_},
+           {"fingerprint", formatFingerprint(Report.Fingerprint_)},
+           {"crashes", text(Coordinator_.requestQuarantine().crashesOf(
+                           Report.Fingerprint_, Now))},
            {"suspects", Suspects}});
 }
 
@@ -506,7 +522,7 @@
                    Placement.Request_.PromptTokens_ +
                        Placement.Request_.MaxOutputTokens_);
   if (!Placement.Answer_)
-    report({Id, GenerationStep::Ended, {}, 0, {}, {}});
+    report({Id, GenerationStep::Ended, {}, 0, {}, {}, {}});
   co_return std::move(Placement.Answer_);
 }
 
@@ -517,6 +533,9 @@
   if (Report.Step_ == GenerationStep::Progressed &&
       Found != RunningGenerations_.end())
     Found->second.OutputTokens_ = Report.Tokens_;
+  if (Report.Step_ == GenerationStep::CrashedAtStart)
+    rememberCrash({Report.Request_, Report.Fingerprint_, TrialOutcome::Crashed,
+                   Report.Server_});
   send(Home_, Report);
 }
 
--- a/src/relayd/PlainCall.cpp
+++ b/src/relayd/PlainCall.cpp
@@ -3,6 +3,7 @@
 #include "gooseberrybeam/http/HttpCall.h"
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/relayd/RelayResponse.h"
+#include "gooseberrybeam/relayd/ServerCrashCheck.h"
 #include "relayd/ScopedWait.h"
 
 #include <algorithm>
@@ -18,6 +19,10 @@
 /// An idempotent request is sent to another server after waiting this multiple
 /// of the target latency of its route.
 constexpr int TimeoutTargetFactor = 2;
+/// Time between two questions of a request that waits for another one's trial.
+constexpr Duration TrialPollInterval = std::chrono::milliseconds(50);
+/// Sent to callers whose request has waited for another one's trial.
+constexpr Duration RetryAfterTrial = std::chrono::milliseconds(500);
 constexpr std::size_t MaxBodyBytes = std::size_t{8} << 20;
 
 bool isSuccess(int Status) {
@@ -62,11 +67,14 @@
   return Least;
 }
 
+// An answer to a request that starts later cannot meet its target.
+TimePoint PlainCall::latestStart() const {
+  return Request_.Exchange_.arrival() + Request_.Route_.TargetLatency_ / 2;
+}
+
 // Waits for a server that takes a request, if the answer can still meet its
 // target then.
 Task<std::optional<BackendEntry>> PlainCall::chooseServer() {
-  const TimePoint LatestStart =
-      Request_.Exchange_.arrival() + Request_.Route_.TargetLatency_ / 2;
   while (!Request_.Exchange_.scope().isCancelled()) {
     auto Servers = untriedServers();
     std::erase_if(Servers, [this](const BackendEntry *Each) {
@@ -74,7 +82,7 @@
     });
     if (Servers.empty()) {
       const auto Wait = timeUntilAvailable(untriedServers());
-      if (!Wait || readBootClock() + *Wait > LatestStart)
+      if (!Wait || readBootClock() + *Wait > latestStart())
         co_return std::nullopt;
       co_await waitFor(Context_.IoContext_, *Wait, Request_.Exchange_.scope());
       continue;
@@ -173,14 +181,68 @@
       .tryRetry(Context_.Home_.instanceCount(), readBootClock());
 }
 
+bool PlainCall::mustAsk() const {
+  return HasCrashedServer_ || Context_.Home_.isSuspect(Request_.Fingerprint_);
+}
+
+// Waits while another request like this is on trial, as long as the answer can
+// still meet its target.
+Task<CrashAdmission> PlainCall::admit() {
+  CancelScope &Scope = Request_.Exchange_.scope();
+  while (mustAsk()) {
+    const CrashAdmission Admission = co_await Context_.Home_.admit(
+        Request_.Exchange_.id(), Request_.Fingerprint_, Scope);
+    IsOnTrial_ = Admission == CrashAdmission::Trial;
+    const bool MayWait = !Scope.isCancelled() &&
+                         readBootClock() + TrialPollInterval <= latestStart();
+    if (Admission != CrashAdmission::Held || !MayWait)
+      co_return Admission;
+    co_await waitFor(Context_.IoContext_, TrialPollInterval, Scope);
+  }
+  co_return CrashAdmission::Free;
+}
+
+void PlainCall::endTrial(TrialOutcome Outcome) {
+  IsOnTrial_ = false;
+  Context_.Home_.report(
+      TrialReport{Request_.Exchange_.id(), Request_.Fingerprint_, Outcome, {}});
+}
+
+Task<void> PlainCall::reportOutcome(const BackendEntry &Server,
+                                    const AttemptResult &Attempt,
+                                    AttemptOutcome Outcome) {
+  const bool HasCrashed =
+      !isOk(Attempt) && co_await hasServerCrashed(
+                            Context_.Pool_, Server.Address_, errorOf(Attempt));
+  if (HasCrashed) {
+    HasCrashedServer_ = true;
+    IsOnTrial_ = false;
+    Context_.Home_.report(TrialReport{Request_.Exchange_.id(),
+                                      Request_.Fingerprint_,
+                                      TrialOutcome::Crashed, Server.Id_});
+  } else if (Outcome == AttemptOutcome::Answered && mustAsk()) {
+    endTrial(TrialOutcome::Answered);
+  } else if (IsOnTrial_) {
+    endTrial(TrialOutcome::Ended);
+  }
+}
+
 Task<void> PlainCall::run() {
   Context_.retryBudget(Request_.Service_).onRequest(readBootClock());
   bool MayHaveRun = false;
   std::optional<AttemptResult> Last;
   AttemptOutcome Outcome = AttemptOutcome::Rejected;
-  while (const auto Server = co_await chooseServer()) {
+  CrashAdmission Admission = CrashAdmission::Free;
+  for (;;) {
+    Admission = co_await admit();
+    if (Admission >= CrashAdmission::Held)
+      break;
+    const auto Server = co_await chooseServer();
+    if (!Server)
+      break;
     Last = co_await attempt(*Server);
     Outcome = classify(*Last);
+    co_await reportOutcome(*Server, *Last, Outcome);
     const bool HasRun = isOk(*Last) ? !valueOf(*Last).Info_.IsNotExecuted_
                                     : errorOf(*Last).MayHaveStarted_;
     MayHaveRun = MayHaveRun || HasRun;
@@ -189,12 +251,16 @@
     Context_.Metrics_.addRetry(static_cast<std::size_t>(Outcome),
                                codeOf(Outcome));
   }
+  if (IsOnTrial_)
+    endTrial(TrialOutcome::Ended);
   const bool IsRelayed = Outcome == AttemptOutcome::Answered ||
                          Outcome == AttemptOutcome::ServerError;
-  if (!Last)
-    co_await refuseUnsent();
-  else if (IsRelayed)
+  if (Last && IsRelayed)
     co_await relayResponse(valueOf(*Last));
+  else if (Admission >= CrashAdmission::Held && !MayHaveRun)
+    co_await refuseSuspect(Admission);
+  else if (!Last)
+    co_await refuseUnsent();
   else
     co_await refuseAfterFailure(*Last, MayHaveRun);
 }
@@ -209,6 +275,20 @@
            : "no backend server registered for the service");
 }
 
+Task<void> PlainCall::refuseSuspect(CrashAdmission Admission) {
+  if (Admission == CrashAdmission::Quarantined)
+    co_await refuse(Context_, Request_.Exchange_,
+                    {RefusalReason::PromptQuarantined, Execution::NotRun, {}},
+                    "quarantined request " +
+                        formatFingerprint(Request_.Fingerprint_));
+  else
+    co_await refuse(
+        Context_, Request_.Exchange_,
+        {RefusalReason::QueueFull, Execution::NotRun, RetryAfterTrial},
+        "waited for the trial of request " +
+            formatFingerprint(Request_.Fingerprint_));
+}
+
 Task<void> PlainCall::relayResponse(const BufferedResponse &Response) {
   CallerExchange &Exchange = Request_.Exchange_;
   if (Context_.IsDraining_)
--- a/src/relayd/QuarantineRow.cpp
+++ b/src/relayd/QuarantineRow.cpp
@@ -23,6 +23,14 @@
   return Segments;
 }
 
+json::array parseEntries(const StoreRow &Row) {
+  boost::system::error_code Error;
+  json::value Parsed = json::parse(Row.Value_, Error);
+  if (Error || !Parsed.is_array())
+    return {};
+  return std::move(Parsed.get_array());
+}
+
 } // namespace
 
 std::vector<CrashSuspect>
@@ -38,7 +46,21 @@
   return Quarantined;
 }
 
-StoreRow makeQuarantineRow(std::span<const CrashSuspect> Quarantined) {
+std::vector<RequestSuspect>
+quarantinedOnly(std::span<const RequestSuspect> Suspects) {
+  std::vector<RequestSuspect> Quarantined;
+  for (const RequestSuspect &Each : Suspects)
+    if (Each.Crashes_ >= QuarantineCrashes)
+      Quarantined.push_back({Each.Fingerprint_, QuarantineCrashes, {}});
+  std::sort(Quarantined.begin(), Quarantined.end(),
+            [](const RequestSuspect &A, const RequestSuspect &B) {
+              return A.Fingerprint_ < B.Fingerprint_;
+            });
+  return Quarantined;
+}
+
+StoreRow makeQuarantineRow(std::span<const CrashSuspect> Quarantined,
+                           std::span<const RequestSuspect> Requests) {
   json::array Entries;
   for (const CrashSuspect &Each : Quarantined) {
     json::array Segments;
@@ -46,6 +68,8 @@
       Segments.emplace_back(Segment.Value_);
     Entries.push_back(std::move(Segments));
   }
+  for (const RequestSuspect &Each : Requests)
+    Entries.emplace_back(formatFingerprint(Each.Fingerprint_));
   StoreRow Row;
   Row.Table_ = RelayTable;
   Row.Key_ = QuarantineRowKey;
@@ -55,11 +79,7 @@
 
 std::vector<CrashSuspect> parseQuarantineRow(const StoreRow &Row) {
   std::vector<CrashSuspect> Quarantined;
-  boost::system::error_code Error;
-  const json::value Parsed = json::parse(Row.Value_, Error);
-  if (Error || !Parsed.is_array())
-    return Quarantined;
-  for (const json::value &Each : Parsed.get_array()) {
+  for (const json::value &Each : parseEntries(Row)) {
     auto Segments = parseSegments(Each);
     if (!Segments.empty())
       Quarantined.push_back({std::move(Segments), QuarantineCrashes, {}});
@@ -67,4 +87,18 @@
   return Quarantined;
 }
 
+std::vector<RequestSuspect> parseQuarantinedRequests(const StoreRow &Row) {
+  std::vector<RequestSuspect> Quarantined;
+  for (const json::value &Each : parseEntries(Row)) {
+    const auto Fingerprint =
+        Each.is_string()
+            ? parseFingerprint(std::string_view(Each.get_string().data(),
+                                                Each.get_string().size()))
+            : std::nullopt;
+    if (Fingerprint)
+      Quarantined.push_back({*Fingerprint, QuarantineCrashes, {}});
+  }
+  return Quarantined;
+}
+
 } // namespace gooseberry
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -308,7 +308,10 @@
   QuarantineVersion_ = Version;
   SavedQuarantine_ =
       IsPresent ? parseQuarantineRow(Row->second) : std::vector<CrashSuspect>();
+  SavedRequests_ = IsPresent ? parseQuarantinedRequests(Row->second)
+                             : std::vector<RequestSuspect>();
   Home_.mergeCrashSuspects(SavedQuarantine_);
+  Home_.mergeRequestSuspects(SavedRequests_);
 }
 
 // The home keeps the row, so that what was learned from crashed engines
@@ -316,20 +319,24 @@
 void RelayDaemon::saveQuarantine() {
   if (Home_.home() != Settings_.Name_ || Relay_.IsDraining_)
     return;
-  auto Quarantined =
-      quarantinedOnly(Home_.coordinator().crashSuspects(readBootClock()));
-  if (Quarantined == SavedQuarantine_ ||
-      std::exchange(IsQuarantineBeingWritten_, true))
+  const HomeCoordinator &Coordinator = Home_.coordinator();
+  const TimePoint Now = readBootClock();
+  const auto Prompts = quarantinedOnly(Coordinator.crashSuspects(Now));
+  const auto Requests =
+      quarantinedOnly(Coordinator.requestQuarantine().suspects(Now));
+  const bool IsSaved =
+      Prompts == SavedQuarantine_ && Requests == SavedRequests_;
+  if (IsSaved || std::exchange(IsQuarantineBeingWritten_, true))
     return;
-  asio::co_spawn(Context_, writeQuarantineRow(std::move(Quarantined)),
+  asio::co_spawn(Context_,
+                 writeQuarantineRow(makeQuarantineRow(Prompts, Requests)),
                  asio::detached);
 }
 
-Task<void>
-RelayDaemon::writeQuarantineRow(std::vector<CrashSuspect> Quarantined) {
+Task<void> RelayDaemon::writeQuarantineRow(StoreRow Row) {
   CancelScope Scope;
   RowWrite Write;
-  Write.Row_ = makeQuarantineRow(Quarantined);
+  Write.Row_ = std::move(Row);
   Write.ExpectedVersion_ = QuarantineVersion_;
   const auto Written = co_await Store_->write(std::move(Write), Scope);
   if (!isOk(Written))
--- a/src/relayd/RelayHandler.cpp
+++ b/src/relayd/RelayHandler.cpp
@@ -110,6 +110,7 @@
                           std::string(asStd(Exchange.head().target())),
                           Exchange.head(),
                           {},
+                          {},
                           {}};
   auto Body = co_await Exchange.readBody();
   if (!isOk(Body)) {
@@ -118,6 +119,10 @@
     co_return;
   }
   Request.Body_ = takeValue(std::move(Body));
+  Request.Fingerprint_ =
+      makeRequestFingerprint(Request.organisationName(),
+                             asStd(beast::http::to_string(Request.Method_)),
+                             Request.Target_, Request.Body_);
   removeHopByHop(Request.Fields_);
   Exchange.watchCaller();
   co_await relay(Request);
--- a/tests/HomeCodecTest.cpp
+++ b/tests/HomeCodecTest.cpp
@@ -28,6 +28,7 @@
     Message.RunningGenerations_ = {
         {{"r"}, {"acme"}, {"svc"}, {"d1"}, 5000, 630, 4400}};
     Message.CrashSuspects_ = {{{{"s1"}, {"s2"}}, 3, 5s}};
+    Message.RequestSuspects_ = {{{7, 1}, 3, 5s}, {{0, 9}, 2, 1ms}};
     Message.ServerLimits_ = {{{"s1"}, 1.5}, {{"s2"}, 0}};
     Message.LeavingServers_ = {{{"s3"}, 1791444837026}};
     checkRoundTrip(Message);
@@ -40,6 +41,7 @@
     Reply.ExhaustedOrganisations_ = {{"acme"}};
     Reply.Utilisation_ = {{{"acme"}, 0.5}};
     Reply.CrashSuspects_ = {{{{"s1"}}, 1, 80ms}};
+    Reply.RequestSuspects_ = {{{7, 1}, 3, 5s}};
     Reply.ServerLimits_ = {{{"s1"}, 1.5}};
     Reply.LeavingServers_ = {{{"s3"}, 1791444837026}, {{"s4"}, 0}};
     checkRoundTrip(Reply);
@@ -56,6 +58,7 @@
     Request.NeedsPrefill_ = false;
     Request.ExcludedEngines_ = {{"d1"}, {"d2"}};
     Request.SharedSegments_ = {{"s1"}, {"s2"}};
+    Request.Fingerprint_ = {0xfedcba9876543210, 3};
     checkRoundTrip(Request);
     checkRoundTrip(PlacementGrant{{"r"},
                                   ChosenServer{{"p1"}, {"10.0.0.1:80"}},
@@ -80,7 +83,18 @@
                                     {"p1"},
                                     7,
                                     5ms,
-                                    {{"s1"}, {"s2"}}});
+                                    {{"s1"}, {"s2"}},
+                                    {5, 0xfedcba9876543210}});
+  }
+  SECTION("suspect requests") {
+    checkRoundTrip(TrialRequest{9, {"r"}, {5, 6}});
+    for (const auto Admission :
+         {CrashAdmission::Free, CrashAdmission::Trial, CrashAdmission::Held,
+          CrashAdmission::Quarantined})
+      checkRoundTrip(TrialAnswer{9, Admission});
+    for (const auto Outcome :
+         {TrialOutcome::Crashed, TrialOutcome::Answered, TrialOutcome::Ended})
+      checkRoundTrip(TrialReport{{"r"}, {5, 6}, Outcome, {"s1"}});
   }
   SECTION("copies of the configuration and the backend servers") {
     checkRoundTrip(ConfigurationRequest{3});
--- a/tests/HomeLinkTest.cpp
+++ b/tests/HomeLinkTest.cpp
@@ -72,13 +72,16 @@
   /// \param Incarnation the incarnation of the home's process.
   /// \param Suspects the prompt segments that the home has found.
   /// \param Leaving the servers that have told others that they leave.
+  /// \param Requests the requests that the home has found.
   void replyFromHome(std::uint64_t Incarnation,
                      std::vector<CrashSuspect> Suspects = {},
-                     std::vector<LeavingServer> Leaving = {}) {
+                     std::vector<LeavingServer> Leaving = {},
+                     std::vector<RequestSuspect> Requests = {}) {
     HomeReply Reply;
     Reply.LeavingServers_ = std::move(Leaving);
     Reply.Sequence_ = heartbeats().back().Sequence_;
     Reply.CrashSuspects_ = std::move(Suspects);
+    Reply.RequestSuspects_ = std::move(Requests);
     Transport_->deliver({Home_, Incarnation},
                         PlacementBytes{encodeHomeMessage(Reply)});
   }
@@ -103,6 +106,25 @@
                             ServerTokenAnswer{Ticket, RetryAfter})});
     Context_.poll();
   }
+  /// Starts to ask whether a request may start.
+  void askForTrial(const RequestFingerprint &Request) {
+    Admission_.reset();
+    asio::co_spawn(Context_, askTrial(Request), asio::detached);
+    Context_.poll();
+  }
+  /// Delivers the answer of the home to the latest question about a request.
+  void answerTrial(CrashAdmission Admission) {
+    const auto Ticket = Transport_->sent<TrialRequest>().back().Ticket_;
+    Transport_->deliver({Home_, 7}, PlacementBytes{encodeHomeMessage(
+                                        TrialAnswer{Ticket, Admission})});
+    Context_.poll();
+  }
+  /// \returns the outcome of the question, for which it waits.
+  CrashAdmission admission() {
+    while (!Admission_)
+      Context_.run_one();
+    return *Admission_;
+  }
   /// Lets the wait for an answer run out.
   void awaitTimeout() {
     while (!MayCall_)
@@ -116,6 +138,9 @@
   std::vector<HomeHeartbeat> heartbeats() const {
     return Transport_->sent<HomeHeartbeat>();
   }
+  std::vector<TrialReport> trialReports() const {
+    return Transport_->sent<TrialReport>();
+  }
   std::size_t placementRequestCount() const {
     return Transport_->sent<PlacementRequest>().size();
   }
@@ -124,6 +149,10 @@
   Task<void> ask(ServerId Server) {
     MayCall_ = co_await Link_->mayCallServer(Server, Scope_);
   }
+  Task<void> askTrial(RequestFingerprint Request) {
+    const RequestId Id = {"r"};
+    Admission_ = co_await Link_->admit(Id, Request, Scope_);
+  }
   Task<void> place() {
     PlacementRequest Request;
     Request.Request_ = {"r"};
@@ -136,6 +165,7 @@
   FakeTables Tables_;
   CancelScope Scope_;
   std::optional<bool> MayCall_;
+  std::optional<CrashAdmission> Admission_;
   bool IsStoreAvailable_ = true;
   InstanceId Home_;
   std::unique_ptr<HomeLink> Link_;
@@ -163,6 +193,24 @@
     Instance.replyFromHome(8);
     CHECK(Instance.heartbeats().back().CrashSuspects_ == Suspects);
   }
+  SECTION("with what it had found of requests") {
+    const std::vector<RequestSuspect> Requests = {{{1, 2}, 3, 2s}};
+    Instance.replyFromHome(7, {}, {}, Requests);
+    Instance.replyFromHome(8);
+    CHECK(Instance.heartbeats().back().RequestSuspects_ == Requests);
+  }
+  SECTION("with the crashes that the last one may not have heard of") {
+    Instance.replyFromHome(7);
+    const TrialReport Crash = {{"r"}, {1, 2}, TrialOutcome::Crashed, {"s1"}};
+    Instance.link().report(Crash);
+    Instance.link().report(
+        TrialReport{{"r"}, {1, 3}, TrialOutcome::Answered, {}});
+    REQUIRE(Instance.trialReports().size() == 2);
+    Instance.replyFromHome(8);
+    Instance.replyFromHome(8);
+    REQUIRE(Instance.trialReports().size() == 3);
+    CHECK(Instance.trialReports().back() == Crash);
+  }
   SECTION("with the limits that servers state") {
     Instance.replyFromHome(7);
     Instance.link().onServerResponse({"s1"}, 2.5);
@@ -241,3 +289,44 @@
     CHECK(Instance.mayCall() == false);
   }
 }
+
+TEST_CASE("An instance asks its home about suspect requests only",
+          "[relay][budget]") {
+  const RequestFingerprint Quarantined = {1, 1};
+  const RequestFingerprint Suspect = {1, 2};
+  const RequestFingerprint Free = {1, 3};
+  AttachedInstance Instance;
+  Instance.replyFromHome(7, {}, {}, {{Quarantined, 3, 2s}, {Suspect, 2, 1s}});
+  CHECK(Instance.link().isSuspect(Quarantined));
+  CHECK(Instance.link().isSuspect(Suspect));
+  CHECK_FALSE(Instance.link().isSuspect(Free));
+
+  SECTION("and does as it says") {
+    for (const auto Admission :
+         {CrashAdmission::Free, CrashAdmission::Trial, CrashAdmission::Held,
+          CrashAdmission::Quarantined}) {
+      Instance.askForTrial(Suspect);
+      Instance.answerTrial(Admission);
+      CHECK(Instance.admission() == Admission);
+    }
+  }
+  SECTION("and starts another one while it does not answer") {
+    Instance.askForTrial(Free);
+    CHECK(Instance.admission() == CrashAdmission::Free);
+  }
+  SECTION("and starts none of them while it does not answer") {
+    Instance.askForTrial(Suspect);
+    CHECK(Instance.admission() == CrashAdmission::Held);
+    Instance.askForTrial(Quarantined);
+    CHECK(Instance.admission() == CrashAdmission::Quarantined);
+  }
+  SECTION("and knows those that were saved before it has a reply") {
+    const std::vector<RequestSuspect> Saved = {{Free, 3, 0s}};
+    Instance.link().mergeRequestSuspects(Saved);
+    CHECK(Instance.link().isSuspect(Free));
+  }
+  SECTION("and no longer asks once they are cleared") {
+    Instance.replyFromHome(7);
+    CHECK_FALSE(Instance.link().isSuspect(Suspect));
+  }
+}
--- a/tests/support/RelayUnderTest.h
+++ b/tests/support/RelayUnderTest.h
@@ -28,6 +28,12 @@
   bool IsWhole_ = false; ///< False if the connection ended before the body.
 };
 
+/// What a caller sends besides the path and the id.
+struct CallerContent {
+  beast::http::verb Method_ = beast::http::verb::post;
+  std::string Body_;
+};
+
 /// An instance that is its own home. Its routes are `/check/` (idempotent, two
 /// attempts) and `/book/` (not idempotent) of the service `booking`, and
 /// `/write/` (a resumable stream, two attempts) of the service `writer`.
@@ -72,18 +78,39 @@
   /// Sends a request as a caller and waits for its answer.
   /// \param Path a path on one of the routes.
   /// \param Id the id of the request.
-  CallerAnswer call(std::string_view Path, std::string_view Id) {
-    CallerAnswer Answer;
-    bool IsOver = false;
-    const auto Run = [&]() -> Task<void> {
-      co_await exchange(std::string(Path), std::string(Id), Answer);
-      IsOver = true;
+  /// \param Content its method and body.
+  CallerAnswer call(std::string_view Path, std::string_view Id,
+                    const CallerContent &Content = {}) {
+    return callAtOnce(Path, {std::string(Id)}, Content).front();
+  }
+
+  /// Sends requests together, each as a caller of its own, and waits for all
+  /// answers.
+  /// \param Path a path on one of the routes.
+  /// \param Ids the ids of the requests.
+  /// \param Content the method and body of each of them.
+  /// \returns the answers in the order of the ids.
+  std::vector<CallerAnswer> callAtOnce(std::string_view Path,
+                                       const std::vector<std::string> &Ids,
+                                       const CallerContent &Content) {
+    std::vector<CallerAnswer> Answers(Ids.size());
+    std::size_t Pending = Ids.size();
+    const auto Run = [&](std::size_t Index) -> Task<void> {
+      co_await exchange(std::string(Path), Ids[Index], Content, Answers[Index]);
+      --Pending;
     };
-    asio::co_spawn(Context_, Run, asio::detached);
+    for (std::size_t I = 0; I != Ids.size(); ++I)
+      asio::co_spawn(Context_, Run(I), asio::detached);
     const TimePoint End = readBootClock() + CallTimeout;
-    while (!IsOver && readBootClock() < End)
+    while (Pending != 0 && readBootClock() < End)
       Context_.run_one_for(std::chrono::milliseconds(10));
-    return Answer;
+    return Answers;
+  }
+
+  /// Restarts the servers that went down.
+  void restartServers() {
+    for (const auto &Each : Servers_)
+      Each->restart();
   }
 
   /// \returns the registered servers.
@@ -126,12 +153,14 @@
     }
   }
 
-  Task<void> exchange(std::string Path, std::string Id, CallerAnswer &Answer) {
+  Task<void> exchange(std::string Path, std::string Id, CallerContent Content,
+                      CallerAnswer &Answer) {
     namespace http = beast::http;
     beast::tcp_stream Stream(Context_);
     co_await Stream.async_connect(Acceptor_.local_endpoint(), AsTuple);
-    http::request<http::string_body> Request(http::verb::post, asBeast(Path),
+    http::request<http::string_body> Request(Content.Method_, asBeast(Path),
                                              11);
+    Request.body() = std::move(Content.Body_);
     Request.set(http::field::host, "a.example");
     Request.set("Request-Id", Id);
     Request.set("Deadline-Ms", "3000");
--- a/tests/support/ScriptedBackend.h
+++ b/tests/support/ScriptedBackend.h
@@ -25,6 +25,7 @@
   std::string Stage_;
   std::string KvSource_;
   std::string LastEventId_;
+  std::string Body_;
   std::size_t NumberOnConnection_ = 0; ///< 1 for the first one.
 };
 
@@ -32,6 +33,7 @@
 struct ScriptedAnswer {
   std::string Bytes_;
   bool ClosesAfter_ = false;
+  bool GoesDown_ = false; ///< Closes and takes no connection until restarted.
 };
 
 /// Listens on a free port of the loopback address and remembers its requests.
@@ -43,13 +45,20 @@
   /// \param Answers makes the answer to each request.
   ScriptedBackend(asio::io_context &Context, Script Answers)
       : Acceptor_(Context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-        Answers_(std::move(Answers)) {
+        Endpoint_(Acceptor_.local_endpoint()), Answers_(std::move(Answers)) {
     asio::co_spawn(Context, accept(), asio::detached);
   }
 
   /// \returns its address, `ip:port`.
   std::string address() const {
-    return "127.0.0.1:" + std::to_string(Acceptor_.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(Endpoint_.port());
+  }
+  /// Listens again if it went down.
+  void restart() {
+    if (Acceptor_.is_open())
+      return;
+    Acceptor_ = tcp::acceptor(Acceptor_.get_executor(), Endpoint_);
+    asio::co_spawn(Acceptor_.get_executor(), accept(), asio::detached);
   }
   /// \returns the requests received so far, oldest first.
   const std::vector<ScriptedRequest> &requests() const { return Requests_; }
@@ -73,20 +82,23 @@
       Request Received;
       auto [Error, Read] =
           co_await beast::http::async_read(Socket, Buffer, Received, AsTuple);
-      if (Error)
+      if (Error || !Acceptor_.is_open())
         co_return;
-      Requests_.push_back({std::string(Received["Request-Id"]),
-                           std::string(Received["Stage"]),
-                           std::string(Received["Kv-Source"]),
-                           std::string(Received["Last-Event-Id"]), Number});
+      Requests_.push_back(
+          {std::string(Received["Request-Id"]), std::string(Received["Stage"]),
+           std::string(Received["Kv-Source"]),
+           std::string(Received["Last-Event-Id"]), Received.body(), Number});
       const ScriptedAnswer Answer = Answers_(Requests_.back());
       co_await asio::async_write(Socket, asio::buffer(Answer.Bytes_), AsTuple);
-      if (Answer.ClosesAfter_)
+      if (Answer.GoesDown_)
+        Acceptor_.close();
+      if (Answer.ClosesAfter_ || Answer.GoesDown_)
         co_return;
     }
   }
 
   tcp::acceptor Acceptor_;
+  tcp::endpoint Endpoint_;
   Script Answers_;
   std::vector<ScriptedRequest> Requests_;
 };
