Count an engine that answers with an error as one of a stream's attempts

Seen: FaultyServerTest, an engine's error that breaks off on a route that may be resumed: 504 after 3 s instead of 502 at once, as further engines were asked for until the deadline.

Cause: only streams that began and calls that failed counted against the route's attempts; an error response did not, though its request has run. It counts now; a rejection does not.

--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -411,7 +411,10 @@
 GenerationCall::relayFailure(const ChosenServer &Engine,
                              ServerResponse Response) {
   CallerExchange &Exchange = Request_.Exchange_;
-  MayHaveRun_ = MayHaveRun_ || !Response.Info_.IsNotExecuted_;
+  if (!Response.Info_.IsNotExecuted_) {
+    MayHaveRun_ = true;
+    ++StartedDecodes_;
+  }
   auto Body =
       co_await readBody(*Response.Connection_, CallLimits(), Exchange.scope());
   if (!isOk(Body))
