--- a/include/gooseberrybeam/relay/PlacementTypes.h
+++ b/include/gooseberrybeam/relay/PlacementTypes.h
@@ -6,6 +6,7 @@
 #include "gooseberrybeam/base/Ids.h"
 #include "gooseberrybeam/base/Refusal.h"
 #include "gooseberrybeam/base/Time.h"
+#include "gooseberrybeam/relay/RequestFingerprint.h"
 
 #include <cstdint>
 #include <optional>
@@ -35,11 +36,19 @@
   std::vector<ServerId> ExcludedEngines_; ///< Engines that failed this request.
   /// Segments of the prompt that other prompts may contain too.
   std::vector<PromptSegmentId> SharedSegments_;
+  RequestFingerprint Fingerprint_ = {};
 
   friend bool operator==(const PlacementRequest &,
                          const PlacementRequest &) = default;
 };
 
+/// \param Placement a request for engines.
+/// \returns the tokens that count against the limit of its organisation.
+inline double requestedTokens(const PlacementRequest &Placement) {
+  return static_cast<double>(Placement.PromptTokens_) +
+         static_cast<double>(Placement.MaxOutputTokens_);
+}
+
 /// An engine selected for a generation.
 struct ChosenServer {
   ServerId Id_;
@@ -82,8 +91,10 @@
   ServerFull,     ///< The engine rejected the request.
   ServerFailed,   ///< The engine disconnected or timed out.
   ServerReplaced, ///< The engine was replaced or is leaving.
-  /// The engine closed the connection as it began to answer.
+  /// The engine closed the connection as it began to answer, and is down.
   CrashedAtStart,
+  ServerStalled, ///< The engine is silent; it may go on.
+  ServerResumed, ///< The engine that was silent has gone on.
 };
 
 /// Reports a step of a generation to the home.
@@ -95,6 +106,7 @@
   Duration Elapsed_{0};
   /// Of the prompt; set for `CrashedAtStart` only.
   std::vector<PromptSegmentId> SharedSegments_;
+  RequestFingerprint Fingerprint_ = {}; ///< Set for `CrashedAtStart` only.
 
   friend bool operator==(const GenerationReport &,
                          const GenerationReport &) = default;
--- a/src/peers/TcpPeerTransport.cpp
+++ b/src/peers/TcpPeerTransport.cpp
@@ -1,6 +1,9 @@
 #include "gooseberrybeam/peers/TcpPeerTransport.h"
 
 #include "gooseberrybeam/http/OpenAcceptor.h"
+#include "gooseberrybeam/http/SpawnTask.h"
+#include "gooseberrybeam/log/Log.h"
+#include "peers/MessageFramer.h"
 #include "peers/PeerSession.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -82,8 +85,14 @@
   }
 
   void send(const MemberId &To, const PeerMessage &Message) {
+    const std::string Encoded = encodePeerMessage(Message);
+    if (Encoded.size() > MaxPeerMessage) {
+      logOversized(To, Encoded.size());
+      countSent(false);
+      return;
+    }
     Link &Of = Links_[To];
-    std::string Framed = frameMessage(encodePeerMessage(Message));
+    std::string Framed = frameMessage(Encoded);
     if (Of.Session_ != nullptr) {
       countSent(Of.Session_->send(Framed));
       return;
@@ -118,9 +127,12 @@
   }
 
   void onMessage(PeerSession &Session, std::string_view Bytes) override {
-    std::optional<PeerMessage> Message = parsePeerMessage(Bytes);
-    if (Message && Owner_ != nullptr)
-      Owner_->deliver(Session.peer(), *std::move(Message));
+    // nghttp2 calls this, so no exception may leave it.
+    runGuarded("peer message", [&] {
+      std::optional<PeerMessage> Message = parsePeerMessage(Bytes);
+      if (Message && Owner_ != nullptr)
+        Owner_->deliver(Session.peer(), *std::move(Message));
+    });
   }
 
   void onClosed(PeerSession &Session) override {
@@ -147,6 +159,12 @@
     return {Settings_.Self_, Settings_.Key_, this, &Owner_->Counters_};
   }
 
+  static void logOversized(const MemberId &To, std::size_t Bytes) {
+    logLine(LogPart::Peers, LogLevel::Warn,
+            "Message is too large for a peer; dropped.",
+            {{"to", To.Name_.Value_}, {"bytes", std::to_string(Bytes)}});
+  }
+
   void countSent(bool IsSent) {
     if (IsSent)
       ++Owner_->Counters_.MessagesSent_;
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -1,31 +1,30 @@
 #include "gooseberrybeam/relayd/GenerationCall.h"
 
 #include "gooseberrybeam/http/HttpCall.h"
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
-#include "gooseberrybeam/relay/EventStallTimer.h"
 #include "gooseberrybeam/relayd/RelayResponse.h"
+#include "gooseberrybeam/relayd/ServerCrashCheck.h"
 #include "relayd/ScopedWait.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <array>
 #include <span>
+#include <utility>
 
 namespace gooseberry {
 namespace {
 
 constexpr int HttpOk = 200;
-constexpr std::uint32_t MaxPlacements = 4;
 /// An engine that has sent this many events is answering the request.
 constexpr std::uint32_t AnsweringEvents = 3;
 /// Events between two progress reports to the home.
 constexpr std::uint32_t EventsPerReport = 12;
-/// A prefill that takes longer counts as failed; prompts take about 100 ms.
+/// Another engine is searched for a prefill that takes longer; prompts take
+/// about 100 ms.
 constexpr Duration PrefillTimeout = std::chrono::milliseconds(700);
-/// A resumable stream moves to another engine if no event arrives for this
-/// long. Events arrive every 50 ms, or every 250 ms from a slow engine.
+/// Another engine is searched for a resumable stream if no event arrives for
+/// this long. Events arrive every 50 ms, or every 250 ms from a slow engine.
 constexpr Duration FirstEventTimeout = std::chrono::milliseconds(500);
 constexpr Duration EventTimeout = std::chrono::milliseconds(600);
 /// Target time to the first event after a stream was moved.
@@ -63,11 +62,12 @@
 
 GenerationCall::GenerationCall(RelayContext &Context, RelayRequest &Request,
                                const EngineTraits &Engine)
-    : Context_(Context), Request_(Request), Engine_(Engine) {}
+    : Context_(Context), Request_(Request), Engine_(Engine),
+      BookingId_(Request.Exchange_.id()) {}
 
 PlacementRequest GenerationCall::makePlacementRequest() const {
   PlacementRequest Placement;
-  Placement.Request_ = Request_.Exchange_.id();
+  Placement.Request_ = BookingId_;
   Placement.Organisation_ = Request_.organisationName();
   Placement.Service_ = Request_.Service_;
   Placement.PromptTokens_ = Request_.CallerInfo_.PromptTokens_;
@@ -91,6 +91,7 @@
   for (const ServerId &Each : Context_.Pauses_.paused(readBootClock()))
     Placement.ExcludedEngines_.push_back(Each);
   Placement.SharedSegments_ = Request_.CallerInfo_.SharedSegments_;
+  Placement.Fingerprint_ = Request_.Fingerprint_;
   if (LastEventId_) {
     Placement.NeedsPrefill_ = false;
     Placement.TargetLeft_ = ResumeTarget;
@@ -101,22 +102,30 @@
 void GenerationCall::report(GenerationStep Step, const ChosenServer &Engine,
                             std::uint32_t Tokens, Duration Elapsed) {
   Context_.Home_.report(
-      {Request_.Exchange_.id(), Step, Engine.Id_, Tokens, Elapsed, {}});
+      {BookingId_, Step, Engine.Id_, Tokens, Elapsed, {}, {}});
+}
+
+bool GenerationCall::isLeftAsSilent(const CallError &Error) const {
+  return Replacement_ && Error.Failure_ == CallFailure::Cancelled;
 }
 
-// A connection that ends as the engine begins to answer may be the doing of the
-// prompt.
-void GenerationCall::reportFailure(const ChosenServer &Engine,
-                                   CallFailure Failure) {
+// An engine that goes down as it begins to answer may do so because of the
+// request.
+Task<void> GenerationCall::reportFailure(const ChosenServer &Engine,
+                                         CallError Error) {
+  if (isLeftAsSilent(Error))
+    co_return;
   const bool IsCrash =
-      Failure == CallFailure::Receive && EngineEvents_ < AnsweringEvents;
+      EngineEvents_ < AnsweringEvents &&
+      co_await hasServerCrashed(Context_.Pool_, Engine.Address_, Error);
   if (!IsCrash) {
     report(GenerationStep::ServerFailed, Engine);
-    return;
+    co_return;
   }
-  Context_.Home_.report(
-      {Request_.Exchange_.id(), GenerationStep::CrashedAtStart, Engine.Id_, 0,
-       Duration::zero(), Request_.CallerInfo_.SharedSegments_});
+  Context_.Home_.report({BookingId_, GenerationStep::CrashedAtStart, Engine.Id_,
+                         0, Duration::zero(),
+                         Request_.CallerInfo_.SharedSegments_,
+                         Request_.Fingerprint_});
 }
 
 ServerTarget GenerationCall::makeTarget(const ChosenServer &Engine) const {
@@ -129,6 +138,13 @@
   return Target;
 }
 
+// A request that is refused without a call earns no retry.
+void GenerationCall::countRequest() {
+  if (!std::exchange(IsCounted_, true))
+    Context_.retryBudget(Request_.Service_)
+        .onRequest(Context_.Home_.instanceCount(), readBootClock());
+}
+
 bool GenerationCall::tryConsumeRetry() {
   return Context_.retryBudget(Request_.Service_)
       .tryRetry(Context_.Home_.instanceCount(), readBootClock());
@@ -200,29 +216,45 @@
   ServerTarget Target = makeTarget(Engine);
   Target.RequestInfo_.IsPrefill_ = true;
   const TimePoint Started = readBootClock();
+  countRequest();
   ++PrefillCalls_;
-  auto CallResult =
-      co_await callServer(Context_, Request_, Target, PrefillTimeout, Scope);
+  EngineEvents_ = 0;
+  const auto Search =
+      watch(Engine, StallFailover(PrefillTimeout, PrefillTimeout, Started),
+            HasArrived_);
+  auto CallResult = co_await callServer(
+      Context_, Request_, Target, Request_.timeLeft(), Search->callScope());
   if (Scope.isCancelled())
     co_return StepOutcome::Stopped;
-  if (!isOk(CallResult))
+  if (!isOk(CallResult)) {
+    co_await reportFailure(Engine, errorOf(CallResult));
     co_return StepOutcome::Failed;
+  }
   ServerResponse Response = takeValue(std::move(CallResult));
   CallLimits Limits;
-  Limits.BodyTimeout_ = PrefillTimeout;
-  auto Body = co_await readBody(*Response.Connection_, Limits, Scope);
-  if (!isOk(Body))
-    co_return Scope.isCancelled() ? StepOutcome::Stopped : StepOutcome::Failed;
+  Limits.IdleTimeout_ = Request_.timeLeft();
+  Limits.BodyTimeout_ = Request_.timeLeft();
+  auto Body =
+      co_await readBody(*Response.Connection_, Limits, Search->callScope());
+  if (Scope.isCancelled())
+    co_return StepOutcome::Stopped;
+  if (!isOk(Body)) {
+    co_await reportFailure(Engine, errorOf(Body));
+    co_return StepOutcome::Failed;
+  }
   Context_.Pool_.release(Engine.Address_, std::move(Response.Connection_));
   if (Response.Info_.IsNotExecuted_)
     co_return StepOutcome::Rejected;
   const auto Prompt = Context_.Protocol_.parsePrefillResponse(valueOf(Body));
-  if (Response.Head_.Status_ != HttpOk || !Prompt)
+  if (Response.Head_.Status_ != HttpOk || !Prompt) {
+    report(GenerationStep::ServerFailed, Engine);
     co_return StepOutcome::Failed;
+  }
   Context_.Metrics_.add(Count::PrefillTokens, Prompt->Tokens_);
   report(GenerationStep::Prefilled, Engine, Request_.CallerInfo_.PromptTokens_,
          readBootClock() - Started);
   PrefilledAt_ = readBootClock();
+  releaseReplacement();
   KvSource =
       Context_.Protocol_.formatKvSource(Engine.Address_, Prompt->Handle_);
   if (Scope.isCancelled()) {
@@ -234,14 +266,27 @@
 
 void GenerationCall::releaseHandleAsync(const BackendId &Address,
                                         const std::string &Handle) {
-  asio::co_spawn(Context_.IoContext_,
-                 releaseHandle(Context_, Address,
-                               Context_.Protocol_.makeReleaseRequest(Handle)),
-                 asio::detached);
+  spawnTask(Context_.IoContext_, "release of a handle",
+            releaseHandle(Context_, Address,
+                          Context_.Protocol_.makeReleaseRequest(Handle)));
+}
+
+// The head follows with the first event: until then, a failure is answered.
+Task<bool> GenerationCall::writeToCaller(std::string_view Events) {
+  CallerExchange &Exchange = Request_.Exchange_;
+  if (!Exchange.isAnswerBegun()) {
+    if (Context_.isDraining())
+      Exchange.closeAfter();
+    const bool IsAccepted =
+        co_await Exchange.beginStream(HttpOk, std::move(StreamFields_));
+    if (!IsAccepted)
+      co_return false;
+  }
+  co_return co_await Exchange.write(Events);
 }
 
 Task<GenerationCall::WriteOutcome>
-GenerationCall::writeEvents(EventSplitter &Splitter) {
+GenerationCall::writeEvents(EventSplitter &Splitter, FailoverSearch *Search) {
   std::string Bytes;
   WriteOutcome Outcome = WriteOutcome::Written;
   const TimePoint Now = readBootClock();
@@ -267,7 +312,11 @@
   if (Bytes.empty())
     co_return Outcome;
   LastEventAt_ = Now;
-  const bool IsAccepted = co_await Request_.Exchange_.write(Bytes);
+  if (Search)
+    Search->onWrite();
+  const bool IsAccepted = co_await writeToCaller(Bytes);
+  if (Search)
+    Search->onEvent();
   co_return IsAccepted ? Outcome : WriteOutcome::CallerGone;
 }
 
@@ -294,55 +343,46 @@
            {"elapsed_ms", elapsedMs(Request_.Exchange_)}});
 }
 
-GenerationCall::StepOutcome
+Task<GenerationCall::StepOutcome>
 GenerationCall::failStream(const ChosenServer &Engine, std::string_view Reason,
-                           CallFailure Failure) {
-  logEngineFailure(Engine, Reason);
-  reportFailure(Engine, Failure);
-  return StepOutcome::Failed;
+                           CallError Error) {
+  logEngineFailure(Engine, isLeftAsSilent(Error) ? "silent" : Reason);
+  co_await reportFailure(Engine, Error);
+  co_return StepOutcome::Failed;
 }
 
 Task<GenerationCall::StepOutcome>
-GenerationCall::relayEvents(const ChosenServer &Engine,
-                            ServerResponse Response) {
+GenerationCall::relayEvents(const ChosenServer &Engine, ServerResponse Response,
+                            FailoverSearch *Search) {
   CallerExchange &Exchange = Request_.Exchange_;
-  if (!Exchange.isAnswerBegun()) {
-    if (Context_.isDraining())
-      Exchange.closeAfter();
-    const bool IsAccepted =
-        co_await Exchange.beginStream(HttpOk, relayedFields(Response.Head_));
-    if (!IsAccepted)
-      co_return StepOutcome::Stopped;
-  }
-  const bool MayFailOver = Request_.Route_.mayRetry() &&
-                           StartedDecodes_ < Request_.Route_.MaxServers_;
+  if (!Exchange.isAnswerBegun())
+    StreamFields_ = relayedFields(Response.Head_);
+  CancelScope &Scope = Search ? Search->callScope() : Exchange.scope();
+  if (Search)
+    Search->onHead();
   EventSplitter Splitter;
   std::array<char, ReadBufferBytes> Buffer;
-  EventStallTimer Stall(FirstEventTimeout, EventTimeout, readBootClock());
   for (;;) {
-    Duration Timeout = Request_.timeLeft();
-    if (MayFailOver)
-      Timeout = std::min(Timeout, Stall.timeLeft(readBootClock()));
-    auto ReadResult = co_await Response.Connection_->readSome(Buffer, Timeout,
-                                                              Exchange.scope());
+    auto ReadResult = co_await Response.Connection_->readSome(
+        Buffer, Request_.timeLeft(), Scope);
     if (Exchange.scope().isCancelled())
       co_return StepOutcome::Stopped;
     if (!isOk(ReadResult))
-      co_return failStream(Engine, asCode(errorOf(ReadResult).Failure_),
-                           errorOf(ReadResult).Failure_);
+      co_return co_await failStream(
+          Engine, asCode(errorOf(ReadResult).Failure_), errorOf(ReadResult));
     if (Splitter.bufferedBytes() > MaxEventBytes)
-      co_return failStream(Engine, "event too large", CallFailure::Malformed);
+      co_return co_await failStream(Engine, "event too large",
+                                    {CallFailure::Malformed, true});
     if (valueOf(ReadResult) == 0)
       break;
     Splitter.append({Buffer.data(), valueOf(ReadResult)});
     const std::uint32_t PreviousEvents = EngineEvents_;
-    const WriteOutcome Written = co_await writeEvents(Splitter);
+    const WriteOutcome Written = co_await writeEvents(Splitter, Search);
     if (Written == WriteOutcome::CallerGone)
       co_return StepOutcome::Stopped;
     if (Written == WriteOutcome::NoEvent)
-      co_return failStream(Engine, "not an event", CallFailure::Malformed);
-    if (EngineEvents_ != PreviousEvents)
-      Stall.onEvent(readBootClock());
+      co_return co_await failStream(Engine, "not an event",
+                                    {CallFailure::Malformed, true});
     // Tells the home that the engine is producing events. The rate follows in
     // later reports, since it takes at least two events.
     if (PreviousEvents == 0 && EngineEvents_ != 0)
@@ -355,10 +395,11 @@
   const bool HasEnded = EventsSent_ > 0 && (EngineEvents_ > 0 ||
                                             Response.Connection_->statesEnd());
   if (!HasEnded)
-    co_return failStream(Engine, "ended without an event",
-                         CallFailure::Receive);
+    co_return co_await failStream(Engine, "ended without an event",
+                                  {CallFailure::Receive, true});
   if (Splitter.hasPartialEvent())
-    co_return failStream(Engine, "ended inside an event", CallFailure::Receive);
+    co_return co_await failStream(Engine, "ended inside an event",
+                                  {CallFailure::Receive, true});
   reportProgress(Engine, true);
   Context_.Pool_.release(Engine.Address_, std::move(Response.Connection_));
   IsComplete_ = true;
@@ -370,6 +411,10 @@
 GenerationCall::relayFailure(const ChosenServer &Engine,
                              ServerResponse Response) {
   CallerExchange &Exchange = Request_.Exchange_;
+  if (!Response.Info_.IsNotExecuted_) {
+    MayHaveRun_ = true;
+    ++StartedDecodes_;
+  }
   auto Body =
       co_await readBody(*Response.Connection_, CallLimits(), Exchange.scope());
   if (!isOk(Body))
@@ -378,7 +423,6 @@
   Context_.Pool_.release(Engine.Address_, std::move(Response.Connection_));
   if (Response.Info_.IsNotExecuted_)
     co_return StepOutcome::Rejected;
-  MayHaveRun_ = true;
   const bool IsEngineError = Response.Info_.IsSigned_ &&
                              Response.Head_.Status_ != HttpOk &&
                              !Exchange.isAnswerBegun();
@@ -395,35 +439,40 @@
   CallerExchange &Exchange = Request_.Exchange_;
   if (isPaused(Engine.Id_))
     co_return StepOutcome::Rejected;
-  ++DecodeCalls_;
+  countRequest();
+  HasArrived_ = true;
   EngineEvents_ = 0;
   DecodeAt_ = readBootClock();
   ServerTarget Target = makeTarget(Engine);
   Target.RequestInfo_.KvSource_ = KvSource;
-  const bool MayFailOver = Request_.Route_.mayRetry() &&
-                           StartedDecodes_ + 1 < Request_.Route_.MaxServers_;
-  const Duration Timeout =
-      MayFailOver ? FirstEventTimeout : Request_.timeLeft();
-  auto CallResult = co_await callServer(Context_, Request_, Target, Timeout,
-                                        Exchange.scope());
+  auto Search =
+      mayMoveDecode()
+          ? watch(Engine,
+                  StallFailover(FirstEventTimeout, EventTimeout, DecodeAt_),
+                  true)
+          : nullptr;
+  CancelScope &Scope = Search ? Search->callScope() : Exchange.scope();
+  auto CallResult = co_await callServer(Context_, Request_, Target,
+                                        Request_.timeLeft(), Scope);
   if (!isOk(CallResult)) {
     MayHaveRun_ = MayHaveRun_ || errorOf(CallResult).MayHaveStarted_;
     StartedDecodes_ += errorOf(CallResult).MayHaveStarted_ ? 1 : 0;
     if (Exchange.scope().isCancelled())
       co_return StepOutcome::Stopped;
-    logEngineFailure(Engine, asCode(errorOf(CallResult).Failure_));
-    reportFailure(Engine, errorOf(CallResult).Failure_);
-    co_return StepOutcome::Failed;
+    const CallError Error = errorOf(CallResult);
+    co_return co_await failStream(Engine, asCode(Error.Failure_), Error);
   }
   ServerResponse Response = takeValue(std::move(CallResult));
   const bool IsStream =
       Response.Head_.Status_ == HttpOk && Response.Info_.IsSigned_ &&
       !Response.Info_.IsEncoded_ && !Response.Info_.IsNotExecuted_;
-  if (!IsStream)
+  if (!IsStream) {
+    Search.reset();
     co_return co_await relayFailure(Engine, std::move(Response));
+  }
   ++StartedDecodes_;
   MayHaveRun_ = true;
-  co_return co_await relayEvents(Engine, std::move(Response));
+  co_return co_await relayEvents(Engine, std::move(Response), Search.get());
 }
 
 Task<bool> GenerationCall::prepareKv(const PlacementGrant &Grant,
@@ -438,16 +487,19 @@
     co_return true;
   if (Outcome == StepOutcome::Stopped)
     co_return false;
-  report(Outcome == StepOutcome::Rejected ? GenerationStep::ServerFull
-                                          : GenerationStep::ServerFailed,
-         *Grant.Prefill_);
+  const bool IsLeft = Replacement_ && Outcome == StepOutcome::Failed;
+  if (Outcome == StepOutcome::Rejected)
+    report(GenerationStep::ServerFull, *Grant.Prefill_);
   logLine(LogPart::Engine, LogLevel::Info,
           "Prefill failed; engine excluded for this request.",
           {{"request", Request_.Exchange_.id().Value_},
            {"server", Grant.Prefill_->Id_.Value_},
-           {"end", Outcome == StepOutcome::Rejected ? "rejected" : "broken"},
+           {"end", Outcome == StepOutcome::Rejected ? "rejected"
+                   : IsLeft                         ? "silent"
+                                                    : "broken"},
            {"elapsed_ms", elapsedMs(Request_.Exchange_)}});
   ExcludedServers_.push_back(Grant.Prefill_->Id_);
+  HasArrived_ = true;
   co_return false;
 }
 
@@ -466,6 +518,19 @@
   return std::to_string(wholeMilliseconds(At - Request_.Exchange_.arrival()));
 }
 
+Refusal GenerationCall::makeStopRefusal() const {
+  const auto Reason = Request_.Exchange_.scope().reason();
+  const Execution Executed =
+      MayHaveRun_ ? Execution::Unknown : Execution::NotRun;
+  if (Reason == RefusalReason::ClientGone)
+    return {RefusalReason::ClientGone, Executed, {}};
+  if (MayHaveRun_)
+    return {RefusalReason::BackendTimeout, Executed, {}};
+  if (Reason == RefusalReason::Draining)
+    return {RefusalReason::Draining, Executed, RetryAfterDrain};
+  return {RefusalReason::DeadlineUnreachable, Executed, {}};
+}
+
 Task<void> GenerationCall::finish(StepOutcome Outcome) {
   CallerExchange &Exchange = Request_.Exchange_;
   const bool IsResponseStarted = Exchange.isAnswerBegun();
@@ -490,16 +555,8 @@
     co_return;
   }
   if (Outcome == StepOutcome::Stopped) {
-    const auto Reason = Exchange.scope().reason();
-    const bool IsCallerGone = Reason == RefusalReason::ClientGone;
-    const RefusalReason TimeoutReason =
-        MayHaveRun_ ? RefusalReason::BackendTimeout
-                    : RefusalReason::DeadlineUnreachable;
-    co_await refuse(Context_, Exchange,
-                    {IsCallerGone ? RefusalReason::ClientGone : TimeoutReason,
-                     MayHaveRun_ ? Execution::Unknown : Execution::NotRun,
-                     {}},
-                    "caller disconnected or deadline passed");
+    co_await refuse(Context_, Exchange, makeStopRefusal(),
+                    "caller disconnected, deadline passed, or shutdown");
     co_return;
   }
   if (MayHaveRun_)
@@ -514,15 +571,14 @@
 }
 
 Task<void> GenerationCall::run() {
-  Context_.retryBudget(Request_.Service_).onRequest(readBootClock());
   StepOutcome Outcome = StepOutcome::Rejected;
   while (mayRetry(Outcome)) {
     // Rejected calls count as arrivals at the service too, so any further call
     // consumes retry budget.
-    if (DecodeCalls_ > 0 && !tryConsumeRetry())
+    if (!Replacement_ && HasArrived_ && !tryConsumeRetry())
       break;
     ++Placements_;
-    auto Placement = co_await place();
+    auto Placement = co_await nextPlacement();
     if (!Placement) {
       Outcome = StepOutcome::Stopped;
       break;
@@ -537,8 +593,7 @@
       report(GenerationStep::Ended, Grant.Decode_);
       continue;
     }
-    Context_.Home_.trackGeneration({Request_.Exchange_.id(),
-                                    Request_.organisationName(),
+    Context_.Home_.trackGeneration({BookingId_, Request_.organisationName(),
                                     Request_.Service_, Grant.Decode_.Id_,
                                     Request_.CallerInfo_.PromptTokens_,
                                     EventsSent_ * Engine_.TokensPerEvent_,
@@ -555,7 +610,7 @@
           !Context_.Directory_.isLeavingOrRemoved(Grant.Decode_.Id_) &&
           !isPaused(Grant.Decode_.Id_);
       if (Outcome == StepOutcome::Rejected && !KvSource.empty() &&
-          TakesRequests && tryConsumeRetry()) {
+          !Replacement_ && TakesRequests && tryConsumeRetry()) {
         if (Grant.Prefill_)
           report(GenerationStep::HandleLost, *Grant.Prefill_);
         // The engine may have rejected the call because it could not fetch the
@@ -571,6 +626,7 @@
     if (mayRetry(Outcome))
       report(GenerationStep::Ended, Grant.Decode_);
   }
+  releaseReplacement();
   const Duration Elapsed =
       IsComplete_ ? readBootClock() - FirstEventAt_ : Duration::zero();
   report(GenerationStep::Ended, {}, EventsSent_ * Engine_.TokensPerEvent_,
--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -3,12 +3,32 @@
 #include <home.pb.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace gooseberry {
 namespace {
 
 constexpr auto LastStep =
-    static_cast<std::uint32_t>(GenerationStep::CrashedAtStart);
+    static_cast<std::uint32_t>(GenerationStep::ServerResumed);
+
+/// Sums and multiples of shorter times fit into a `Duration`.
+constexpr std::int64_t MaxUs =
+    std::chrono::duration_cast<Duration>(std::chrono::hours(24 * 365)).count();
+
+/// \returns a time that may have passed, in range.
+Duration readTimeLeft(std::int64_t Us) {
+  return Duration(std::clamp(Us, -MaxUs, MaxUs));
+}
+
+/// \returns a time in range that is not negative.
+Duration readTime(std::int64_t Us) {
+  return Duration(std::clamp<std::int64_t>(Us, 0, MaxUs));
+}
+
+bool isAmount(double Value) { return std::isfinite(Value) && Value >= 0; }
+constexpr auto LastAdmission =
+    static_cast<std::uint32_t>(CrashAdmission::Quarantined);
+constexpr auto LastOutcome = static_cast<std::uint32_t>(TrialOutcome::Ended);
 
 template <typename T>
 void writeUtilisation(T &Body,
@@ -24,7 +44,8 @@
 std::vector<LimitUtilisation> readUtilisation(const T &Body) {
   std::vector<LimitUtilisation> Utilisation;
   for (const auto &Limit : Body.fills())
-    Utilisation.push_back({{Limit.organisation()}, Limit.part()});
+    if (isAmount(Limit.part()))
+      Utilisation.push_back({{Limit.organisation()}, Limit.part()});
   return Utilisation;
 }
 
@@ -55,7 +76,39 @@
   std::vector<CrashSuspect> Suspects;
   for (const auto &Suspect : Body.suspects())
     Suspects.push_back(
-        {readSegments(Suspect), Suspect.crashes(), Duration(Suspect.age_us())});
+        {readSegments(Suspect), Suspect.crashes(), readTime(Suspect.age_us())});
+  return Suspects;
+}
+
+template <typename T>
+void writeFingerprint(T &Body, const RequestFingerprint &Fingerprint) {
+  Body.set_fingerprint_high(Fingerprint.High_);
+  Body.set_fingerprint_low(Fingerprint.Low_);
+}
+
+template <typename T> RequestFingerprint readFingerprint(const T &Body) {
+  return {Body.fingerprint_high(), Body.fingerprint_low()};
+}
+
+template <typename T>
+void writeRequestSuspects(T &Body,
+                          const std::vector<RequestSuspect> &Suspects) {
+  for (const auto &Source : Suspects) {
+    auto &Suspect = *Body.add_request_suspects();
+    Suspect.set_high(Source.Fingerprint_.High_);
+    Suspect.set_low(Source.Fingerprint_.Low_);
+    Suspect.set_crashes(Source.Crashes_);
+    Suspect.set_age_us(Source.Age_.count());
+  }
+}
+
+template <typename T>
+std::vector<RequestSuspect> readRequestSuspects(const T &Body) {
+  std::vector<RequestSuspect> Suspects;
+  for (const auto &Suspect : Body.request_suspects())
+    Suspects.push_back({{Suspect.high(), Suspect.low()},
+                        Suspect.crashes(),
+                        Duration(Suspect.age_us())});
   return Suspects;
 }
 
@@ -71,7 +124,8 @@
 template <typename T> std::vector<ServerLimit> readLimits(const T &Body) {
   std::vector<ServerLimit> Limits;
   for (const auto &Limit : Body.server_limits())
-    Limits.push_back({{Limit.server()}, Limit.per_second()});
+    if (isAmount(Limit.per_second()))
+      Limits.push_back({{Limit.server()}, Limit.per_second()});
   return Limits;
 }
 
@@ -102,6 +156,7 @@
   Body.set_attachment(Message.Attachment_);
   writeUtilisation(Body, Message.Utilisation_);
   writeSuspects(Body, Message.CrashSuspects_);
+  writeRequestSuspects(Body, Message.RequestSuspects_);
   writeLimits(Body, Message.ServerLimits_);
   writeLeaving(Body, Message.LeavingServers_);
   Body.set_is_leaving(Message.IsLeaving_);
@@ -134,6 +189,7 @@
     Body.add_exhausted(Organisation.Value_);
   writeUtilisation(Body, Message.Utilisation_);
   writeSuspects(Body, Message.CrashSuspects_);
+  writeRequestSuspects(Body, Message.RequestSuspects_);
   writeLimits(Body, Message.ServerLimits_);
   writeLeaving(Body, Message.LeavingServers_);
   for (const auto &Source : Message.Feeds_) {
@@ -164,6 +220,7 @@
   for (const auto &Server : Message.ExcludedEngines_)
     Body.add_avoid(Server.Value_);
   writeSegments(Body, Message.SharedSegments_);
+  writeFingerprint(Body, Message.Fingerprint_);
 }
 
 void write(wire::HomeServer &Body, const ChosenServer &Server) {
@@ -195,6 +252,7 @@
   Body.set_tokens(Message.Tokens_);
   Body.set_took_us(Message.Elapsed_.count());
   writeSegments(Body, Message.SharedSegments_);
+  writeFingerprint(Body, Message.Fingerprint_);
 }
 
 void write(wire::Home &Envelope, const ConfigurationRequest &Message) {
@@ -246,22 +304,45 @@
   Body.set_retry_after_us(Message.RetryAfter_.count());
 }
 
+void write(wire::Home &Envelope, const TrialRequest &Message) {
+  auto &Body = *Envelope.mutable_trial_request();
+  Body.set_ticket(Message.Ticket_);
+  Body.set_request(Message.Request_.Value_);
+  writeFingerprint(Body, Message.Fingerprint_);
+}
+
+void write(wire::Home &Envelope, const TrialAnswer &Message) {
+  auto &Body = *Envelope.mutable_trial_answer();
+  Body.set_ticket(Message.Ticket_);
+  Body.set_admission(static_cast<std::uint32_t>(Message.Admission_));
+}
+
+void write(wire::Home &Envelope, const TrialReport &Message) {
+  auto &Body = *Envelope.mutable_trial_report();
+  Body.set_request(Message.Request_.Value_);
+  writeFingerprint(Body, Message.Fingerprint_);
+  Body.set_outcome(static_cast<std::uint32_t>(Message.Outcome_));
+  Body.set_server(Message.Server_.Value_);
+}
+
 HomeHeartbeat read(const wire::HomeHeartbeat &Body) {
   HomeHeartbeat Message;
   Message.Sequence_ = Body.sequence();
   Message.ConfigurationVersion_ = Body.configuration_version();
   Message.ServersVersion_ = {Body.servers_version(), Body.servers_era()};
-  Message.Uptime_ = Duration(Body.uptime_us());
+  Message.Uptime_ = readTime(Body.uptime_us());
   Message.IsAttached_ = Body.is_attached();
   Message.Attachment_ = Body.attachment();
   Message.Utilisation_ = readUtilisation(Body);
   Message.CrashSuspects_ = readSuspects(Body);
+  Message.RequestSuspects_ = readRequestSuspects(Body);
   Message.ServerLimits_ = readLimits(Body);
   Message.LeavingServers_ = readLeaving(Body);
   Message.IsLeaving_ = Body.is_leaving();
   for (const auto &Usage : Body.used())
-    Message.TokenUsage_.push_back(
-        {{Usage.organisation()}, Usage.tokens(), Duration(Usage.age_us())});
+    if (isAmount(Usage.tokens()))
+      Message.TokenUsage_.push_back(
+          {{Usage.organisation()}, Usage.tokens(), readTime(Usage.age_us())});
   for (const auto &Generation : Body.running())
     Message.RunningGenerations_.push_back({{Generation.request()},
                                            {Generation.organisation()},
@@ -283,6 +364,7 @@
     Message.ExhaustedOrganisations_.push_back({Organisation});
   Message.Utilisation_ = readUtilisation(Body);
   Message.CrashSuspects_ = readSuspects(Body);
+  Message.RequestSuspects_ = readRequestSuspects(Body);
   Message.ServerLimits_ = readLimits(Body);
   Message.LeavingServers_ = readLeaving(Body);
   // An instance of an earlier release states no feeds: they count as unread.
@@ -293,7 +375,7 @@
     Message.Feeds_[static_cast<std::size_t>(I)] = {
         {Feed.version(), Feed.era()},
         {Feed.last_change(), Feed.era()},
-        Duration(Feed.age_us()),
+        readTime(Feed.age_us()),
         Feed.is_store_available()};
   }
   return Message;
@@ -308,15 +390,16 @@
   Message.MaxOutputTokens_ = Body.max_output_tokens();
   Message.LengthHint_ = Body.length_hint();
   Message.Priority_ = Body.priority();
-  Message.TargetLeft_ = Duration(Body.target_left_us());
-  Message.TimeLeft_ = Duration(Body.time_left_us());
-  Message.PatienceLeft_ = Duration(Body.patience_left_us());
+  Message.TargetLeft_ = readTimeLeft(Body.target_left_us());
+  Message.TimeLeft_ = readTimeLeft(Body.time_left_us());
+  Message.PatienceLeft_ = readTimeLeft(Body.patience_left_us());
   Message.IsCharged_ = Body.is_charged();
   Message.NeedsPrefill_ = Body.needs_prefill();
   Message.OutputTokens_ = Body.output_tokens();
   for (const auto &Server : Body.avoid())
     Message.ExcludedEngines_.push_back({Server});
   Message.SharedSegments_ = readSegments(Body);
+  Message.Fingerprint_ = readFingerprint(Body);
   return Message;
 }
 
@@ -340,7 +423,7 @@
   Message.Request_ = {Body.request()};
   Message.Reason_ = static_cast<RefusalReason>(Body.reason());
   if (Body.has_retry_after_us())
-    Message.RetryAfter_ = Duration(Body.retry_after_us());
+    Message.RetryAfter_ = readTime(Body.retry_after_us());
   return Message;
 }
 
@@ -350,7 +433,8 @@
   return GenerationReport{
       {Body.request()},         static_cast<GenerationStep>(Body.step()),
       {Body.server()},          Body.tokens(),
-      Duration(Body.took_us()), readSegments(Body)};
+      readTime(Body.took_us()), readSegments(Body),
+      readFingerprint(Body)};
 }
 
 std::optional<SharedTableId> readTable(std::uint32_t Table) {
@@ -382,7 +466,9 @@
   return Message;
 }
 
-ServerLimitReport read(const wire::HomeServerLimit &Body) {
+std::optional<HomeMessage> read(const wire::HomeServerLimit &Body) {
+  if (Body.has_per_second() && !isAmount(Body.per_second()))
+    return std::nullopt;
   ServerLimitReport Message;
   Message.Server_ = {Body.server()};
   if (Body.has_per_second())
@@ -395,7 +481,27 @@
 }
 
 ServerTokenAnswer read(const wire::HomeServerTokenAnswer &Body) {
-  return {Body.ticket(), Duration(Body.retry_after_us())};
+  return {Body.ticket(), readTime(Body.retry_after_us())};
+}
+
+TrialRequest read(const wire::HomeTrialRequest &Body) {
+  return {Body.ticket(), {Body.request()}, readFingerprint(Body)};
+}
+
+std::optional<HomeMessage> read(const wire::HomeTrialAnswer &Body) {
+  if (Body.admission() > LastAdmission)
+    return std::nullopt;
+  return TrialAnswer{Body.ticket(),
+                     static_cast<CrashAdmission>(Body.admission())};
+}
+
+std::optional<HomeMessage> read(const wire::HomeTrialReport &Body) {
+  if (Body.outcome() > LastOutcome)
+    return std::nullopt;
+  return TrialReport{{Body.request()},
+                     readFingerprint(Body),
+                     static_cast<TrialOutcome>(Body.outcome()),
+                     {Body.server()}};
 }
 
 } // namespace
@@ -438,6 +544,12 @@
     return read(Envelope.server_token_request());
   case wire::Home::kServerTokenAnswer:
     return read(Envelope.server_token_answer());
+  case wire::Home::kTrialRequest:
+    return read(Envelope.trial_request());
+  case wire::Home::kTrialAnswer:
+    return read(Envelope.trial_answer());
+  case wire::Home::kTrialReport:
+    return read(Envelope.trial_report());
   case wire::Home::BODY_NOT_SET:
     break;
   }
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -1,13 +1,13 @@
 #include "gooseberrybeam/relayd/RelayDaemon.h"
 
+#include "gooseberrybeam/daemon/IgnoreHangups.h"
 #include "gooseberrybeam/daemon/Incarnation.h"
 #include "gooseberrybeam/http/Endpoint.h"
 #include "gooseberrybeam/http/OpenAcceptor.h"
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/peers/PeerAuth.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -36,6 +36,17 @@
 /// The home unregisters an instance that has sent no message for this long.
 constexpr Duration MemberTimeout = std::chrono::seconds(20);
 constexpr Duration InitialCallerDeadline = std::chrono::seconds(30);
+/// Keys of rows are cut off here in the log.
+constexpr std::size_t MaxLoggedKey = 128;
+
+// Servers that start or end have such rows too.
+void logOddRow(const StoreRow &Row) {
+  logLine(LogPart::Service, LogLevel::Info,
+          "Row names no backend server to use.",
+          {{"server", std::string_view(Row.Key_).substr(0, MaxLoggedKey)},
+           {"bytes", std::to_string(Row.Value_.size())},
+           {"version", asText(Row.Version_)}});
+}
 
 CallerLimits makeCallerLimits(const RelayCallerLimits &Configured) {
   CallerLimits Limits;
@@ -139,7 +150,7 @@
     Callers_.serve(std::move(Socket));
   };
   const auto ServeOperator = [this](tcp::socket Socket) {
-    asio::co_spawn(Context_, serveOperator(std::move(Socket)), asio::detached);
+    spawnTask(Context_, "operator port", serveOperator(std::move(Socket)));
   };
   Ports_.push_back(
       std::make_unique<Port>(Context_, Settings_.CallerListen_, Serve));
@@ -156,10 +167,12 @@
 
 void RelayDaemon::run() {
   for (const auto &ListenPort : Ports_)
-    asio::co_spawn(Context_, accept(*ListenPort), asio::detached);
-  asio::co_spawn(Context_, watchSignals(), asio::detached);
-  asio::co_spawn(Context_, watchHangups(), asio::detached);
-  asio::co_spawn(Context_, runTicks(), asio::detached);
+    spawnLoop(Context_, "accept",
+              [this, &ListenPort] { return accept(*ListenPort); });
+  spawnLoop(Context_, "signals", [this] { return watchSignals(); });
+  spawnLoop(Context_, "hangups",
+            [this] { return ignoreHangups(HangupSignals_); });
+  spawnLoop(Context_, "ticks", [this] { return runTicks(); });
   Home_.start();
   Feeds_.start(*Store_);
   logLine(LogPart::Daemon, LogLevel::Info, "Instance starting.",
@@ -259,6 +272,8 @@
   for (const auto &Row : Changed.Rows_) {
     const auto Entry =
         Row.IsRemoved_ ? std::nullopt : Adapter_.Schema_->parseServer(Row);
+    if (!Entry && !Row.IsRemoved_)
+      logOddRow(Row);
     if (Entry && Changed.IsRestored_)
       Directory_.putRestored(*Entry, Now);
     else if (Entry)
@@ -268,7 +283,7 @@
     if (!HasServers_)
       continue;
     logLine(LogPart::Service, LogLevel::Info, "Backend server changed.",
-            {{"server", Row.Key_},
+            {{"server", std::string_view(Row.Key_).substr(0, MaxLoggedKey)},
              {"state", !Entry              ? "gone"
                        : Entry->IsLeaving_ ? "leaving"
                                            : "ready"},
@@ -313,7 +328,10 @@
   QuarantineVersion_ = Version;
   SavedQuarantine_ =
       IsPresent ? parseQuarantineRow(Row->second) : std::vector<CrashSuspect>();
+  SavedRequests_ = IsPresent ? parseQuarantinedRequests(Row->second)
+                             : std::vector<RequestSuspect>();
   Home_.mergeCrashSuspects(SavedQuarantine_);
+  Home_.mergeRequestSuspects(SavedRequests_);
 }
 
 // The home keeps the row, so that what was learned from crashed engines
@@ -321,20 +339,23 @@
 void RelayDaemon::saveQuarantine() {
   if (Home_.home() != Settings_.Name_ || Relay_.isDraining())
     return;
-  auto Quarantined =
-      quarantinedOnly(Home_.coordinator().crashSuspects(readBootClock()));
-  if (Quarantined == SavedQuarantine_ ||
-      std::exchange(IsQuarantineBeingWritten_, true))
+  const HomeCoordinator &Coordinator = Home_.coordinator();
+  const TimePoint Now = readBootClock();
+  const auto Prompts = quarantinedOnly(Coordinator.crashSuspects(Now));
+  const auto Requests =
+      quarantinedOnly(Coordinator.requestQuarantine().suspects(Now));
+  const bool IsSaved =
+      Prompts == SavedQuarantine_ && Requests == SavedRequests_;
+  if (IsSaved || std::exchange(IsQuarantineBeingWritten_, true))
     return;
-  asio::co_spawn(Context_, writeQuarantineRow(std::move(Quarantined)),
-                 asio::detached);
+  spawnTask(Context_, "quarantine row",
+            writeQuarantineRow(makeQuarantineRow(Prompts, Requests)));
 }
 
-Task<void>
-RelayDaemon::writeQuarantineRow(std::vector<CrashSuspect> Quarantined) {
+Task<void> RelayDaemon::writeQuarantineRow(StoreRow Row) {
   CancelScope Scope;
   RowWrite Write;
-  Write.Row_ = makeQuarantineRow(Quarantined);
+  Write.Row_ = std::move(Row);
   Write.ExpectedVersion_ = QuarantineVersion_;
   const auto Written = co_await Store_->write(std::move(Write), Scope);
   if (!isOk(Written))
@@ -356,7 +377,7 @@
   if (IsListed || Relay_.isDraining() ||
       std::exchange(IsInstanceRowBeingWritten_, true))
     return;
-  asio::co_spawn(Context_, writeInstanceRow(), asio::detached);
+  spawnTask(Context_, "instance row", writeInstanceRow());
 }
 
 void RelayDaemon::adoptPeerKey() {
@@ -368,7 +389,7 @@
     return;
   }
   if (!std::exchange(IsPeerKeyBeingCreated_, true))
-    asio::co_spawn(Context_, createPeerKey(), asio::detached);
+    spawnTask(Context_, "peer key", createPeerKey());
 }
 
 void RelayDaemon::updateMembers() {
@@ -485,8 +506,8 @@
     logLine(LogPart::Membership, LogLevel::Info,
             "Instance sent no messages; removing its row.",
             {{"instance", Instance.Value_}});
-    asio::co_spawn(Context_, removeUnresponsive(Instance, Row->second),
-                   asio::detached);
+    spawnTask(Context_, "unresponsive instance",
+              removeUnresponsive(Instance, Row->second));
   }
 }
 
@@ -508,16 +529,6 @@
             {{"failure", asCode(errorOf(Written))}});
 }
 
-Task<void> RelayDaemon::watchHangups() {
-  for (;;) {
-    auto [Error, Signal] = co_await HangupSignals_.async_wait(AsTuple);
-    if (Error)
-      co_return;
-    logLine(LogPart::Daemon, LogLevel::Info,
-            "SIGHUP ignored; settings are read only at start.", {});
-  }
-}
-
 Task<void> RelayDaemon::watchSignals() {
   auto [Error, Signal] = co_await StopSignals_.async_wait(AsTuple);
   if (Error)
@@ -525,11 +536,37 @@
   co_await drain();
 }
 
+void RelayDaemon::closeCallerPort() {
+  boost::system::error_code Error;
+  Ports_.front()->Acceptor_.close(Error);
+  if (Error)
+    logLine(LogPart::Daemon, LogLevel::Warn, "Port could not be closed.",
+            {{"listen", Settings_.CallerListen_}, {"error", Error.message()}});
+}
+
+// Serves the connections that wait to be accepted.
+bool RelayDaemon::acceptWaiting() {
+  Port &CallerPort = *Ports_.front();
+  boost::system::error_code Error;
+  CallerPort.Acceptor_.non_blocking(true, Error);
+  bool HasAccepted = false;
+  while (!Error) {
+    tcp::socket Socket(Context_);
+    CallerPort.Acceptor_.accept(Socket, Error);
+    if (Error)
+      break;
+    CallerPort.Serve_(std::move(Socket));
+    HasAccepted = true;
+  }
+  return HasAccepted;
+}
+
 // New connections are still accepted: if many instances shut down at a time,
 // the load balancer goes on using all of them.
 Task<void> RelayDaemon::waitForCallers(TimePoint End) {
   asio::steady_timer Timer(Context_);
-  while (Callers_.connectionCount() > 0 && readBootClock() < End) {
+  while ((Callers_.connectionCount() > 0 || acceptWaiting()) &&
+         readBootClock() < End) {
     Timer.expires_after(DrainPollInterval);
     co_await Timer.async_wait(AsTuple);
   }
@@ -547,12 +584,17 @@
   Home_.announceShutdown();
   const auto Row = instanceRows().find(makeInstanceRowKey(Settings_.Name_));
   if (Row != instanceRows().end())
-    asio::co_spawn(Context_, removeRow(Row->second), asio::detached);
+    spawnTask(Context_, "instance row", removeRow(Row->second));
   asio::steady_timer Timer(Context_);
   Timer.expires_after(ReadinessNoticeTime);
   co_await Timer.async_wait(AsTuple);
   Callers_.closeIdle();
   co_await waitForCallers(Schedule.AnswersEndAt_);
+  closeCallerPort();
+  // A connection may have been accepted last and not be served yet.
+  Timer.expires_after(DrainPollInterval);
+  co_await Timer.async_wait(AsTuple);
+  co_await waitForCallers(Schedule.AnswersEndAt_);
   const std::uint64_t Unanswered = Relay_.InFlight_;
   Callers_.cancelRequests(RefusalReason::Draining);
   co_await waitForCallers(ExitAt);
--- a/src/relayd/RelayHandler.cpp
+++ b/src/relayd/RelayHandler.cpp
@@ -16,8 +16,6 @@
 constexpr Duration RetryAfterStart = std::chrono::milliseconds(300);
 /// Sent to callers whose organisation has exhausted its limit.
 constexpr Duration RetryAfterLimit = std::chrono::seconds(1);
-/// Sent while this instance shuts down: other instances serve.
-constexpr Duration RetryAfterDrain = Duration::zero();
 
 Refusal makeNotRunRefusal(RefusalReason Reason,
                           std::optional<Duration> RetryAfter = std::nullopt) {
@@ -119,6 +117,7 @@
                           std::string(asStd(Exchange.head().target())),
                           Exchange.head(),
                           {},
+                          {},
                           {}};
   auto Body = co_await Exchange.readBody();
   if (!isOk(Body)) {
@@ -127,6 +126,10 @@
     co_return;
   }
   Request.Body_ = takeValue(std::move(Body));
+  Request.Fingerprint_ =
+      makeRequestFingerprint(Request.organisationName(),
+                             asStd(beast::http::to_string(Request.Method_)),
+                             Request.Target_, Request.Body_);
   removeHopByHop(Request.Fields_);
   Exchange.watchCaller();
   co_await relay(Request);
--- a/tests/support/RelayUnderTest.h
+++ b/tests/support/RelayUnderTest.h
@@ -29,18 +29,30 @@
   bool IsWhole_ = false; ///< False if the connection ended before the body.
 };
 
+/// What a caller sends besides the path and the id.
+struct CallerContent {
+  beast::http::verb Method_ = beast::http::verb::post;
+  std::string Body_;
+};
+
 /// An instance that is its own home. Its routes are `/check/` (idempotent, two
 /// attempts) and `/book/` (not idempotent) of the service `booking`, and
-/// `/write/` (a resumable stream, two attempts) of the service `writer`.
+/// `/write/` (a resumable stream, two attempts) and `/draft/` (one that may not
+/// be resumed) of the service `writer`.
 class RelayUnderTest {
 public:
-  RelayUnderTest() {
+  static constexpr Duration CallTimeout = std::chrono::seconds(10);
+
+  /// \param RetrySlack retries allowed in addition to the ratio.
+  explicit RelayUnderTest(double RetrySlack = 100) {
     Settings_.Name_ = Self;
-    Settings_.RetryBounds_.Slack_ = 100;
+    Settings_.RetryBounds_.Slack_ = RetrySlack;
     const std::vector<RelayMember> Members = {{{{Self, 1}, "", {}}, {}}};
     Home_.setMembers(Members);
     Relay_.Configuration_ = Schema_.parseConfiguration(ConfigurationText);
     Relay_.Startup_.open();
+    // The slack is there once the first window has passed.
+    Relay_.StartedAt_ -= Settings_.RetryBounds_.Window_;
     Home_.configure(Relay_.Configuration_);
     Home_.start();
     asio::co_spawn(Context_, accept(), asio::detached);
@@ -70,21 +82,51 @@
     return *Servers_.back();
   }
 
+  /// Registers what a row of the store names, if it names a server.
+  /// \param Key the key of the row.
+  /// \param Value its value.
+  void addRow(std::string Key, std::string Value) {
+    StoreRow Row;
+    Row.Key_ = std::move(Key);
+    Row.Value_ = std::move(Value);
+    if (const auto Entry = Schema_.parseServer(Row))
+      Directory_.put(*Entry);
+  }
+
   /// Sends a request as a caller and waits for its answer.
   /// \param Path a path on one of the routes.
   /// \param Id the id of the request.
-  CallerAnswer call(std::string_view Path, std::string_view Id) {
-    CallerAnswer Answer;
-    bool IsOver = false;
-    const auto Run = [&]() -> Task<void> {
-      co_await exchange(std::string(Path), std::string(Id), Answer);
-      IsOver = true;
+  /// \param Content its method and body.
+  /// \param Timeout how long the answer is awaited.
+  CallerAnswer call(std::string_view Path, std::string_view Id,
+                    const CallerContent &Content = {},
+                    Duration Timeout = CallTimeout) {
+    return callAtOnce(Path, {std::string(Id)}, Content, Timeout).front();
+  }
+
+  /// Sends requests together, each as a caller of its own, and waits for all
+  /// answers.
+  /// \param Path a path on one of the routes.
+  /// \param Ids the ids of the requests.
+  /// \param Content the method and body of each of them.
+  /// \param Timeout how long the answers are awaited.
+  /// \returns the answers in the order of the ids.
+  std::vector<CallerAnswer> callAtOnce(std::string_view Path,
+                                       const std::vector<std::string> &Ids,
+                                       const CallerContent &Content,
+                                       Duration Timeout = CallTimeout) {
+    std::vector<CallerAnswer> Answers(Ids.size());
+    std::size_t Pending = Ids.size();
+    const auto Run = [&](std::size_t Index) -> Task<void> {
+      co_await exchange(std::string(Path), Ids[Index], Content, Answers[Index]);
+      --Pending;
     };
-    asio::co_spawn(Context_, Run, asio::detached);
-    const TimePoint End = readBootClock() + CallTimeout;
-    while (!IsOver && readBootClock() < End)
+    for (std::size_t I = 0; I != Ids.size(); ++I)
+      asio::co_spawn(Context_, Run(I), asio::detached);
+    const TimePoint End = readBootClock() + Timeout;
+    while (Pending != 0 && readBootClock() < End)
       Context_.run_one_for(std::chrono::milliseconds(10));
-    return Answer;
+    return Answers;
   }
 
   /// Begins a shutdown of which the load balancer has been told.
@@ -94,13 +136,26 @@
     Relay_.Drain_ = DrainSchedule{Now, Now + AnswerTime};
     Callers_.closeIdle();
   }
-  /// Ends all requests in progress after some time, as a shutdown does last.
-  /// \param Time the time from now.
-  void cancelRequestsAfter(Duration Time) {
-    auto Timer = std::make_shared<asio::steady_timer>(Context_, Time);
-    Timer->async_wait([this, Timer](const auto &) {
-      Callers_.cancelRequests(RefusalReason::Draining);
-    });
+  /// Ends all requests in progress, as a shutdown does last, once a server has
+  /// a request.
+  /// \param Server the server.
+  void cancelRequestsOnceAt(const ScriptedBackend &Server) {
+    const auto Run = [](RelayUnderTest &Self,
+                        const ScriptedBackend &Awaited) -> Task<void> {
+      asio::steady_timer Timer(Self.Context_);
+      while (Awaited.requests().empty()) {
+        Timer.expires_after(std::chrono::milliseconds(1));
+        co_await Timer.async_wait(AsTuple);
+      }
+      Self.Callers_.cancelRequests(RefusalReason::Draining);
+    };
+    asio::co_spawn(Context_, Run(*this, Server), asio::detached);
+  }
+
+  /// Restarts the servers that went down.
+  void restartServers() {
+    for (const auto &Each : Servers_)
+      Each->restart();
   }
 
   /// \returns the registered servers.
@@ -108,7 +163,6 @@
 
 private:
   inline static const InstanceId Self = {"one"};
-  static constexpr Duration CallTimeout = std::chrono::seconds(10);
   static constexpr std::string_view ConfigurationText = R"({
     "version": 1,
     "routes": [
@@ -121,6 +175,10 @@
       {"name": "write", "host": "a.example", "path_prefix": "/write/",
        "kind": "streaming", "timeout_ms": 5000, "target_latency_ms": 900,
        "max_attempts": 2, "sticky": true, "resumable": true,
+       "service": "writer"},
+      {"name": "draft", "host": "a.example", "path_prefix": "/draft/",
+       "kind": "streaming", "timeout_ms": 5000, "target_latency_ms": 900,
+       "max_attempts": 2, "sticky": true, "resumable": false,
        "service": "writer"}],
     "services": [
       {"name": "writer", "engine": {"slots": 4, "kv_tokens": 10000}},
@@ -143,12 +201,14 @@
     }
   }
 
-  Task<void> exchange(std::string Path, std::string Id, CallerAnswer &Answer) {
+  Task<void> exchange(std::string Path, std::string Id, CallerContent Content,
+                      CallerAnswer &Answer) {
     namespace http = beast::http;
     beast::tcp_stream Stream(Context_);
     co_await Stream.async_connect(Acceptor_.local_endpoint(), AsTuple);
-    http::request<http::string_body> Request(http::verb::post, asBeast(Path),
+    http::request<http::string_body> Request(Content.Method_, asBeast(Path),
                                              11);
+    Request.body() = std::move(Content.Body_);
     Request.set(http::field::host, "a.example");
     Request.set("Request-Id", Id);
     Request.set("Deadline-Ms", "3000");
