--- a/src/peers/TcpPeerTransport.cpp
+++ b/src/peers/TcpPeerTransport.cpp
@@ -84,25 +84,25 @@
     });
   }
 
-  void send(const MemberId &To, const PeerMessage &Message) {
+  void send(const MemberId &Recipient, const PeerMessage &Message) {
     const std::string Encoded = encodePeerMessage(Message);
     if (Encoded.size() > MaxPeerMessage) {
-      logOversized(To, Encoded.size());
+      logOversized(Recipient, Encoded.size());
       countSent(false);
       return;
     }
-    Link &Of = Links_[To];
+    Link &PeerLink = Links_[Recipient];
     std::string Framed = frameMessage(Encoded);
-    if (Of.Session_ != nullptr) {
-      countSent(Of.Session_->send(Framed));
+    if (PeerLink.Session_ != nullptr) {
+      countSent(PeerLink.Session_->send(Framed));
       return;
     }
-    if (Of.Waiting_.size() >= MaxWaitingMessages) {
+    if (PeerLink.Waiting_.size() >= MaxWaitingMessages) {
       countSent(false);
       return;
     }
-    Of.Waiting_.push_back(std::move(Framed));
-    dial(To, Of);
+    PeerLink.Waiting_.push_back(std::move(Framed));
+    dial(Recipient, PeerLink);
   }
 
   std::string address() const {
@@ -159,10 +159,10 @@
     return {Settings_.Self_, Settings_.Key_, this, &Owner_->Counters_};
   }
 
-  static void logOversized(const MemberId &To, std::size_t Bytes) {
+  static void logOversized(const MemberId &Recipient, std::size_t Bytes) {
     logLine(LogPart::Peers, LogLevel::Warn,
             "Message is too large for a peer; dropped.",
-            {{"to", To.Name_.Value_}, {"bytes", std::to_string(Bytes)}});
+            {{"to", Recipient.Name_.Value_}, {"bytes", std::to_string(Bytes)}});
   }
 
   void countSent(bool IsSent) {
