Log each retry that the shared budget allows or denies

Of the hypotheses in docs/incidents/2026-12-05-retries-beyond-the-budget.md the logs could tell none from another: no line said that a retry was taken from the budget, when, or how many requests, retries and instances the process counted then.

Change: `RequestRetries` is a request's part in the budget of its service, for generations and plain calls, which had the same code each; it writes a line for each decision, and `gooseberry_retries_denied_total` counts the denied ones. No decision differs.

--- a/include/gooseberrybeam/metrics/Metrics.h
+++ b/include/gooseberrybeam/metrics/Metrics.h
@@ -33,11 +33,12 @@
   Hedges,
   IdempotencyReplays,
   ServerPauses,
+  RetriesDenied,
 };
 
 /// Number of counters without labels.
 inline constexpr std::size_t CountCount =
-    static_cast<std::size_t>(Count::ServerPauses) + 1;
+    static_cast<std::size_t>(Count::RetriesDenied) + 1;
 
 /// Latencies.
 enum class Latency : std::uint8_t {
--- a/include/gooseberrybeam/relay/RetryWindow.h
+++ b/include/gooseberrybeam/relay/RetryWindow.h
@@ -4,6 +4,7 @@
 #define GOOSEBERRYBEAM_RELAY_RETRYWINDOW_H
 
 #include "gooseberrybeam/base/Time.h"
+#include "gooseberrybeam/relay/RetryWindowState.h"
 
 #include <array>
 #include <cstddef>
@@ -45,6 +46,10 @@
   /// \returns whether the retry is allowed; takes nothing from the budget
   /// otherwise.
   bool tryRetry(std::size_t Instances, TimePoint Now);
+  /// \param Instances the number of instances that share the slack.
+  /// \param Now the current time.
+  /// \returns what decisions are based on now.
+  RetryWindowState state(std::size_t Instances, TimePoint Now);
 
 private:
   static constexpr std::size_t CellCount = 11;
--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -5,6 +5,7 @@
 
 #include "gooseberrybeam/relay/EventSplitter.h"
 #include "gooseberrybeam/relayd/FailoverSearch.h"
+#include "gooseberrybeam/relayd/RequestRetries.h"
 #include "gooseberrybeam/relayd/ServerCall.h"
 
 #include <memory>
@@ -67,8 +68,6 @@
   bool mayRetry(StepOutcome Outcome) const;
   bool isLeftAsSilent(const CallError &Error) const;
   Task<void> reportFailure(const ChosenServer &Engine, CallError Error);
-  void countRequest();
-  bool tryConsumeRetry();
   bool mayMoveDecode() const;
   std::unique_ptr<FailoverSearch>
   watch(const ChosenServer &Engine, StallFailover Failover, bool TakesRetry);
@@ -95,6 +94,7 @@
   RelayContext &Context_;
   RelayRequest &Request_;
   const EngineTraits &Engine_;
+  RequestRetries Retries_;
   /// Names the reservation at the home: the request's id, or one of its own
   /// after a silent engine was left.
   RequestId BookingId_;
@@ -115,7 +115,6 @@
   TimePoint LastEventAt_;
   std::uint32_t EngineEvents_ = 0; ///< Events from the current decode engine.
   TimePoint EngineFirstEventAt_;   ///< Time of its first event.
-  bool IsCounted_ = false;         ///< In the retry budget.
   bool HasArrived_ = false;        ///< Sent for decoding, or a prefill failed.
   bool MayHaveRun_ = false;        ///< An engine may have run the request.
   bool IsComplete_ = false;        ///< The stream reached its regular end.
--- a/include/gooseberrybeam/relayd/PlainCall.h
+++ b/include/gooseberrybeam/relayd/PlainCall.h
@@ -4,6 +4,7 @@
 #define GOOSEBERRYBEAM_RELAYD_PLAINCALL_H
 
 #include "gooseberrybeam/relay/StallFailover.h"
+#include "gooseberrybeam/relayd/RequestRetries.h"
 #include "gooseberrybeam/relayd/ServerCall.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -26,7 +27,8 @@
   /// \param Context state of the instance; outlives the call.
   /// \param Request the caller's request; outlives the call.
   PlainCall(RelayContext &Context, RelayRequest &Request)
-      : Context_(Context), Request_(Request), Wake_(Context.IoContext_) {}
+      : Context_(Context), Request_(Request), Retries_(Context, Request),
+        Wake_(Context.IoContext_) {}
 
   /// \returns a task that completes when the caller has its response.
   Task<void> run();
@@ -73,7 +75,6 @@
   void endTrial(TrialOutcome Outcome);
   AttemptOutcome classify(const AttemptResult &Attempt) const;
   bool mayRetry(AttemptOutcome Outcome);
-  bool tryConsumeRetry();
   Task<void> relayResponse(const BufferedResponse &Response);
   Task<void> refuseUnsent();
   Task<void> refuseSuspect(CrashAdmission Admission);
@@ -81,6 +82,7 @@
 
   RelayContext &Context_;
   RelayRequest &Request_;
+  RequestRetries Retries_;
   std::vector<ServerId> TriedServers_;
   std::uint32_t SentAttempts_ = 0; ///< Attempts in progress or possibly run.
   Attempts Running_;
--- a/src/metrics/Metrics.cpp
+++ b/src/metrics/Metrics.cpp
@@ -33,6 +33,8 @@
      "Answers repeated from the idempotency ledger."},
     {"gooseberry_server_pauses_total",
      "Rejections in which a backend server asked for a pause."},
+    {"gooseberry_retries_denied_total",
+     "Retries that the shared budget did not allow."},
 }};
 
 constexpr std::array<Naming, LatencyCount> LatencyNames = {{
--- a/src/relay/RetryWindow.cpp
+++ b/src/relay/RetryWindow.cpp
@@ -43,12 +43,21 @@
   ++cellAt(Instances, Now).Requests_;
 }
 
-bool RetryWindow::mayRetry(std::size_t Instances, TimePoint Now) {
+RetryWindowState RetryWindow::state(std::size_t Instances, TimePoint Now) {
   const Cell Sum = sum(cellAt(Instances, Now));
-  const double Allowed =
-      UsableFraction * (Limits_.RetriesPerRequest_ * Sum.Requests_ +
-                        slackShare(Sum.Instances_, Now));
-  return Sum.Retries_ + 1 <= Allowed;
+  RetryWindowState State;
+  State.Requests_ = Sum.Requests_;
+  State.Retries_ = Sum.Retries_;
+  State.Instances_ = Sum.Instances_;
+  State.Slack_ = slackShare(Sum.Instances_, Now);
+  State.Allowed_ = UsableFraction *
+                   (Limits_.RetriesPerRequest_ * Sum.Requests_ + State.Slack_);
+  return State;
+}
+
+bool RetryWindow::mayRetry(std::size_t Instances, TimePoint Now) {
+  const RetryWindowState State = state(Instances, Now);
+  return State.Retries_ + 1 <= State.Allowed_;
 }
 
 bool RetryWindow::tryRetry(std::size_t Instances, TimePoint Now) {
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -63,7 +63,7 @@
 GenerationCall::GenerationCall(RelayContext &Context, RelayRequest &Request,
                                const EngineTraits &Engine)
     : Context_(Context), Request_(Request), Engine_(Engine),
-      BookingId_(Request.Exchange_.id()) {}
+      Retries_(Context, Request), BookingId_(Request.Exchange_.id()) {}
 
 PlacementRequest GenerationCall::makePlacementRequest() const {
   PlacementRequest Placement;
@@ -138,18 +138,6 @@
   return Target;
 }
 
-// A request that is refused without a call earns no retry.
-void GenerationCall::countRequest() {
-  if (!std::exchange(IsCounted_, true))
-    Context_.retryBudget(Request_.Service_)
-        .onRequest(Context_.Home_.instanceCount(), readBootClock());
-}
-
-bool GenerationCall::tryConsumeRetry() {
-  return Context_.retryBudget(Request_.Service_)
-      .tryRetry(Context_.Home_.instanceCount(), readBootClock());
-}
-
 bool GenerationCall::isPaused(const ServerId &Server) const {
   return Context_.Pauses_.pausedUntil(Server) > readBootClock();
 }
@@ -216,7 +204,7 @@
   ServerTarget Target = makeTarget(Engine);
   Target.RequestInfo_.IsPrefill_ = true;
   const TimePoint Started = readBootClock();
-  countRequest();
+  Retries_.countRequest();
   ++PrefillCalls_;
   EngineEvents_ = 0;
   const auto Search =
@@ -439,7 +427,7 @@
   CallerExchange &Exchange = Request_.Exchange_;
   if (isPaused(Engine.Id_))
     co_return StepOutcome::Rejected;
-  countRequest();
+  Retries_.countRequest();
   HasArrived_ = true;
   EngineEvents_ = 0;
   DecodeAt_ = readBootClock();
@@ -479,7 +467,7 @@
                                      std::string &KvSource) {
   if (!Grant.Prefill_)
     co_return true;
-  const bool HasRetryBudget = PrefillCalls_ == 0 || tryConsumeRetry();
+  const bool HasRetryBudget = PrefillCalls_ == 0 || Retries_.tryTake();
   if (!HasRetryBudget)
     co_return true; // The decode engine computes the prefill instead.
   const StepOutcome Outcome = co_await prefill(*Grant.Prefill_, KvSource);
@@ -575,7 +563,7 @@
   while (mayRetry(Outcome)) {
     // Rejected calls count as arrivals at the service too, so any further call
     // consumes retry budget.
-    if (!Replacement_ && HasArrived_ && !tryConsumeRetry())
+    if (!Replacement_ && HasArrived_ && !Retries_.tryTake())
       break;
     ++Placements_;
     auto Placement = co_await nextPlacement();
@@ -610,7 +598,7 @@
           !Context_.Directory_.isLeavingOrRemoved(Grant.Decode_.Id_) &&
           !isPaused(Grant.Decode_.Id_);
       if (Outcome == StepOutcome::Rejected && !KvSource.empty() &&
-          !Replacement_ && TakesRequests && tryConsumeRetry()) {
+          !Replacement_ && TakesRequests && Retries_.tryTake()) {
         if (Grant.Prefill_)
           report(GenerationStep::HandleLost, *Grant.Prefill_);
         // The engine may have rejected the call because it could not fetch the
--- a/src/relayd/GenerationCallFailover.cpp
+++ b/src/relayd/GenerationCallFailover.cpp
@@ -49,10 +49,7 @@
                                     bool TakesRetry) {
   if (Placements_ >= MaxPlacements)
     return std::nullopt;
-  const bool HasRetryBudget =
-      Context_.retryBudget(Request_.Service_)
-          .mayRetry(Context_.Home_.instanceCount(), readBootClock());
-  if (TakesRetry && !HasRetryBudget)
+  if (TakesRetry && !Retries_.isAvailable())
     return std::nullopt;
   PlacementRequest Placement = makePlacementRequest();
   Placement.Request_ = {Request_.Exchange_.id().Value_ + "/" +
@@ -66,7 +63,7 @@
                                        bool TakesRetry) {
   if (excludeUnusableEngines(Grant))
     return false;
-  if (TakesRetry && !tryConsumeRetry())
+  if (TakesRetry && !Retries_.tryTake())
     return false;
   Replacement_ = Grant;
   return true;
--- a/src/relayd/PlainCall.cpp
+++ b/src/relayd/PlainCall.cpp
@@ -129,11 +129,6 @@
   return AttemptOutcome::Answered;
 }
 
-bool PlainCall::tryConsumeRetry() {
-  return Context_.retryBudget(Request_.Service_)
-      .tryRetry(Context_.Home_.instanceCount(), readBootClock());
-}
-
 bool PlainCall::mustAsk() const {
   return HasCrashedServer_ || Context_.Home_.isSuspect(Request_.Fingerprint_);
 }
@@ -188,7 +183,7 @@
     return false;
   if (SentAttempts_ >= Request_.Route_.MaxServers_ || untriedServers().empty())
     return false;
-  return tryConsumeRetry();
+  return Retries_.tryTake();
 }
 
 Task<void> PlainCall::run() {
--- a/src/relayd/PlainCallAttempts.cpp
+++ b/src/relayd/PlainCallAttempts.cpp
@@ -44,10 +44,7 @@
 }
 
 void PlainCall::start(const BackendEntry &Server) {
-  // A request that is refused unsent earns no retry.
-  if (TriedServers_.empty())
-    Context_.retryBudget(Request_.Service_)
-        .onRequest(Context_.Home_.instanceCount(), readBootClock());
+  Retries_.countRequest();
   TriedServers_.push_back(Server.Id_);
   ++SentAttempts_;
   auto Running = std::make_shared<Attempt>();
@@ -129,11 +126,8 @@
     if (IsNew)
       Context_.Pool_.discard(Each->Server_.Address_);
   }
-  const bool HasRetryBudget =
-      Context_.retryBudget(Request_.Service_)
-          .mayRetry(Context_.Home_.instanceCount(), readBootClock());
   std::optional<BackendEntry> Server;
-  if (HasRetryBudget && !untriedServers().empty()) {
+  if (Retries_.isAvailable() && !untriedServers().empty()) {
     CancelScope Scope;
     CancelScope::Guard Link(Request_.Exchange_.scope(), [&Scope] {
       Scope.cancel(RefusalReason::BackendTimeout);
@@ -144,7 +138,7 @@
     if (Scope.isCancelled())
       Server.reset();
   }
-  if (!Server || !tryConsumeRetry()) {
+  if (!Server || !Retries_.tryTake()) {
     Failover.onDenied(Duration::zero(), readBootClock());
     co_return;
   }
