Count a retry in the shared budget when it is sent, and while it waits

Seen: not by callers yet.

Cause: a retry was counted when it was allowed. It then waits at the home until an engine is free, for seconds while all engines are down or full. Retries that were allowed in two windows so arrive within one. Class: a rate limit that is checked where work is admitted and not where it has its effect.

Fix: a retry is reserved, and counts while it waits and for a window after it is sent. One that is not sent, as the caller leaves or no engine is granted, is given back; it was lost before. Plain calls, hedges, moved streams, second prefills and second decode calls all go through `RequestRetries`. A reservation may outlive the budget, as tasks do at the end of a process.

RetryWindow can be moved only now, so the fleet of its test is filled in a loop; its checks and bounds are the same, on retries that are sent.

--- a/include/gooseberrybeam/relay/RetryWindow.h
+++ b/include/gooseberrybeam/relay/RetryWindow.h
@@ -4,11 +4,14 @@
 #define GOOSEBERRYBEAM_RELAY_RETRYWINDOW_H
 
 #include "gooseberrybeam/base/Time.h"
+#include "gooseberrybeam/relay/RetryReservation.h"
 #include "gooseberrybeam/relay/RetryWindowState.h"
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
+#include <optional>
 
 namespace gooseberry {
 
@@ -21,6 +24,11 @@
 
 /// One process's part of the retry budget of a service.
 ///
+/// The budget limits how many retries reach the service within the window. A
+/// retry may wait for a server after it was allowed, so it is reserved first,
+/// and counts until it is given back or the window has passed since it was
+/// sent.
+///
 /// The process before it on the instance may have used the instance's share of
 /// the slack, so a process has none until its first window has passed.
 /// Instances that are gone may have used theirs, so the slack is divided by the
@@ -31,6 +39,8 @@
   /// \param StartedAt when the process started.
   RetryWindow(RetryWindowLimits Limits, TimePoint StartedAt)
       : Limits_(Limits), SlackFrom_(StartedAt + Limits.Window_) {}
+  RetryWindow(RetryWindow &&) = default;
+  RetryWindow &operator=(RetryWindow &&) = default;
 
   /// Counts a request from a caller.
   /// \param Instances the number of instances that share the slack.
@@ -40,12 +50,18 @@
   /// \param Now the current time.
   /// \returns whether a retry would be allowed now.
   bool mayRetry(std::size_t Instances, TimePoint Now);
-  /// Takes one retry from the budget.
+  /// Reserves a retry.
+  /// \param Instances the number of instances that share the slack.
+  /// \param Now the current time.
+  /// \returns the reservation, which gives the retry back when it is
+  /// destroyed; none if the budget is used up.
+  std::optional<RetryReservation> tryReserve(std::size_t Instances,
+                                             TimePoint Now);
+  /// Records that a reserved retry is sent.
+  /// \param Sent the retry.
   /// \param Instances the number of instances that share the slack.
   /// \param Now the current time.
-  /// \returns whether the retry is allowed; takes nothing from the budget
-  /// otherwise.
-  bool tryRetry(std::size_t Instances, TimePoint Now);
+  void onSent(RetryReservation Sent, std::size_t Instances, TimePoint Now);
   /// \param Instances the number of instances that share the slack.
   /// \param Now the current time.
   /// \returns what decisions are based on now.
@@ -67,6 +83,8 @@
   RetryWindowLimits Limits_;
   TimePoint SlackFrom_;
   std::array<Cell, CellCount> Cells_{};
+  /// Number of reservations, which share it.
+  std::shared_ptr<std::uint32_t> Reserved_ = std::make_shared<std::uint32_t>(0);
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/relayd/RequestRetries.h
+++ b/include/gooseberrybeam/relayd/RequestRetries.h
@@ -6,6 +6,8 @@
 #include "gooseberrybeam/relayd/RelayContext.h"
 #include "gooseberrybeam/relayd/RelayRequest.h"
 
+#include <optional>
+
 namespace gooseberry {
 
 /// A caller's request in the retry budget of its service. Not thread-safe.
@@ -21,17 +23,25 @@
   void countRequest();
   /// \returns whether the budget has a retry left.
   bool isAvailable();
-  /// Takes a retry from the budget.
-  /// \returns false if there is none left.
-  bool tryTake();
+  /// Reserves a retry for a call that may have to wait for a server. It is
+  /// given back if the request ends before.
+  /// \returns false if the budget has none left and none is reserved already.
+  bool tryReserve();
+  /// Counts the reserved retry, if there is one, as its call is sent.
+  void sendReserved();
+  /// Takes a retry for a call that is sent now, besides a reserved one.
+  /// \returns false if the budget has none left.
+  bool trySend();
 
 private:
   RetryWindow &budget() { return Context_.retryBudget(Request_.Service_); }
+  std::optional<RetryReservation> reserve();
   void logDecision(bool IsAllowed);
 
   RelayContext &Context_;
   const RelayRequest &Request_;
   bool IsCounted_ = false;
+  std::optional<RetryReservation> Reserved_;
 };
 
 } // namespace gooseberry
--- a/src/relay/RetryWindow.cpp
+++ b/src/relay/RetryWindow.cpp
@@ -48,6 +48,7 @@
   RetryWindowState State;
   State.Requests_ = Sum.Requests_;
   State.Retries_ = Sum.Retries_;
+  State.Reserved_ = *Reserved_;
   State.Instances_ = Sum.Instances_;
   State.Slack_ = slackShare(Sum.Instances_, Now);
   State.Allowed_ = UsableFraction *
@@ -57,14 +58,19 @@
 
 bool RetryWindow::mayRetry(std::size_t Instances, TimePoint Now) {
   const RetryWindowState State = state(Instances, Now);
-  return State.Retries_ + 1 <= State.Allowed_;
+  return State.Retries_ + State.Reserved_ + 1 <= State.Allowed_;
 }
 
-bool RetryWindow::tryRetry(std::size_t Instances, TimePoint Now) {
+std::optional<RetryReservation> RetryWindow::tryReserve(std::size_t Instances,
+                                                        TimePoint Now) {
   if (!mayRetry(Instances, Now))
-    return false;
+    return std::nullopt;
+  return RetryReservation(Reserved_);
+}
+
+void RetryWindow::onSent(RetryReservation /*Sent*/, std::size_t Instances,
+                         TimePoint Now) {
   ++cellAt(Instances, Now).Retries_;
-  return true;
 }
 
 } // namespace gooseberry
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -428,6 +428,7 @@
   if (isPaused(Engine.Id_))
     co_return StepOutcome::Rejected;
   Retries_.countRequest();
+  Retries_.sendReserved();
   HasArrived_ = true;
   EngineEvents_ = 0;
   DecodeAt_ = readBootClock();
@@ -467,7 +468,7 @@
                                      std::string &KvSource) {
   if (!Grant.Prefill_)
     co_return true;
-  const bool HasRetryBudget = PrefillCalls_ == 0 || Retries_.tryTake();
+  const bool HasRetryBudget = PrefillCalls_ == 0 || Retries_.trySend();
   if (!HasRetryBudget)
     co_return true; // The decode engine computes the prefill instead.
   const StepOutcome Outcome = co_await prefill(*Grant.Prefill_, KvSource);
@@ -563,7 +564,7 @@
   while (mayRetry(Outcome)) {
     // Rejected calls count as arrivals at the service too, so any further call
     // consumes retry budget.
-    if (!Replacement_ && HasArrived_ && !Retries_.tryTake())
+    if (!Replacement_ && HasArrived_ && !Retries_.tryReserve())
       break;
     ++Placements_;
     auto Placement = co_await nextPlacement();
@@ -598,7 +599,7 @@
           !Context_.Directory_.isLeavingOrRemoved(Grant.Decode_.Id_) &&
           !isPaused(Grant.Decode_.Id_);
       if (Outcome == StepOutcome::Rejected && !KvSource.empty() &&
-          !Replacement_ && TakesRequests && Retries_.tryTake()) {
+          !Replacement_ && TakesRequests && Retries_.tryReserve()) {
         if (Grant.Prefill_)
           report(GenerationStep::HandleLost, *Grant.Prefill_);
         // The engine may have rejected the call because it could not fetch the
--- a/src/relayd/GenerationCallFailover.cpp
+++ b/src/relayd/GenerationCallFailover.cpp
@@ -63,7 +63,7 @@
                                        bool TakesRetry) {
   if (excludeUnusableEngines(Grant))
     return false;
-  if (TakesRetry && !Retries_.tryTake())
+  if (TakesRetry && !Retries_.tryReserve())
     return false;
   Replacement_ = Grant;
   return true;
--- a/src/relayd/PlainCall.cpp
+++ b/src/relayd/PlainCall.cpp
@@ -183,7 +183,7 @@
     return false;
   if (SentAttempts_ >= Request_.Route_.MaxServers_ || untriedServers().empty())
     return false;
-  return Retries_.tryTake();
+  return Retries_.tryReserve();
 }
 
 Task<void> PlainCall::run() {
--- a/src/relayd/PlainCallAttempts.cpp
+++ b/src/relayd/PlainCallAttempts.cpp
@@ -45,6 +45,7 @@
 
 void PlainCall::start(const BackendEntry &Server) {
   Retries_.countRequest();
+  Retries_.sendReserved();
   TriedServers_.push_back(Server.Id_);
   ++SentAttempts_;
   auto Running = std::make_shared<Attempt>();
@@ -138,7 +139,7 @@
     if (Scope.isCancelled())
       Server.reset();
   }
-  if (!Server || !Retries_.tryTake()) {
+  if (!Server || !Retries_.tryReserve()) {
     Failover.onDenied(Duration::zero(), readBootClock());
     co_return;
   }
--- a/src/relayd/RequestRetries.cpp
+++ b/src/relayd/RequestRetries.cpp
@@ -21,16 +21,40 @@
 }
 
 bool RequestRetries::isAvailable() {
-  return budget().mayRetry(Context_.Home_.instanceCount(), readBootClock());
+  return Reserved_ ||
+         budget().mayRetry(Context_.Home_.instanceCount(), readBootClock());
 }
 
-bool RequestRetries::tryTake() {
-  const bool IsAllowed =
-      budget().tryRetry(Context_.Home_.instanceCount(), readBootClock());
-  if (!IsAllowed)
+bool RequestRetries::tryReserve() {
+  if (!Reserved_)
+    Reserved_ = reserve();
+  return Reserved_.has_value();
+}
+
+void RequestRetries::sendReserved() {
+  if (!Reserved_)
+    return;
+  budget().onSent(std::move(*Reserved_), Context_.Home_.instanceCount(),
+                  readBootClock());
+  Reserved_.reset();
+}
+
+bool RequestRetries::trySend() {
+  auto Reserved = reserve();
+  if (!Reserved)
+    return false;
+  budget().onSent(std::move(*Reserved), Context_.Home_.instanceCount(),
+                  readBootClock());
+  return true;
+}
+
+std::optional<RetryReservation> RequestRetries::reserve() {
+  auto Reserved =
+      budget().tryReserve(Context_.Home_.instanceCount(), readBootClock());
+  if (!Reserved)
     Context_.Metrics_.add(Count::RetriesDenied);
-  logDecision(IsAllowed);
-  return IsAllowed;
+  logDecision(Reserved.has_value());
+  return Reserved;
 }
 
 void RequestRetries::logDecision(bool IsAllowed) {
@@ -43,6 +67,7 @@
            {"service", Request_.Service_.Value_},
            {"requests", std::to_string(State.Requests_)},
            {"retries", std::to_string(State.Retries_)},
+           {"reserved", std::to_string(State.Reserved_)},
            {"allowed", asWhole(State.Allowed_)},
            {"slack", asWhole(State.Slack_)},
            {"instances", std::to_string(State.Instances_)},
--- a/tests/RetryArrivalTest.cpp
+++ b/tests/RetryArrivalTest.cpp
@@ -4,11 +4,14 @@
 #include <catch2/catch.hpp>
 
 using namespace gooseberry;
+using namespace std::chrono_literals;
 
 namespace {
 
 constexpr double NoSlack = 0;
 constexpr int Ok = 200;
+constexpr Duration BusyTime = 1200ms;
+constexpr int BusyEvents = 6;
 
 ScriptedBackend::Script rejectWith(const std::string &Fields) {
   return [Fields](const ScriptedRequest &Request) {
@@ -29,6 +32,27 @@
   };
 }
 
+/// Streams of one event that break off.
+ScriptedBackend::Script breakOffAll() {
+  return [](const ScriptedRequest &Request) {
+    return ScriptedAnswer{makeStreamHead(Request.Id_) + makeChunk(makeEvent(1)),
+                          true};
+  };
+}
+
+/// Streams that keep their engine busy for `BusyTime`.
+ScriptedBackend::Script streamSlowly() {
+  return [](const ScriptedRequest &Request) {
+    ScriptedAnswer Answer = {makeStreamHead(Request.Id_) +
+                             makeChunk(makeEvent(1))};
+    for (int Event = 2; Event <= BusyEvents; ++Event)
+      Answer.Rest_.push_back(
+          {BusyTime / BusyEvents, makeChunk(makeEvent(Event))});
+    Answer.Rest_.push_back({BusyTime / BusyEvents, std::string(LastChunk)});
+    return Answer;
+  };
+}
+
 ScriptedBackend::Script failAll() {
   return [](const ScriptedRequest &Request) {
     return ScriptedAnswer{
@@ -76,3 +100,25 @@
   CHECK(Relay.call("/check/1", "last").Status_ == 500);
   CHECK(First.requests().size() + Second.requests().size() == 1);
 }
+
+TEST_CASE("Retries that waited for an engine arrive within the budget",
+          "[relay][retry]") {
+  constexpr double SlackForOne = 1.3;
+  constexpr Duration Window = 300ms;
+  RelayUnderTest Relay(SlackForOne, Window);
+  ScriptedBackend &Busy =
+      Relay.addServer("busy", EngineRole::Decode, streamSlowly());
+  for (const char *Id : {"b1", "b2", "b3", "b4"})
+    Relay.begin("/write/1", Id);
+  Relay.runFor(100ms);
+  REQUIRE(Busy.requests().size() == 4);
+  Relay.addServer("broken", EngineRole::Decode, breakOffAll());
+  Relay.begin("/write/1", "first");
+  Relay.runFor(2 * Window);
+  Relay.begin("/write/1", "second");
+  Relay.runFor(BusyTime);
+  std::size_t Retries = 0;
+  for (const ScriptedRequest &Each : Busy.requests())
+    Retries += Each.LastEventId_.empty() ? 0 : 1;
+  CHECK(Retries == 1);
+}
--- a/tests/RetryWindowTest.cpp
+++ b/tests/RetryWindowTest.cpp
@@ -3,7 +3,9 @@
 #include <catch2/catch.hpp>
 
 #include <deque>
+#include <optional>
 #include <random>
+#include <utility>
 #include <vector>
 
 using namespace gooseberry;
@@ -16,8 +18,10 @@
 
 int countRetries(RetryWindow &Window, std::size_t Instances, TimePoint Now) {
   int Count = 0;
-  while (Window.tryRetry(Instances, Now))
+  while (auto Reserved = Window.tryReserve(Instances, Now)) {
+    Window.onSent(std::move(*Reserved), Instances, Now);
     ++Count;
+  }
   return Count;
 }
 
@@ -26,23 +30,27 @@
     Window.onRequest(8, Now);
 }
 
-/// Instances in front of a service that rejects everything, so that each takes
-/// all the retries that it may.
+/// Instances in front of a service that rejects everything, so that each
+/// reserves all the retries that it may. Retries are sent while the service has
+/// servers, and wait otherwise.
 class SheddingFleet {
 public:
-  explicit SheddingFleet(std::size_t Size)
-      : Size_(Size), Instances_(Size, {RetryWindow(Limits, LongAgo), LongAgo}) {
+  explicit SheddingFleet(std::size_t Size) : Size_(Size) {
+    for (std::size_t I = 0; I != Size; ++I)
+      Instances_.push_back({RetryWindow(Limits, LongAgo), LongAgo, {}});
   }
 
   /// An instance knows itself only until it has read the store.
   void restart(std::size_t Index) {
-    Instances_[Index] = {RetryWindow(Limits, Now_), Now_};
+    Instances_[Index] = {RetryWindow(Limits, Now_), Now_, {}};
   }
   /// An instance ends for good and the others know it.
   void remove() {
     Instances_.pop_back();
     --Size_;
   }
+  /// All servers go down, or are back.
+  void setServing(bool HasServers) { HasServers_ = HasServers; }
   /// Lets time pass; each instance gets a request.
   void step() {
     Now_ += 100ms;
@@ -51,14 +59,22 @@
       const std::size_t Known = Now_ - Each.StartedAt_ < 500ms ? 1 : Size_;
       Each.Window_.onRequest(Known, Now_);
       ++Done.Requests_;
-      Done.Retries_ += countRetries(Each.Window_, Known, Now_);
+      while (auto Reserved = Each.Window_.tryReserve(Known, Now_))
+        Each.Waiting_.push_back(std::move(*Reserved));
+      if (!HasServers_)
+        continue;
+      for (RetryReservation &Reserved : Each.Waiting_)
+        Each.Window_.onSent(std::move(Reserved), Known, Now_);
+      Done.Retries_ += static_cast<int>(Each.Waiting_.size());
+      Each.Waiting_.clear();
     }
     Done.At_ = Now_;
     Steps_.push_back(Done);
     while (Steps_.front().At_ <= Now_ - Limits.Window_)
       Steps_.pop_front();
   }
-  /// \returns by how much the retries of the last window exceed the budget.
+  /// \returns by how much the retries that were sent within the last window
+  /// exceed the budget.
   double excess() const {
     double Excess = -Limits.Slack_;
     for (const Step &Each : Steps_)
@@ -70,6 +86,7 @@
   struct Instance {
     RetryWindow Window_;
     TimePoint StartedAt_;
+    std::vector<RetryReservation> Waiting_;
   };
   struct Step {
     TimePoint At_;
@@ -81,6 +98,7 @@
   std::vector<Instance> Instances_;
   std::deque<Step> Steps_;
   TimePoint Now_ = TimePoint(0s);
+  bool HasServers_ = true;
 };
 
 } // namespace
@@ -179,3 +197,46 @@
     CHECK(Most <= 0);
   }
 }
+
+TEST_CASE("Retries that wait for servers stay within the budget once sent",
+          "[relay][history]") {
+  constexpr int Steps = 600;
+  const std::uint32_t Seed = GENERATE(range(1U, 9U));
+  std::mt19937 Random(Seed);
+  SheddingFleet Fleet(8);
+  double Most = 0;
+  int StepsLeft = 0;
+  bool HasServers = true;
+  for (int I = 0; I != Steps; ++I) {
+    if (StepsLeft-- == 0) {
+      HasServers = !HasServers;
+      Fleet.setServing(HasServers);
+      StepsLeft = static_cast<int>(Random() % (HasServers ? 30 : 140));
+    }
+    Fleet.step();
+    Most = std::max(Most, Fleet.excess());
+  }
+  INFO("seed " << Seed);
+  CHECK(Most <= 0);
+}
+
+TEST_CASE("A reserved retry counts until it is sent or given back", "[relay]") {
+  constexpr RetryWindowLimits LimitsForOne = {0, 10s, 1.3};
+  RetryWindow Window(LimitsForOne, LongAgo);
+  std::optional<RetryReservation> Reserved =
+      Window.tryReserve(1, TimePoint(5s));
+  REQUIRE(Reserved);
+  SECTION("however long it waits") {
+    CHECK_FALSE(Window.mayRetry(1, TimePoint(5s)));
+    CHECK_FALSE(Window.mayRetry(1, TimePoint(60s)));
+  }
+  SECTION("and, once sent, for a window") {
+    Window.onSent(std::move(*Reserved), 1, TimePoint(20s));
+    CHECK_FALSE(Window.mayRetry(1, TimePoint(29s)));
+    CHECK(Window.mayRetry(1, TimePoint(32s)));
+  }
+  SECTION("and no longer if it is given back") {
+    Reserved.reset();
+    CHECK(Window.mayRetry(1, TimePoint(5s)));
+  }
+}
--- a/tests/support/RelayUnderTest.h
+++ b/tests/support/RelayUnderTest.h
@@ -14,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <deque>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -44,9 +45,12 @@
   static constexpr Duration CallTimeout = std::chrono::seconds(10);
 
   /// \param RetrySlack retries allowed in addition to the ratio.
-  explicit RelayUnderTest(double RetrySlack = 100) {
+  /// \param RetryWindow the window of the retry budget.
+  explicit RelayUnderTest(double RetrySlack = 100,
+                          Duration RetryWindow = std::chrono::seconds(10)) {
     Settings_.Name_ = Self;
     Settings_.RetryBounds_.Slack_ = RetrySlack;
+    Settings_.RetryBounds_.Window_ = RetryWindow;
     const std::vector<RelayMember> Members = {{{{Self, 1}, "", {}}, {}}};
     Home_.setMembers(Members);
     Relay_.Configuration_ = Schema_.parseConfiguration(ConfigurationText);
@@ -129,6 +133,21 @@
     return Answers;
   }
 
+  /// Sends a request as a caller, without waiting for its answer.
+  /// \param Path a path on one of the routes.
+  /// \param Id the id of the request.
+  /// \returns its answer, which is complete once its body has ended.
+  const CallerAnswer &begin(std::string_view Path, std::string_view Id) {
+    CallerAnswer &Answer = Begun_.emplace_back();
+    asio::co_spawn(Context_,
+                   exchange(std::string(Path), std::string(Id), {}, Answer),
+                   asio::detached);
+    return Answer;
+  }
+  /// Lets the instance and its servers run.
+  /// \param Time for how long.
+  void runFor(Duration Time) { Context_.run_for(Time); }
+
   /// Begins a shutdown of which the load balancer has been told.
   /// \param AnswerTime the time left for responses.
   void beginDrain(Duration AnswerTime) {
@@ -252,6 +271,7 @@
   tcp::acceptor Acceptor_{Context_,
                           tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
   std::vector<std::unique_ptr<ScriptedBackend>> Servers_;
+  std::deque<CallerAnswer> Begun_; ///< Of requests that `begin` sent.
 };
 
 } // namespace gooseberry
