Give no slack of the retry budget to an instance that others do not count

Cause: the home unregisters an instance that it has not heard for 20 s, and the others divide the slack by one less. The instance, cut off from home and store but not from callers and servers, went on with its share. One that had read the configuration and the servers, but not yet the registered instances, took the slack of a fleet of one once its first window had passed. Class: a permission that its holder uses after the others have given it away.

Fix: an instance knows whether it is still counted (`SharerStatus`): it has read the registered instances, and hears its home, or reads the store if it is the home. 10 s without contact, or into its shutdown, it has no slack, and then none until it has been counted for a whole window, as after a start. The ratio of its own requests stays.

Ruled out: a shorter memory of the instance count, or dividing by the largest number for longer: after the loss of many instances those left would have had a part of the slack only. Cost: the home has no slack while the store is away for longer than 10 s, and an instance that drains none after 10 s.

--- a/include/gooseberrybeam/relay/RetryWindow.h
+++ b/include/gooseberrybeam/relay/RetryWindow.h
@@ -4,6 +4,7 @@
 #define GOOSEBERRYBEAM_RELAY_RETRYWINDOW_H
 
 #include "gooseberrybeam/base/Time.h"
+#include "gooseberrybeam/relay/BudgetSharers.h"
 #include "gooseberrybeam/relay/RetryReservation.h"
 #include "gooseberrybeam/relay/RetryWindowState.h"
 
@@ -32,7 +33,9 @@
 /// The process before it on the instance may have used the instance's share of
 /// the slack, so a process has none until its first window has passed.
 /// Instances that are gone may have used theirs, so the slack is divided by the
-/// largest number of instances within the window.
+/// largest number of instances within the window. The others may divide the
+/// share of an instance that they no longer count, so it has none from then
+/// until it has been counted for a window.
 class RetryWindow {
 public:
   /// \param Limits the limits over all instances.
@@ -43,29 +46,30 @@
   RetryWindow &operator=(RetryWindow &&) = default;
 
   /// Counts a request from a caller.
-  /// \param Instances the number of instances that share the slack.
+  /// \param Sharers the instances that share the slack.
   /// \param Now the current time.
-  void onRequest(std::size_t Instances, TimePoint Now);
-  /// \param Instances the number of instances that share the slack.
+  void onRequest(const BudgetSharers &Sharers, TimePoint Now);
+  /// \param Sharers the instances that share the slack.
   /// \param Now the current time.
   /// \returns whether a retry would be allowed now.
-  bool mayRetry(std::size_t Instances, TimePoint Now);
+  bool mayRetry(const BudgetSharers &Sharers, TimePoint Now);
   /// Reserves a retry.
-  /// \param Instances the number of instances that share the slack.
+  /// \param Sharers the instances that share the slack.
   /// \param Now the current time.
   /// \returns the reservation, which gives the retry back when it is
   /// destroyed; none if the budget is used up.
-  std::optional<RetryReservation> tryReserve(std::size_t Instances,
+  std::optional<RetryReservation> tryReserve(const BudgetSharers &Sharers,
                                              TimePoint Now);
   /// Records that a reserved retry is sent.
   /// \param Sent the retry.
-  /// \param Instances the number of instances that share the slack.
+  /// \param Sharers the instances that share the slack.
   /// \param Now the current time.
-  void onSent(RetryReservation Sent, std::size_t Instances, TimePoint Now);
-  /// \param Instances the number of instances that share the slack.
+  void onSent(RetryReservation Sent, const BudgetSharers &Sharers,
+              TimePoint Now);
+  /// \param Sharers the instances that share the slack.
   /// \param Now the current time.
   /// \returns what decisions are based on now.
-  RetryWindowState state(std::size_t Instances, TimePoint Now);
+  RetryWindowState state(const BudgetSharers &Sharers, TimePoint Now);
 
 private:
   static constexpr std::size_t CellCount = 11;
@@ -76,7 +80,7 @@
     std::size_t Instances_ = 1; ///< The largest number.
   };
 
-  Cell &cellAt(std::size_t Instances, TimePoint Now);
+  Cell &cellAt(const BudgetSharers &Sharers, TimePoint Now);
   Cell sum(const Cell &Current) const;
   double slackShare(std::size_t Instances, TimePoint Now) const;
 
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -6,9 +6,11 @@
 #include "gooseberrybeam/http/Asio.h"
 #include "gooseberrybeam/http/CancelScope.h"
 #include "gooseberrybeam/peers/TcpPeerTransport.h"
+#include "gooseberrybeam/relay/BudgetSharers.h"
 #include "gooseberrybeam/relay/CopyRequestSchedule.h"
 #include "gooseberrybeam/relay/HomeCoordinator.h"
 #include "gooseberrybeam/relay/HomeSelector.h"
+#include "gooseberrybeam/relay/SharerStatus.h"
 #include "gooseberrybeam/relay/StatedLimits.h"
 #include "gooseberrybeam/relayd/RelayMember.h"
 #include "gooseberrybeam/relayd/TableExchange.h"
@@ -140,6 +142,8 @@
   /// \returns the number of instances that share limits and retry budgets; at
   /// least 1.
   std::size_t instanceCount() const;
+  /// \returns the instances that share retry budgets.
+  BudgetSharers budgetSharers() const;
   /// \returns the current home.
   const InstanceId &home() const { return Home_; }
   /// \returns the part that acts as home for attached instances.
@@ -192,6 +196,7 @@
   void tick();
   void sendHeartbeats(TimePoint Now);
   void updateHome(TimePoint Now);
+  MemberContact memberContact() const;
   void beginAttachment(std::vector<LimitUtilisation> Utilisation);
   void sendAttachment(TimePoint Now);
   void confirmAttachment(const InstanceId &Sender, std::uint64_t Sequence);
@@ -261,6 +266,7 @@
   std::uint64_t Sequence_ = 0;
   TimePoint StartedAt_ = readBootClock();
   TimePoint LastHeartbeatAt_{Duration::zero()};
+  SharerStatus SharerStatus_;
   TimePoint LastDecisionAt_{Duration::zero()};
   CopyRequestSchedule ConfigurationRequests_;
   bool IsLeaving_ = false;
--- a/src/relay/RetryWindow.cpp
+++ b/src/relay/RetryWindow.cpp
@@ -11,13 +11,16 @@
 
 } // namespace
 
-RetryWindow::Cell &RetryWindow::cellAt(std::size_t Instances, TimePoint Now) {
+RetryWindow::Cell &RetryWindow::cellAt(const BudgetSharers &Sharers,
+                                       TimePoint Now) {
+  if (!Sharers.IncludeSelf_)
+    SlackFrom_ = std::max(SlackFrom_, Now + Limits_.Window_);
   const Duration Width = Limits_.Window_ / (CellCount - 1);
   const std::int64_t Number = Now.time_since_epoch() / Width;
   Cell &Current = Cells_[static_cast<std::size_t>(Number) % CellCount];
   if (Current.Number_ != Number)
     Current = {Number, 0, 0, 1};
-  Current.Instances_ = std::max(Current.Instances_, Instances);
+  Current.Instances_ = std::max(Current.Instances_, Sharers.Count_);
   return Current;
 }
 
@@ -39,12 +42,13 @@
   return Limits_.Slack_ / static_cast<double>(Instances);
 }
 
-void RetryWindow::onRequest(std::size_t Instances, TimePoint Now) {
-  ++cellAt(Instances, Now).Requests_;
+void RetryWindow::onRequest(const BudgetSharers &Sharers, TimePoint Now) {
+  ++cellAt(Sharers, Now).Requests_;
 }
 
-RetryWindowState RetryWindow::state(std::size_t Instances, TimePoint Now) {
-  const Cell Sum = sum(cellAt(Instances, Now));
+RetryWindowState RetryWindow::state(const BudgetSharers &Sharers,
+                                    TimePoint Now) {
+  const Cell Sum = sum(cellAt(Sharers, Now));
   RetryWindowState State;
   State.Requests_ = Sum.Requests_;
   State.Retries_ = Sum.Retries_;
@@ -56,21 +60,21 @@
   return State;
 }
 
-bool RetryWindow::mayRetry(std::size_t Instances, TimePoint Now) {
-  const RetryWindowState State = state(Instances, Now);
+bool RetryWindow::mayRetry(const BudgetSharers &Sharers, TimePoint Now) {
+  const RetryWindowState State = state(Sharers, Now);
   return State.Retries_ + State.Reserved_ + 1 <= State.Allowed_;
 }
 
-std::optional<RetryReservation> RetryWindow::tryReserve(std::size_t Instances,
-                                                        TimePoint Now) {
-  if (!mayRetry(Instances, Now))
+std::optional<RetryReservation>
+RetryWindow::tryReserve(const BudgetSharers &Sharers, TimePoint Now) {
+  if (!mayRetry(Sharers, Now))
     return std::nullopt;
   return RetryReservation(Reserved_);
 }
 
-void RetryWindow::onSent(RetryReservation /*Sent*/, std::size_t Instances,
-                         TimePoint Now) {
-  ++cellAt(Instances, Now).Retries_;
+void RetryWindow::onSent(RetryReservation /*Sent*/,
+                         const BudgetSharers &Sharers, TimePoint Now) {
+  ++cellAt(Sharers, Now).Retries_;
 }
 
 } // namespace gooseberry
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -69,6 +69,22 @@
   return std::max<std::size_t>(1, Members_.size());
 }
 
+BudgetSharers HomeLink::budgetSharers() const {
+  return {instanceCount(), SharerStatus_.isCounted(readBootClock())};
+}
+
+MemberContact HomeLink::memberContact() const {
+  MemberContact Contact;
+  Contact.KnowsMembers_ = !Members_.empty();
+  Contact.IsLeaving_ = IsLeaving_;
+  Contact.IsHome_ = Home_ == Self_;
+  Contact.IsStoreReadable_ = Callbacks_.IsStoreAvailable_();
+  const auto HomeHeard = LastHeardAt_.find(Home_);
+  if (!Contact.IsHome_ && HomeHeard != LastHeardAt_.end())
+    Contact.HomeHeardAt_ = HomeHeard->second;
+  return Contact;
+}
+
 std::uint64_t HomeLink::configurationVersion() const {
   return Configuration_ ? Configuration_->version() : 0;
 }
@@ -110,6 +126,7 @@
 void HomeLink::tick() {
   const TimePoint Now = readBootClock();
   updateHome(Now);
+  SharerStatus_.update(memberContact(), Now);
   if (Now >= LastHeartbeatAt_ + HeartbeatInterval) {
     LastHeartbeatAt_ = Now;
     sendHeartbeats(Now);
--- a/src/relayd/RequestRetries.cpp
+++ b/src/relayd/RequestRetries.cpp
@@ -17,12 +17,12 @@
 
 void RequestRetries::countRequest() {
   if (!std::exchange(IsCounted_, true))
-    budget().onRequest(Context_.Home_.instanceCount(), readBootClock());
+    budget().onRequest(Context_.Home_.budgetSharers(), readBootClock());
 }
 
 bool RequestRetries::isAvailable() {
   return Reserved_ ||
-         budget().mayRetry(Context_.Home_.instanceCount(), readBootClock());
+         budget().mayRetry(Context_.Home_.budgetSharers(), readBootClock());
 }
 
 bool RequestRetries::tryReserve() {
@@ -34,7 +34,7 @@
 void RequestRetries::sendReserved() {
   if (!Reserved_)
     return;
-  budget().onSent(std::move(*Reserved_), Context_.Home_.instanceCount(),
+  budget().onSent(std::move(*Reserved_), Context_.Home_.budgetSharers(),
                   readBootClock());
   Reserved_.reset();
 }
@@ -43,14 +43,14 @@
   auto Reserved = reserve();
   if (!Reserved)
     return false;
-  budget().onSent(std::move(*Reserved), Context_.Home_.instanceCount(),
+  budget().onSent(std::move(*Reserved), Context_.Home_.budgetSharers(),
                   readBootClock());
   return true;
 }
 
 std::optional<RetryReservation> RequestRetries::reserve() {
   auto Reserved =
-      budget().tryReserve(Context_.Home_.instanceCount(), readBootClock());
+      budget().tryReserve(Context_.Home_.budgetSharers(), readBootClock());
   if (!Reserved)
     Context_.Metrics_.add(Count::RetriesDenied);
   logDecision(Reserved.has_value());
@@ -59,7 +59,7 @@
 
 void RequestRetries::logDecision(bool IsAllowed) {
   const RetryWindowState State =
-      budget().state(Context_.Home_.instanceCount(), readBootClock());
+      budget().state(Context_.Home_.budgetSharers(), readBootClock());
   logLine(LogPart::Limits, LogLevel::Info,
           IsAllowed ? "Retry taken from the budget."
                     : "Retry denied; the budget is used up.",
@@ -71,6 +71,8 @@
            {"allowed", asWhole(State.Allowed_)},
            {"slack", asWhole(State.Slack_)},
            {"instances", std::to_string(State.Instances_)},
+           {"counted",
+            Context_.Home_.budgetSharers().IncludeSelf_ ? "true" : "false"},
            {"elapsed_ms", elapsedMs(Request_.Exchange_)}});
 }
 
--- a/tests/HomeLinkTest.cpp
+++ b/tests/HomeLinkTest.cpp
@@ -330,3 +330,25 @@
     CHECK_FALSE(Instance.link().isSuspect(Suspect));
   }
 }
+
+TEST_CASE("An instance shares budgets once it knows who shares them",
+          "[relay]") {
+  asio::io_context Context;
+  BackendDirectory Directory;
+  FakeTables Tables;
+  HomeLink::Callbacks Handlers;
+  Handlers.OnConfiguration_ = [](std::string_view) {};
+  Handlers.IsStoreAvailable_ = [] { return true; };
+  HomeLink Link(Context, {"one"}, Directory, RateLimitBounds(), Tables,
+                std::move(Handlers));
+  Link.start();
+  Context.run_for(50ms);
+  CHECK_FALSE(Link.budgetSharers().IncludeSelf_);
+  const std::vector<RelayMember> Members = {{{{{"one"}, 1}, "", {}}, {}},
+                                            {{{{"two"}, 7}, "", {}}, {}}};
+  Link.setMembers(Members);
+  Context.run_for(50ms);
+  CHECK(Link.budgetSharers().IncludeSelf_);
+  CHECK(Link.budgetSharers().Count_ == 2);
+  Context.stop();
+}
--- a/tests/RetryWindowTest.cpp
+++ b/tests/RetryWindowTest.cpp
@@ -1,5 +1,7 @@
 #include "gooseberrybeam/relay/RetryWindow.h"
 
+#include "gooseberrybeam/relay/SharerStatus.h"
+
 #include <catch2/catch.hpp>
 
 #include <deque>
@@ -17,9 +19,10 @@
 constexpr TimePoint LongAgo = TimePoint(-60s);
 
 int countRetries(RetryWindow &Window, std::size_t Instances, TimePoint Now) {
+  const BudgetSharers Sharers = {Instances, true};
   int Count = 0;
-  while (auto Reserved = Window.tryReserve(Instances, Now)) {
-    Window.onSent(std::move(*Reserved), Instances, Now);
+  while (auto Reserved = Window.tryReserve(Sharers, Now)) {
+    Window.onSent(std::move(*Reserved), Sharers, Now);
     ++Count;
   }
   return Count;
@@ -27,7 +30,7 @@
 
 void addRequests(RetryWindow &Window, int Count, TimePoint Now) {
   for (int I = 0; I != Count; ++I)
-    Window.onRequest(8, Now);
+    Window.onRequest({8, true}, Now);
 }
 
 /// Instances in front of a service that rejects everything, so that each
@@ -35,7 +38,10 @@
 /// servers, and wait otherwise.
 class SheddingFleet {
 public:
-  explicit SheddingFleet(std::size_t Size) : Size_(Size) {
+  /// \param Size the number of instances.
+  /// \param StepsPerRequest the steps between two requests of an instance.
+  explicit SheddingFleet(std::size_t Size, int StepsPerRequest = 1)
+      : Size_(Size), StepsPerRequest_(StepsPerRequest) {
     for (std::size_t I = 0; I != Size; ++I)
       Instances_.push_back({RetryWindow(Limits, LongAgo), LongAgo, {}});
   }
@@ -49,16 +55,26 @@
     Instances_.pop_back();
     --Size_;
   }
+  /// The first instances lose all contact but that with callers and servers.
+  void cut(std::size_t Count) {
+    CutCount_ = Count;
+    CutAt_ = Now_;
+  }
+  void heal() { CutCount_ = 0; }
   /// All servers go down, or are back.
   void setServing(bool HasServers) { HasServers_ = HasServers; }
-  /// Lets time pass; each instance gets a request.
+  /// Lets time pass; each instance gets a request now and then.
   void step() {
     Now_ += 100ms;
+    const bool HasRequests = ++StepNumber_ % StepsPerRequest_ == 0;
     Step Done;
-    for (Instance &Each : Instances_) {
-      const std::size_t Known = Now_ - Each.StartedAt_ < 500ms ? 1 : Size_;
-      Each.Window_.onRequest(Known, Now_);
-      ++Done.Requests_;
+    for (std::size_t I = 0; I != Instances_.size(); ++I) {
+      Instance &Each = Instances_[I];
+      const BudgetSharers Known = sharersKnownTo(I);
+      if (HasRequests) {
+        Each.Window_.onRequest(Known, Now_);
+        ++Done.Requests_;
+      }
       while (auto Reserved = Each.Window_.tryReserve(Known, Now_))
         Each.Waiting_.push_back(std::move(*Reserved));
       if (!HasServers_)
@@ -94,7 +110,24 @@
     int Retries_ = 0;
   };
 
+  /// A silent instance is unregistered after this time.
+  static constexpr Duration MemberTimeout = 20s;
+
+  BudgetSharers sharersKnownTo(std::size_t Index) const {
+    const Instance &Known = Instances_[Index];
+    if (Now_ - Known.StartedAt_ < 500ms)
+      return {1, true};
+    if (Index < CutCount_)
+      return {Size_, Now_ <= CutAt_ + SharerStatus::CountedWithoutContact};
+    const bool IsUnregistered = Now_ > CutAt_ + MemberTimeout;
+    return {IsUnregistered ? Size_ - CutCount_ : Size_, true};
+  }
+
   std::size_t Size_;
+  int StepsPerRequest_;
+  int StepNumber_ = 0;
+  std::size_t CutCount_ = 0;
+  TimePoint CutAt_;
   std::vector<Instance> Instances_;
   std::deque<Step> Steps_;
   TimePoint Now_ = TimePoint(0s);
@@ -150,7 +183,7 @@
 
 TEST_CASE("An instance that is gone keeps its share for a window", "[relay]") {
   RetryWindow Window(Limits, LongAgo);
-  Window.onRequest(8, TimePoint(5s));
+  Window.onRequest({8, true}, TimePoint(5s));
   CHECK(countRetries(Window, 1, TimePoint(6s)) <= 5);
   CHECK(countRetries(Window, 1, TimePoint(20s)) > 20);
 }
@@ -222,21 +255,58 @@
 
 TEST_CASE("A reserved retry counts until it is sent or given back", "[relay]") {
   constexpr RetryWindowLimits LimitsForOne = {0, 10s, 1.3};
+  constexpr BudgetSharers One = {1, true};
   RetryWindow Window(LimitsForOne, LongAgo);
   std::optional<RetryReservation> Reserved =
-      Window.tryReserve(1, TimePoint(5s));
+      Window.tryReserve(One, TimePoint(5s));
   REQUIRE(Reserved);
   SECTION("however long it waits") {
-    CHECK_FALSE(Window.mayRetry(1, TimePoint(5s)));
-    CHECK_FALSE(Window.mayRetry(1, TimePoint(60s)));
+    CHECK_FALSE(Window.mayRetry(One, TimePoint(5s)));
+    CHECK_FALSE(Window.mayRetry(One, TimePoint(60s)));
   }
   SECTION("and, once sent, for a window") {
-    Window.onSent(std::move(*Reserved), 1, TimePoint(20s));
-    CHECK_FALSE(Window.mayRetry(1, TimePoint(29s)));
-    CHECK(Window.mayRetry(1, TimePoint(32s)));
+    Window.onSent(std::move(*Reserved), One, TimePoint(20s));
+    CHECK_FALSE(Window.mayRetry(One, TimePoint(29s)));
+    CHECK(Window.mayRetry(One, TimePoint(32s)));
   }
   SECTION("and no longer if it is given back") {
     Reserved.reset();
-    CHECK(Window.mayRetry(1, TimePoint(5s)));
+    CHECK(Window.mayRetry(One, TimePoint(5s)));
+  }
+}
+
+TEST_CASE("An instance has no slack while the others do not count it",
+          "[relay]") {
+  RetryWindow Window(Limits, LongAgo);
+  CHECK(Window.mayRetry({8, true}, TimePoint(5s)));
+  CHECK_FALSE(Window.mayRetry({8, false}, TimePoint(6s)));
+  SECTION("nor for a window after they count it again") {
+    CHECK_FALSE(Window.mayRetry({8, true}, TimePoint(15s)));
+    CHECK(Window.mayRetry({8, true}, TimePoint(17s)));
+  }
+  SECTION("but the retries that its requests allow") {
+    for (int I = 0; I != 100; ++I)
+      Window.onRequest({8, false}, TimePoint(6s));
+    CHECK(Window.mayRetry({8, false}, TimePoint(6s)));
   }
 }
+
+TEST_CASE("Instances that are cut off and the others share one budget",
+          "[relay][history]") {
+  constexpr std::size_t Size = 8;
+  const std::size_t CutCount = GENERATE(2U, 4U, 6U, 7U);
+  SheddingFleet Fleet(Size, 20);
+  const auto run = [&Fleet](int Steps) {
+    double Most = 0;
+    for (int I = 0; I != Steps; ++I) {
+      Fleet.step();
+      Most = std::max(Most, Fleet.excess());
+    }
+    return Most;
+  };
+  CHECK(run(200) <= 0);
+  Fleet.cut(CutCount);
+  CHECK(run(600) <= 0);
+  Fleet.heal();
+  CHECK(run(300) <= 0);
+}
