--- a/tests/RetryWindowTest.cpp
+++ b/tests/RetryWindowTest.cpp
@@ -296,7 +296,7 @@
   constexpr std::size_t Size = 8;
   const std::size_t CutCount = GENERATE(2U, 4U, 6U, 7U);
   SheddingFleet Fleet(Size, 20);
-  const auto run = [&Fleet](int Steps) {
+  const auto Run = [&Fleet](int Steps) {
     double Most = 0;
     for (int I = 0; I != Steps; ++I) {
       Fleet.step();
@@ -304,9 +304,9 @@
     }
     return Most;
   };
-  CHECK(run(200) <= 0);
+  CHECK(Run(200) <= 0);
   Fleet.cut(CutCount);
-  CHECK(run(600) <= 0);
+  CHECK(Run(600) <= 0);
   Fleet.heal();
-  CHECK(run(300) <= 0);
+  CHECK(Run(300) <= 0);
 }
