--- a/include/gooseberrybeam/relayd/RequestRetries.h
+++ b/include/gooseberrybeam/relayd/RequestRetries.h
@@ -21,7 +21,7 @@
   /// Counts the request with its first call; a request that is refused without
   /// a call earns no retry.
   void countRequest();
-  /// \returns whether the budget has a retry left.
+  /// \returns whether a retry is reserved or the budget has one left.
   bool isAvailable();
   /// Reserves a retry for a call that may have to wait for a server. It is
   /// given back if the request ends before.
