--- a/review/4/run.py
+++ b/review/4/run.py
@@ -12,12 +12,12 @@
 from world import BROKEN, HELD, Caller, play, trouble  # noqa: E402
 
 ROUNDS = 9
-CUT_S = 5.5             # core_cut: for_s
+CUT_S = 5.5             # core_cut: for_s, at most
 LEAVES_AFTER_S = 3.5    # From the start of a cut.
 SERVES_ON_S = 7.0       # A server goes on serving after it has left the list.
 DRAIN_S = 2.0           # drain_ms
 CONTACT_S = 3.0         # contact_ms
-ROUND_S = 10.5
+ROUND_S = 10.7
 
 
 class Contact:
@@ -54,11 +54,13 @@
     world.record_.line(f"{server.name_} has ended")
 
 
-async def replace_one(world, number):
-    """The new server of a release starts first."""
+async def replace(world, number, gone):
+    """A step of a release: the new server starts first, the oldest one leaves."""
     server = world.add_server(f"booking-{number}", "booking-app")
     await server.start(f"127.0.62.{number + 10}")
     await world.store_.put("servers", server.id_, server.entry())
+    await asyncio.sleep(0.5)
+    await leave(world, world.servers_[number - 5], gone)
 
 
 async def run(world):
@@ -73,14 +75,14 @@
     leaving = []
     for number in range(ROUNDS):
         start = time.monotonic()
+        cut_s = random.uniform(CUT_S - 1, CUT_S)
         relay = world.relays_[2]    # core_cut, how = leader: the home, by its name.
         if trouble():
             relay.store_proxy_.cut()
             record.line(f"{relay.name_} is cut off from the store")
-        await replace_one(world, number + 5)
-        await asyncio.sleep(LEAVES_AFTER_S)
-        leaving.append(asyncio.create_task(leave(world, world.servers_[number], gone)))
-        await asyncio.sleep(CUT_S - LEAVES_AFTER_S)
+        await asyncio.sleep(LEAVES_AFTER_S - 0.5)
+        leaving.append(asyncio.create_task(replace(world, number + 5, gone)))
+        await asyncio.sleep(start + cut_s - time.monotonic())
         if trouble():
             relay.store_proxy_.heal()
             contact.cuts_.append((relay, start, time.monotonic()))
