--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,4 +1,4 @@
-"""One backend server spoils a few of its answers; see claim.txt."""
+"""Two of five backend servers spoil a few of their answers; see claim.txt."""
 
 import asyncio
 import os
@@ -12,7 +12,7 @@
 from world import play, trouble  # noqa: E402
 
 LENGTH_S = 60
-SPOILT_SHARE = 0.02     # Of the answers of the server in trouble.
+SPOILT_SHARE = 0.02     # Of the answers of the servers in trouble.
 
 
 async def spoil(server, method, fields, body, writer):
@@ -33,20 +33,21 @@
 
 
 async def run(world):
-    bookings = [world.add_server(f"booking-{n}", "booking-app") for n in range(1, 5)]
+    bookings = [world.add_server(f"booking-{n}", "booking-app") for n in range(1, 6)]
     for n in range(1, 3):
         world.add_server(f"prefill-{n}", "drafting-llm", "prefill")
         world.add_server(f"decode-{n}", "drafting-llm", "decode")
     await world.start()
     if trouble():
-        bookings[0].act_ = spoil
+        for server in bookings[:2]:
+            server.act_ = spoil
     answers = []
     end = time.monotonic() + LENGTH_S
     await asyncio.gather(
         *[keep_asking(world, answers, end, "/book/7", b"x" * 600) for _ in range(20)],
         *[keep_asking(world, answers, end, "/summary/7", b"x" * 5000, 14000, True)
           for _ in range(8)])
-    return judge(world, answers, [bookings[0]])
+    return judge(world, answers, bookings[:2])
 
 
 play(CASE, run, relays=3)
