Report a trailer field that is too large as a malformed message

Cause: Beast inserts trailer fields into the head without regard to the limit of heads, and throws std::length_error for a field of more than 65,533 bytes. The exception leaves a handler, not a coroutine, and ends the process.

Change: BoundedParser checks the size of each field and drops trailer fields, which nothing here may act on (RFC 9110, 6.5.1). All parsers of foreign HTTP use it: responses of servers and of the store, callers' requests, the relay's ready and metrics ports, gooseberryd's operator port. Buffers of the latter two are bounded too. A caller's malformed trailer or chunk extension is answered 400 and no longer treated as a closed connection.

Ruled out: fields of heads (Beast's own limit of 8 KiB, ours of 65,000).

--- a/include/gooseberrybeam/http/CallerExchange.h
+++ b/include/gooseberrybeam/http/CallerExchange.h
@@ -5,6 +5,8 @@
 
 #include "gooseberrybeam/base/Ids.h"
 #include "gooseberrybeam/base/Result.h"
+#include "gooseberrybeam/http/BoundedParser.h"
+#include "gooseberrybeam/http/ByteBudget.h"
 #include "gooseberrybeam/http/CallerLimits.h"
 #include "gooseberrybeam/http/CancelScope.h"
 #include "gooseberrybeam/http/ErrorBody.h"
@@ -12,7 +14,6 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <functional>
 #include <memory>
@@ -27,7 +28,7 @@
 /// false once the caller is gone.
 class CallerExchange {
 public:
-  using Parser = beast::http::request_parser<beast::http::buffer_body>;
+  using Parser = BoundedParser<true, beast::http::buffer_body>;
   using BodyPart = Result<std::size_t, CallerError>;
   using WholeBody = Result<std::string, CallerError>;
 
--- a/include/gooseberrybeam/http/ClientConnection.h
+++ b/include/gooseberrybeam/http/ClientConnection.h
@@ -6,12 +6,12 @@
 #include "gooseberrybeam/base/Result.h"
 #include "gooseberrybeam/base/Time.h"
 #include "gooseberrybeam/http/Asio.h"
+#include "gooseberrybeam/http/BoundedParser.h"
 #include "gooseberrybeam/http/CallError.h"
 #include "gooseberrybeam/http/CancelScope.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <memory>
 #include <optional>
@@ -84,7 +84,7 @@
   std::optional<Duration> idleLimit() const { return IdleLimit_; }
 
 private:
-  using Parser = beast::http::response_parser<beast::http::buffer_body>;
+  using Parser = BoundedParser<false, beast::http::buffer_body>;
 
   CallError failed(CallFailure Failure, bool MayHaveStarted);
 
--- a/src/http/CallerExchange.cpp
+++ b/src/http/CallerExchange.cpp
@@ -120,10 +120,10 @@
     if (Error == http::error::body_limit)
       co_return CallerError{
           {RefusalReason::RequestTooLarge, Execution::NotRun, {}}, "", ""};
-    if (Error == http::error::bad_chunk ||
-        Error == http::error::bad_chunk_extension)
+    const bool IsRead = !Error || Error == http::error::need_buffer;
+    if (!IsRead && isMalformedMessage(Error))
       co_return malformedBody();
-    if (Error && Error != http::error::need_buffer) {
+    if (!IsRead) {
       Scope_.cancel(RefusalReason::ClientGone);
       co_return CallerError{
           {RefusalReason::ClientGone, Execution::NotRun, {}}, "", ""};
--- a/src/http/CallerSession.cpp
+++ b/src/http/CallerSession.cpp
@@ -64,11 +64,7 @@
                      "The request's head is too large.");
   if (Error == http::error::body_limit)
     return makeError(RefusalReason::RequestTooLarge, "");
-  const bool IsParserError =
-      Error.category() ==
-      http::make_error_code(http::error::bad_version).category();
-  if (IsParserError && Error != http::error::end_of_stream &&
-      Error != http::error::partial_message)
+  if (isMalformedMessage(Error))
     return makeError(RefusalReason::MalformedRequest,
                      "The request's head is malformed.");
   return std::nullopt;
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -24,13 +24,7 @@
     return CallFailure::Cancelled;
   if (Error == beast::error::timeout)
     return CallFailure::Timeout;
-  if (Error.category() ==
-      beast::http::make_error_code(beast::http::error::bad_version).category())
-    return Error == beast::http::error::end_of_stream ||
-                   Error == beast::http::error::partial_message
-               ? Otherwise
-               : CallFailure::Malformed;
-  return Otherwise;
+  return isMalformedMessage(Error) ? CallFailure::Malformed : Otherwise;
 }
 
 constexpr std::string_view TimeoutParameter = "timeout=";
--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrybeam/operator/OperatorServer.h"
 
+#include "gooseberrybeam/http/BoundedParser.h"
 #include "gooseberrybeam/http/OpenAcceptor.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -22,7 +23,7 @@
 constexpr auto IdleTimeout = std::chrono::seconds(30);
 constexpr auto AcceptPause = std::chrono::milliseconds(50);
 
-using Parser = http::request_parser<http::string_body>;
+using Parser = BoundedParser<true, http::string_body>;
 
 OperatorRequest makeRequest(const Parser &Read) {
   const auto &Message = Read.get();
@@ -94,7 +95,7 @@
 asio::awaitable<void> OperatorServer::serve(Socket Connection) {
   ++Connections_;
   beast::tcp_stream Stream(std::move(Connection));
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer(MaxConnectionBuffer);
   for (bool IsKept = true; IsKept;) {
     Parser Read;
     Read.body_limit(MaxBodyBytes);
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrybeam/daemon/IgnoreHangups.h"
 #include "gooseberrybeam/daemon/Incarnation.h"
+#include "gooseberrybeam/http/BoundedParser.h"
 #include "gooseberrybeam/http/Endpoint.h"
 #include "gooseberrybeam/http/OpenAcceptor.h"
 #include "gooseberrybeam/http/SpawnTask.h"
@@ -33,6 +34,8 @@
 /// Reserved before that for the refusals of requests without a response.
 constexpr Duration FinalAnswerTime = std::chrono::milliseconds(200);
 constexpr Duration OperatorTimeout = std::chrono::seconds(3);
+/// Readiness checks and requests for metrics have no body.
+constexpr std::uint64_t MaxOperatorBody = 4096;
 /// The home unregisters an instance that has sent no message for this long.
 constexpr Duration MemberTimeout = std::chrono::seconds(20);
 constexpr Duration InitialCallerDeadline = std::chrono::seconds(30);
@@ -203,14 +206,16 @@
 Task<void> RelayDaemon::serveOperator(tcp::socket Socket) {
   constexpr unsigned Version11 = 11;
   beast::tcp_stream Stream(std::move(Socket));
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer(MaxConnectionBuffer);
   for (;;) {
-    http::request<http::string_body> Request;
+    BoundedParser<true, http::string_body> Parser;
+    Parser.body_limit(MaxOperatorBody);
     Stream.expires_after(OperatorTimeout);
     auto [ReadError, Read] =
-        co_await http::async_read(Stream, Buffer, Request, AsTuple);
+        co_await http::async_read(Stream, Buffer, Parser, AsTuple);
     if (ReadError)
       co_return;
+    const auto &Request = Parser.get();
     http::response<http::string_body> Response(http::status::ok, Version11);
     if (asStd(Request.target()) == Settings_.ReadyPath_) {
       if (!isReady())
--- a/tests/CallerServerTest.cpp
+++ b/tests/CallerServerTest.cpp
@@ -173,6 +173,22 @@
                                      "Content-Length: 17\r\n\r\n"),
                     413));
   }
+  SECTION("until a trailer field is larger than any message holds") {
+    const std::string Head = "POST /a HTTP/1.1\r\nHost: a\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string Field = "x: " + std::string(70'000, 'z') + "\r\n";
+    const auto Answer = Fixture.exchange(Head + "0\r\n" + Field + "\r\n");
+    CHECK(hasStatus(Answer, 400));
+    CHECK(Fixture.Handler_.Refused_ ==
+          std::vector{RefusalReason::MalformedRequest});
+  }
+  SECTION("until the extension of a chunk does not end") {
+    const std::string Head = "POST /a HTTP/1.1\r\nHost: a\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    const auto Answer =
+        Fixture.exchange(Head + "1;x=" + std::string(300'000, 'z'));
+    CHECK(hasStatus(Answer, 400));
+  }
   SECTION("also a chunked one") {
     CHECK(hasStatus(Fixture.exchange("POST /a HTTP/1.1\r\nHost: a\r\n"
                                      "Transfer-Encoding: chunked\r\n\r\n"
--- a/tests/OperatorApiTest.cpp
+++ b/tests/OperatorApiTest.cpp
@@ -3,6 +3,7 @@
 #include "support/RowStore.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/json.hpp>
@@ -15,6 +16,8 @@
 
 namespace {
 
+constexpr auto TestTimeout = std::chrono::seconds(10);
+
 /// A table that answers every call on the next turn of the context.
 class PostedTable final : public TableClient {
 public:
@@ -200,6 +203,34 @@
   }
 }
 
+// Guards against the end of the process by one request.
+TEST_CASE("A trailer field that no message can hold closes its connection to "
+          "the operators' port",
+          "[operator]") {
+  OneInstance Instance;
+  OperatorServer Server(Instance.Context_, Instance.Api_);
+  REQUIRE_FALSE(Server.listen({asio::ip::make_address("127.0.0.1"), 0}));
+  std::string Got;
+  std::thread Client([Port = Server.port(), &Got, &Instance] {
+    asio::io_context Context;
+    asio::ip::tcp::socket Socket(Context);
+    Socket.connect({asio::ip::make_address("127.0.0.1"), Port});
+    const std::string Bytes = "POST /v1/orders HTTP/1.1\r\nHost: x\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n0\r\nx: " +
+                              std::string(70'000, 'z') + "\r\n\r\n";
+    boost::system::error_code Error;
+    asio::write(Socket, asio::buffer(Bytes), Error);
+    asio::read(Socket, asio::dynamic_buffer(Got), Error);
+    Instance.Context_.stop();
+  });
+  CHECK_NOTHROW(Instance.Context_.run_for(TestTimeout));
+  // Closes what an exception would have left open.
+  Instance.Context_.restart();
+  Instance.Context_.run_for(std::chrono::milliseconds(1));
+  Client.join();
+  CHECK(Got.empty());
+}
+
 TEST_CASE("The operators' port speaks HTTP", "[operator]") {
   OneInstance Instance;
   OperatorServer Server(Instance.Context_, Instance.Api_);
