Keep a process running after an exception that leaves a handler

Change: the relay and gooseberryd's workers and control thread run their contexts by runContext, which logs the exception and goes on; it ends the operation that it belongs to.

--- a/include/gooseberrybeam/http/SpawnTask.h
+++ b/include/gooseberrybeam/http/SpawnTask.h
@@ -5,6 +5,7 @@
 
 #include "gooseberrybeam/http/Asio.h"
 
+#include <exception>
 #include <functional>
 #include <string_view>
 
@@ -31,6 +32,17 @@
 /// \param Work the function.
 void runGuarded(std::string_view Name, const std::function<void()> &Work);
 
+/// Logs an exception that nobody expected.
+/// \param Name a literal that names what it ended.
+/// \param Thrown the exception.
+void logException(std::string_view Name, const std::exception_ptr &Thrown);
+
+/// Runs a context until it is stopped or has no more work. An exception that
+/// leaves a handler ends the operation that it belongs to and is logged.
+/// \param Context the context.
+/// \param Name a literal that names the context in the log.
+void runContext(asio::io_context &Context, std::string_view Name);
+
 } // namespace gooseberry
 
 #endif // GOOSEBERRYBEAM_HTTP_SPAWNTASK_H
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -4,6 +4,7 @@
 #include "gooseberrybeam/daemon/Incarnation.h"
 #include "gooseberrybeam/http/Endpoint.h"
 #include "gooseberrybeam/http/OpenAcceptor.h"
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/peers/PlacementCodec.h"
 
@@ -111,7 +112,7 @@
   logLine(
       LogPart::Daemon, LogLevel::Info, "Daemon serves.",
       {{"instance", Settings_.Name_.Value_}, {"listen", Settings_.Listen_}});
-  Control_.run();
+  runContext(Control_, "control");
   for (const auto &Each : Workers_)
     Each->stop();
 }
--- a/src/daemon/Worker.cpp
+++ b/src/daemon/Worker.cpp
@@ -1,5 +1,7 @@
 #include "gooseberrybeam/daemon/Worker.h"
 
+#include "gooseberrybeam/http/SpawnTask.h"
+
 #include <boost/asio/post.hpp>
 
 namespace gooseberry {
@@ -43,7 +45,7 @@
 Worker::~Worker() { stop(); }
 
 void Worker::start() {
-  Thread_ = std::thread([this] { Context_.run(); });
+  Thread_ = std::thread([this] { runContext(Context_, "worker"); });
 }
 
 void Worker::stop() {
--- a/src/http/SpawnTask.cpp
+++ b/src/http/SpawnTask.cpp
@@ -16,19 +16,6 @@
 /// The text of an exception is cut off here in the log.
 constexpr std::size_t MaxReasonBytes = 200;
 
-void logException(std::string_view Name, const std::exception_ptr &Thrown) {
-  std::string Reason = "unknown";
-  try {
-    std::rethrow_exception(Thrown);
-  } catch (const std::exception &Error) {
-    Reason = std::string_view(Error.what()).substr(0, MaxReasonBytes);
-  } catch (...) {
-    // Not an exception of the standard library; it has no text.
-  }
-  logLine(LogPart::Daemon, LogLevel::Error, "Unexpected exception.",
-          {{"task", Name}, {"error", Reason}});
-}
-
 Task<void> runLoop(asio::io_context &Context, std::string_view Name,
                    std::function<Task<void>()> Loop) {
   asio::steady_timer Pause(Context);
@@ -46,6 +33,19 @@
 
 } // namespace
 
+void logException(std::string_view Name, const std::exception_ptr &Thrown) {
+  std::string Reason = "unknown";
+  try {
+    std::rethrow_exception(Thrown);
+  } catch (const std::exception &Error) {
+    Reason = std::string_view(Error.what()).substr(0, MaxReasonBytes);
+  } catch (...) {
+    // Not an exception of the standard library; it has no text.
+  }
+  logLine(LogPart::Daemon, LogLevel::Error, "Unexpected exception.",
+          {{"task", Name}, {"error", Reason}});
+}
+
 void spawnTask(asio::io_context &Context, std::string_view Name,
                Task<void> Work) {
   asio::co_spawn(Context, std::move(Work),
@@ -60,6 +60,17 @@
   spawnTask(Context, Name, runLoop(Context, Name, std::move(Loop)));
 }
 
+void runContext(asio::io_context &Context, std::string_view Name) {
+  for (;;) {
+    try {
+      Context.run();
+      return;
+    } catch (...) {
+      logException(Name, std::current_exception());
+    }
+  }
+}
+
 void runGuarded(std::string_view Name, const std::function<void()> &Work) {
   try {
     Work();
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -182,7 +182,7 @@
           {{"instance", Settings_.Name_.Value_},
            {"incarnation", std::to_string(Incarnation_)},
            {"listen", Settings_.CallerListen_}});
-  Context_.run();
+  runContext(Context_, "relay");
 }
 
 Task<void> RelayDaemon::accept(Port &ListenPort) {
