Tell an outage of the own path from one of the store

Cause: registrations may lapse while the store is away, so a relay keeps removed servers for 2.3 s after it finds the store readable again. It cannot tell a cut of its own path from an outage of the store: it keeps what was removed for good, and as it finds the store up to 1.5 s after the cut has ended, beyond the bound. Worse, a home that was cut off tells the others that the store was away, and they keep removed servers for 2.3 s from then on.

Change: StoreContact combines the answers of the store that this instance and others got; heartbeats and their replies carry the span (new optional fields; instances of earlier releases ignore them). If the store has answered somebody without a gap in which a registration can lapse, what was removed is gone, whatever the own path did. An instance that follows the store alone asks at least every 1.5 s, and at once when its home stops feeding it, so that its answers leave no such gap; before, up to 5 s.

BackendDirectoryTest plays the cut, an outage that all have seen, and a restored store; with isSteady() returning false (the logic before) its sections on the own path fail.

Ruled out: shorter waits between attempts alone (1.5 s + 2.3 s would become 0.6 s + 2.3 s at best, which leaves no margin); trusting a removal that a peer reports (it does not reach a relay that reads the removal itself after the cut, which is most of the cases). Other timers that start as an outage of the own path ends were read: a restored store (kept, its answers start anew), the registry of instances, the share of the retry budget, the choice of the home.

--- a/include/gooseberrybeam/relay/BackendDirectory.h
+++ b/include/gooseberrybeam/relay/BackendDirectory.h
@@ -6,6 +6,7 @@
 #include "gooseberrybeam/base/Time.h"
 #include "gooseberrybeam/relay/BackendEntry.h"
 #include "gooseberrybeam/relay/LeavingServer.h"
+#include "gooseberrybeam/relay/StoreContact.h"
 
 #include <deque>
 #include <map>
@@ -17,7 +18,9 @@
 
 /// Mirrors the registrations in the store. During a store outage, registrations
 /// can expire although their servers are still running, so expired entries are
-/// kept until the servers have had time to register again. Once a server is
+/// kept until the servers have had time to register again. They are not if
+/// other instances show that only this one's path to the store was cut, see
+/// `StoreContact`. Once a server is
 /// known to leave, it stays so until its process restarts, whatever older
 /// registrations say.
 class BackendDirectory {
@@ -25,7 +28,11 @@
   /// \param Heartbeat the interval in which servers renew their registrations.
   explicit BackendDirectory(
       Duration Heartbeat = std::chrono::milliseconds(1200))
-      : Heartbeat_(Heartbeat) {}
+      : Heartbeat_(Heartbeat),
+        StoreContact_(LapseOutageHeartbeats * Heartbeat - LapseMargin) {}
+
+  /// \returns since when the store has answered; to be told of its answers.
+  StoreContact &storeContact() { return StoreContact_; }
 
   /// Records that the store cannot be read.
   void onStoreUnavailable();
@@ -68,9 +75,9 @@
   /// \param Now the current time.
   void remove(const ServerId &Id, TimePoint Now);
   /// Removes registrations that were not renewed by their deadline, and adds
-  /// restored ones that were. Has no effect while the store is unavailable.
-  /// \param Now the current time.
-  /// \returns the servers that were removed.
+  /// restored ones that were. If the store was steady, removes all of them;
+  /// else has no effect while the store is unavailable. \param Now the current
+  /// time. \returns the servers that were removed.
   std::vector<ServerId> expire(TimePoint Now);
 
   /// \returns the entry, or null if the server is unknown. The pointer is valid
@@ -88,10 +95,17 @@
   std::uint64_t changeCount() const { return ChangeCount_; }
 
   /// \param Now the current time.
-  /// \returns whether the store is unavailable, or was until recently.
+  /// \returns whether the store is unavailable, or was until recently, as far
+  /// as this instance and others can tell.
   bool isNearOutage(TimePoint Now) const;
 
 private:
+  /// An outage of fewer heartbeats cannot make a registration lapse: it is
+  /// renewed in each of them, and lapses after three.
+  static constexpr int LapseOutageHeartbeats = 2;
+  /// Heartbeats are not quite regular.
+  static constexpr Duration LapseMargin = std::chrono::milliseconds(300);
+
   /// A server whose registration was removed, or that is not registered yet.
   struct AbsentServer {
     ServerId Id_;
@@ -112,6 +126,7 @@
   bool isKnownToLeave(const BackendEntry &Entry) const;
 
   Duration Heartbeat_;
+  StoreContact StoreContact_;
   std::map<ServerId, BackendEntry> Entries_;
   std::map<ServerId, RestoredEntry> RestoredEntries_;
   std::map<ServerId, TimePoint> LapseDeadlines_; ///< Renewal deadlines.
--- a/include/gooseberrybeam/relay/HomeMessages.h
+++ b/include/gooseberrybeam/relay/HomeMessages.h
@@ -8,6 +8,7 @@
 #include "gooseberrybeam/relay/PlacementTypes.h"
 #include "gooseberrybeam/relay/PromptQuarantine.h"
 #include "gooseberrybeam/relay/ServerLimit.h"
+#include "gooseberrybeam/relay/StoreContact.h"
 #include "gooseberrybeam/relay/TableUpdate.h"
 #include "gooseberrybeam/relay/TrialMessages.h"
 
@@ -44,6 +45,8 @@
   std::uint64_t ConfigurationVersion_ = 0;
   /// The latest known change of the registered backend servers.
   StoreVersion ServersVersion_;
+  /// When the store answered the sender or others; none if it never did.
+  std::optional<StoreContactSpan> StoreContact_;
   Duration Uptime_{0};      ///< Time since the sender's process started.
   bool IsAttached_ = false; ///< False: probes whether the receiver is alive.
   /// The number of times that the sender's process has attached to a home.
@@ -75,7 +78,8 @@
 struct HomeReply {
   std::uint64_t Sequence_ = 0;
   std::uint64_t ConfigurationVersion_ = 0;
-  StoreVersion ServersVersion_; ///< As in the heartbeat.
+  StoreVersion ServersVersion_;                  ///< As in the heartbeat.
+  std::optional<StoreContactSpan> StoreContact_; ///< As in the heartbeat.
   /// The sender's copies of the shared tables, by `SharedTableId`.
   std::array<FeedState, SharedTableCount> Feeds_;
   bool IsLeaving_ = false; ///< The sender shuts down; select another home.
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -211,6 +211,8 @@
   void handleFeeds(const HomeReply &Reply);
   void handleLeaving(std::span<const LeavingServer> Servers,
                      const InstanceId &Sender);
+  void handleStoreContact(const std::optional<StoreContactSpan> &Span,
+                          const InstanceId &Sender);
   HomeHeartbeat makeHeartbeat();
   std::vector<TokenUsage> recentTokenUsage() const;
   void logAnswer(const PlacementDecision &Decision) const;
--- a/include/gooseberrybeam/relayd/TableFeeds.h
+++ b/include/gooseberrybeam/relayd/TableFeeds.h
@@ -32,6 +32,8 @@
   /// Functions of the instance; all must be set.
   struct Listener {
     std::function<void(const Changes &)> OnChanges_;
+    /// Called after each answer of the store, whichever table it is for.
+    std::function<void()> OnStoreAnswer_;
     /// Receives whether the registrations of servers can be read.
     std::function<void(bool IsAvailable)> OnAvailability_;
     /// \returns whether servers may be missing because of an outage.
--- a/include/gooseberrybeam/relayd/TableWatcher.h
+++ b/include/gooseberrybeam/relayd/TableWatcher.h
@@ -62,6 +62,7 @@
   Task<bool> readAll();
   Task<bool> pollOnce();
   Task<void> wait(Duration Time);
+  Duration pollTime() const;
   Task<void> handleFailure(StoreFailure Failure);
   void handleSuccess();
 
@@ -75,6 +76,7 @@
   StoreVersion Version_;
   std::uint32_t ConsecutiveFailures_ = 0; ///< Reset by a success.
   bool IsUnavailable_ = false;
+  bool HasResumed_ = false; ///< After a pause, and no call has succeeded yet.
 };
 
 } // namespace gooseberry
--- a/src/relay/BackendDirectory.cpp
+++ b/src/relay/BackendDirectory.cpp
@@ -29,13 +29,16 @@
 }
 
 void BackendDirectory::onStoreCopied(TimePoint Now) {
+  StoreContact_.onRestored(Now);
   StoreRestoredAt_ = Now;
   for (auto &[Id, Deadline] : LapseDeadlines_)
     Deadline = Now + RenewalTime;
 }
 
 bool BackendDirectory::isNearOutage(TimePoint Now) const {
-  return IsStoreUnavailable_ || Now < StoreRestoredAt_ + RenewalTime;
+  const bool IsNearOwnOutage =
+      IsStoreUnavailable_ || Now < StoreRestoredAt_ + RenewalTime;
+  return IsNearOwnOutage && !StoreContact_.isSteady(Now);
 }
 
 void BackendDirectory::replace(const std::vector<BackendEntry> &Entries,
@@ -172,11 +175,13 @@
 
 std::vector<ServerId> BackendDirectory::expire(TimePoint Now) {
   std::vector<ServerId> Dropped;
-  if (IsStoreUnavailable_)
+  const bool IsSteady = StoreContact_.isSteady(Now);
+  if (IsStoreUnavailable_ && !IsSteady)
     return Dropped;
-  addConfirmed(Now);
+  if (!IsStoreUnavailable_)
+    addConfirmed(Now);
   for (const auto &[Id, Deadline] : LapseDeadlines_)
-    if (Deadline <= Now)
+    if (IsSteady || Deadline <= Now)
       Dropped.push_back(Id);
   for (const auto &Id : Dropped)
     erase(Id);
--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -112,6 +112,22 @@
   return Suspects;
 }
 
+template <typename T>
+void writeContact(T &Body, const std::optional<StoreContactSpan> &Span) {
+  if (!Span)
+    return;
+  Body.mutable_store_contact()->set_age_us(Span->Age_.count());
+  Body.mutable_store_contact()->set_length_us(Span->Length_.count());
+}
+
+template <typename T>
+std::optional<StoreContactSpan> readContact(const T &Body) {
+  if (!Body.has_store_contact())
+    return std::nullopt;
+  return StoreContactSpan{readTime(Body.store_contact().age_us()),
+                          readTime(Body.store_contact().length_us())};
+}
+
 template <typename T>
 void writeLimits(T &Body, const std::vector<ServerLimit> &Limits) {
   for (const auto &Source : Limits) {
@@ -151,6 +167,7 @@
   Body.set_configuration_version(Message.ConfigurationVersion_);
   Body.set_servers_version(Message.ServersVersion_.Number_);
   Body.set_servers_era(Message.ServersVersion_.Era_);
+  writeContact(Body, Message.StoreContact_);
   Body.set_uptime_us(Message.Uptime_.count());
   Body.set_is_attached(Message.IsAttached_);
   Body.set_attachment(Message.Attachment_);
@@ -184,6 +201,7 @@
   Body.set_configuration_version(Message.ConfigurationVersion_);
   Body.set_servers_version(Message.ServersVersion_.Number_);
   Body.set_servers_era(Message.ServersVersion_.Era_);
+  writeContact(Body, Message.StoreContact_);
   Body.set_is_leaving(Message.IsLeaving_);
   for (const auto &Organisation : Message.ExhaustedOrganisations_)
     Body.add_exhausted(Organisation.Value_);
@@ -330,6 +348,7 @@
   Message.Sequence_ = Body.sequence();
   Message.ConfigurationVersion_ = Body.configuration_version();
   Message.ServersVersion_ = {Body.servers_version(), Body.servers_era()};
+  Message.StoreContact_ = readContact(Body);
   Message.Uptime_ = readTime(Body.uptime_us());
   Message.IsAttached_ = Body.is_attached();
   Message.Attachment_ = Body.attachment();
@@ -359,6 +378,7 @@
   Message.Sequence_ = Body.sequence();
   Message.ConfigurationVersion_ = Body.configuration_version();
   Message.ServersVersion_ = {Body.servers_version(), Body.servers_era()};
+  Message.StoreContact_ = readContact(Body);
   Message.IsLeaving_ = Body.is_leaving();
   for (const auto &Organisation : Body.exhausted())
     Message.ExhaustedOrganisations_.push_back({Organisation});
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -140,6 +140,7 @@
   Message.ConfigurationVersion_ = configurationVersion();
   Message.ServersVersion_ =
       Tables_.feedState(SharedTableId::Servers).LastChange_;
+  Message.StoreContact_ = Directory_.storeContact().span(readBootClock());
   Message.Uptime_ = readBootClock() - StartedAt_;
   Message.Attachment_ = Attachment_;
   Message.IsLeaving_ = IsLeaving_;
@@ -358,6 +359,12 @@
               {{"server", Each.Id_.Value_}, {"instance", Sender.Value_}});
 }
 
+void HomeLink::handleStoreContact(const std::optional<StoreContactSpan> &Span,
+                                  const InstanceId &Sender) {
+  if (Span && Sender != Self_)
+    Directory_.storeContact().onPeerSpan(*Span, readBootClock());
+}
+
 void HomeLink::sendToAttached(const TableUpdate &Update) {
   const PlacementBytes Bytes = {encodeHomeMessage(Update)};
   for (const InstanceId &Each : Coordinator_.attachedInstances()) {
@@ -378,12 +385,14 @@
   if (Message.IsLeaving_ && Sender != Self_)
     Selector_.onLeaving(Sender);
   handleLeaving(Message.LeavingServers_, Sender);
+  handleStoreContact(Message.StoreContact_, Sender);
   HomeReply Reply;
   Reply.Sequence_ = Message.Sequence_;
   Reply.ConfigurationVersion_ = configurationVersion();
   for (std::size_t I = 0; I != SharedTableCount; ++I)
     Reply.Feeds_[I] = Tables_.feedState(static_cast<SharedTableId>(I));
   Reply.ServersVersion_ = Tables_.feedState(SharedTableId::Servers).LastChange_;
+  Reply.StoreContact_ = Directory_.storeContact().span(Now);
   Reply.IsLeaving_ = IsLeaving_;
   Reply.ExhaustedOrganisations_ =
       Coordinator_.onHeartbeat(Sender, Message, Now);
@@ -408,6 +417,7 @@
 }
 
 void HomeLink::handleReply(const InstanceId &Sender, const HomeReply &Message) {
+  handleStoreContact(Message.StoreContact_, Sender);
   if (Sender != Self_) {
     Selector_.onHeartbeatReply(Sender, readBootClock());
     if (Message.IsLeaving_)
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -130,6 +130,9 @@
     else
       applyConfigurationRows(Changed.Rows_);
   };
+  Handlers.OnStoreAnswer_ = [this] {
+    Directory_.storeContact().onAnswer(readBootClock());
+  };
   Handlers.OnAvailability_ = [this](bool IsAvailable) {
     if (IsAvailable)
       Directory_.onStoreRestored(readBootClock());
--- a/src/relayd/TableFeeds.cpp
+++ b/src/relayd/TableFeeds.cpp
@@ -10,9 +10,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// How long the store holds a call for the registrations of servers. Each
+/// answer tells that the store is there, and none may be missed for long, see
+/// `StoreContact`.
+constexpr Duration OwnPollTime = milliseconds(1500);
 /// The pace of an instance that follows the store for itself. The rows of
 /// instances are less urgent: an instance that is not known yet can serve.
-constexpr TableWatcher::Pace ServersPace = {milliseconds(250), seconds(5)};
+constexpr TableWatcher::Pace ServersPace = {milliseconds(250), OwnPollTime};
 constexpr TableWatcher::Pace InstancesPace = {seconds(3), seconds(5)};
 constexpr TableWatcher::Pace ConfigurationPace = {milliseconds(0), seconds(5)};
 /// The pace of an instance that feeds others. Each answer confirms that the
@@ -33,7 +37,7 @@
 /// learns soon who they are, so that its home can feed it, and reads the
 /// registrations of servers, which also come in quick succession, less often.
 constexpr Duration StartupTime = seconds(3);
-constexpr TableWatcher::Pace ServersStartupPace = {seconds(1), seconds(5)};
+constexpr TableWatcher::Pace ServersStartupPace = {seconds(1), OwnPollTime};
 constexpr TableWatcher::Pace InstancesStartupPace = {milliseconds(600),
                                                      seconds(5)};
 
@@ -104,6 +108,7 @@
 
 void TableFeeds::applyFromStore(SharedTableId Table, const StoreRows &Rows,
                                 bool IsSnapshot) {
+  Listener_.OnStoreAnswer_();
   const StoreVersion Previous = table(Table).cache().version();
   const TimePoint Now = readBootClock();
   const auto Changed = IsSnapshot ? table(Table).onStoreSnapshot(Rows, Now)
--- a/src/relayd/TableWatcher.cpp
+++ b/src/relayd/TableWatcher.cpp
@@ -8,7 +8,8 @@
 namespace gooseberry {
 namespace {
 
-/// After a failure a short call shows sooner that the store is reachable again.
+/// After a failure or a pause a short call shows sooner whether the store is
+/// reachable.
 constexpr Duration RetryPollTimeout = std::chrono::milliseconds(100);
 constexpr Duration InitialBackoff = std::chrono::milliseconds(60);
 constexpr Duration MaxBackoff = std::chrono::seconds(1);
@@ -54,6 +55,7 @@
     PauseTimer_.expires_at(asio::steady_timer::time_point::max());
     co_await PauseTimer_.async_wait(AsTuple);
   }
+  HasResumed_ = true;
   Version_ = std::max(Version_, Control_.KnownVersion_());
   logLine(LogPart::Table, LogLevel::Info, "Following the store.",
           {{"table", Table_}, {"version", asText(Version_)}});
@@ -77,11 +79,14 @@
   co_return true;
 }
 
+Duration TableWatcher::pollTime() const {
+  const bool IsShort =
+      IsUnavailable_ || ConsecutiveFailures_ > 0 || HasResumed_;
+  return IsShort ? RetryPollTimeout : Control_.Pace_().PollTime_;
+}
+
 Task<bool> TableWatcher::pollOnce() {
-  const Duration Timeout = IsUnavailable_ || ConsecutiveFailures_ > 0
-                               ? RetryPollTimeout
-                               : Control_.Pace_().PollTime_;
-  const auto Rows = co_await Store_.watch(Table_, Version_, Timeout, Scope_);
+  const auto Rows = co_await Store_.watch(Table_, Version_, pollTime(), Scope_);
   if (!isOk(Rows)) {
     const StoreFailure Failure = errorOf(Rows);
     if (Failure == StoreFailure::HistoryGone ||
@@ -106,6 +111,7 @@
 
 void TableWatcher::handleSuccess() {
   ConsecutiveFailures_ = 0;
+  HasResumed_ = false;
   if (!std::exchange(IsUnavailable_, false))
     return;
   logLine(LogPart::Table, LogLevel::Info, "Store is reachable again.",
--- a/tests/BackendDirectoryTest.cpp
+++ b/tests/BackendDirectoryTest.cpp
@@ -108,6 +108,13 @@
       CHECK(Directory.expire(TimePoint(12s)).empty());
       CHECK(Directory.expire(TimePoint(12500ms)).size() == 1);
     }
+    SECTION("also if the store had answered without a gap") {
+      Directory.storeContact().onPeerSpan({0s, 60s}, TimePoint(10s));
+      Directory.onStoreCopied(TimePoint(10s));
+      Directory.storeContact().onPeerSpan({0s, 60s}, TimePoint(10s));
+      Directory.remove({"a"}, TimePoint(10s));
+      CHECK(Directory.find({"a"}) != nullptr);
+    }
     SECTION("a server that had gone does not come back") {
       Directory.remove({"a"}, TimePoint(1s));
       Directory.onStoreCopied(TimePoint(10s));
@@ -144,6 +151,60 @@
       CHECK(Directory.find({"a"})->IsLeaving_);
     }
   }
+  // Guards against a removed server that is used although only the own path to
+  // the store was cut: nothing lapses then, and other instances know it.
+  SECTION("while only this instance's path to the store is cut") {
+    const auto HearOfAnswers = [&Directory](TimePoint Now) {
+      Directory.storeContact().onPeerSpan({100ms, 60s}, Now);
+    };
+    Directory.storeContact().onAnswer(TimePoint(9s));
+    Directory.onStoreUnavailable();
+    SECTION("a server that is removed is gone") {
+      HearOfAnswers(TimePoint(12s));
+      CHECK_FALSE(Directory.isNearOutage(TimePoint(12s)));
+      Directory.remove({"a"}, TimePoint(12s));
+      CHECK(Directory.find({"a"}) == nullptr);
+    }
+    SECTION("a server that was kept is dropped once others are heard") {
+      Directory.remove({"a"}, TimePoint(12s));
+      CHECK(Directory.find({"a"}) != nullptr);
+      HearOfAnswers(TimePoint(14s));
+      CHECK(Directory.expire(TimePoint(14s)) == std::vector<ServerId>{{"a"}});
+      CHECK(Directory.isLeavingOrRemoved({"a"}));
+    }
+    SECTION("also if they are heard after the path is back") {
+      Directory.onStoreRestored(TimePoint(15s));
+      Directory.remove({"a"}, TimePoint(15s));
+      CHECK(Directory.find({"a"}) != nullptr);
+      HearOfAnswers(TimePoint(15100ms));
+      CHECK(Directory.expire(TimePoint(15100ms)).size() == 1);
+    }
+    SECTION("what a peer says of an outage does not hold here") {
+      HearOfAnswers(TimePoint(12s));
+      Directory.onStoreUnavailable();
+      Directory.onStoreRestored(TimePoint(12s));
+      Directory.remove({"a"}, TimePoint(12s));
+      CHECK(Directory.find({"a"}) == nullptr);
+    }
+  }
+  SECTION("after an outage that others have seen too") {
+    Directory.storeContact().onAnswer(TimePoint(9s));
+    Directory.storeContact().onPeerSpan({5s, 60s}, TimePoint(14s));
+    Directory.onStoreUnavailable();
+    Directory.onStoreRestored(TimePoint(14s));
+    Directory.storeContact().onAnswer(TimePoint(14s));
+    Directory.remove({"a"}, TimePoint(14s));
+    CHECK(Directory.find({"a"}) != nullptr);
+    SECTION("a server that registers again is used") {
+      Directory.put(makeEntry("a"));
+      Directory.expire(TimePoint(60s));
+      CHECK(Directory.find({"a"}) != nullptr);
+    }
+    SECTION("one that does not is dropped in time") {
+      CHECK(Directory.expire(TimePoint(16s)).empty());
+      CHECK(Directory.expire(TimePoint(16300ms)).size() == 1);
+    }
+  }
   SECTION("during a store outage") {
     Directory.onStoreUnavailable();
     SECTION("expired registrations are kept") {
--- a/tests/HomeCodecTest.cpp
+++ b/tests/HomeCodecTest.cpp
@@ -21,6 +21,7 @@
     Message.Sequence_ = 4;
     Message.ConfigurationVersion_ = 17;
     Message.ServersVersion_ = {99, 4};
+    Message.StoreContact_ = StoreContactSpan{80ms, 40s};
     Message.Uptime_ = 12s;
     Message.IsAttached_ = true;
     Message.Attachment_ = 3;
@@ -37,6 +38,7 @@
     Reply.ConfigurationVersion_ = 17;
     Reply.ServersVersion_ = {99, 4};
     Reply.Feeds_ = {{{101, 99, 80ms, true}, {{102, 3}, {7, 3}, 2s, false}, {}}};
+    Reply.StoreContact_ = StoreContactSpan{2s, 0s};
     Reply.IsLeaving_ = true;
     Reply.ExhaustedOrganisations_ = {{"acme"}};
     Reply.Utilisation_ = {{{"acme"}, 0.5}};
--- a/tests/OddRowsTest.cpp
+++ b/tests/OddRowsTest.cpp
@@ -330,6 +330,7 @@
       if (Schema.parseServer(Row))
         Servers.insert(Row.Key_);
   };
+  Handlers.OnStoreAnswer_ = [] {};
   Handlers.OnAvailability_ = [](bool) {};
   Handlers.IsNearOutage_ = [] { return false; };
   Handlers.AttachedInstanceCount_ = [] { return std::size_t{0}; };
