Bound the age of a suspect request that a peer states

A peer's message could bring an age that overflows when the time of the crash is computed from it; all other times were bounded. The test failed on the code before for the largest and smallest durations.

--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -108,7 +108,7 @@
   for (const auto &Suspect : Body.request_suspects())
     Suspects.push_back({{Suspect.high(), Suspect.low()},
                         Suspect.crashes(),
-                        Duration(Suspect.age_us())});
+                        readTime(Suspect.age_us())});
   return Suspects;
 }
 
--- a/tests/OddMessagesTest.cpp
+++ b/tests/OddMessagesTest.cpp
@@ -37,6 +37,13 @@
   for (const CrashSuspect &Each : Message.CrashSuspects_)
     if (Each.Age_ < 0s || !isInRange(Each.Age_))
       return false;
+  for (const RequestSuspect &Each : Message.RequestSuspects_)
+    if (Each.Age_ < 0s || !isInRange(Each.Age_))
+      return false;
+  if (const auto &Contact = Message.StoreContact_)
+    if (Contact->Age_ < 0s || !isInRange(Contact->Age_) ||
+        Contact->Length_ < 0s || !isInRange(Contact->Length_))
+      return false;
   return true;
 }
 
@@ -90,6 +97,8 @@
       {{"r"}, {"acme"}, {"svc"}, {"d1"}, 5000, 630, 4400}};
   Message.Utilisation_ = {{{"acme"}, 0.5}};
   Message.CrashSuspects_ = {{{{"s1"}, {"s2"}}, 3, 5s}};
+  Message.RequestSuspects_ = {{{7, 1}, 3, 5s}};
+  Message.StoreContact_ = StoreContactSpan{80ms, 40s};
   Message.ServerLimits_ = {{{"s1"}, 1.5}, {{"s2"}, 0}};
   Message.LeavingServers_ = {{{"s3"}, 1791444837026}};
   return Message;
@@ -158,6 +167,8 @@
       Message.Uptime_ = Odd;
       Message.TokenUsage_[0].Age_ = Odd;
       Message.CrashSuspects_[0].Age_ = Odd;
+      Message.RequestSuspects_[0].Age_ = Odd;
+      Message.StoreContact_ = StoreContactSpan{Odd, Odd};
       CHECK(isSound(resent(Message)));
       PlacementRequest Request;
       Request.TimeLeft_ = Odd;
