Bound the memory that all bodies hold together

Each is kept up to 16 MiB for up to 30 s or the deadline; relays exceed memory_mb and are killed, and with them the requests at sound engines.

Cause: no bound on what all bodies hold; the largest single one is far above any that is needed; the time of an error's body was not bounded; the home is not told that the engine failed. Plain responses (8 MiB each), answers of prefill engines and bodies that are only skipped (16 MiB), and callers' bodies had no common bound either, and idle connections kept buffers of up to 128 KiB.

Change: ByteBudget bounds all bodies of servers' responses and callers' requests to a sixth of memory_mb (32 MiB where unknown). A body may grow while it is no larger than what would then be free: one may be large, many endless ones leave room for others, small ones are always held. Bodies that are skipped are not kept. Errors: 256 KiB and 2 s, then a failed engine that the home hears of; prefill answers: 64 KiB. Connections give back large buffers; those to servers hold 32 KiB at most, those of callers two heads. A caller whose body does not fit is refused as not run, with Retry-After.

Ruled out: a lower limit for each body alone (8 MiB times the requests of a second still exceeds the memory).

--- a/include/gooseberrybeam/http/Asio.h
+++ b/include/gooseberrybeam/http/Asio.h
@@ -26,9 +26,11 @@
 /// Completion token: the coroutine gets a tuple that starts with the error.
 inline constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 
-/// Bytes that a connection keeps that are not parsed yet. It bounds what an
-/// HTTP parser does not, such as the extensions of a chunk.
+/// Bytes that a connection to this process keeps that are not parsed yet. It
+/// bounds what an HTTP parser does not, such as the extensions of a chunk.
 inline constexpr std::size_t MaxConnectionBuffer = std::size_t{128} << 10;
+/// The same for a connection to a server, whose heads are small.
+inline constexpr std::size_t MaxClientBuffer = std::size_t{32} << 10;
 
 /// A request with its body in memory.
 using HttpRequest = beast::http::request<beast::http::string_body>;
--- a/include/gooseberrybeam/http/CallerExchange.h
+++ b/include/gooseberrybeam/http/CallerExchange.h
@@ -67,7 +67,8 @@
   /// \param Into where they go; not empty.
   /// \returns the number of bytes, 0 at the end, or the error to answer with.
   Task<BodyPart> readSome(std::span<char> Into);
-  /// Reads the whole body.
+  /// Reads the whole body, which counts against the budget of all bodies until
+  /// the exchange ends.
   /// \returns the body or the error to answer with.
   Task<WholeBody> readBody();
   /// \returns whether the body has been read to its end.
@@ -123,6 +124,7 @@
   TimePoint Deadline_;
   CancelScope Scope_;
   std::shared_ptr<Watch> Watch_;
+  HeldBytes Held_; ///< By the body that `readBody` has read.
   int Status_ = 0;
   bool IsChunked_ = false;
   bool IsEnded_ = false;
--- a/include/gooseberrybeam/http/CallerLimits.h
+++ b/include/gooseberrybeam/http/CallerLimits.h
@@ -4,8 +4,10 @@
 #define GOOSEBERRYBEAM_HTTP_CALLERLIMITS_H
 
 #include "gooseberrybeam/base/Time.h"
+#include "gooseberrybeam/http/ByteBudget.h"
 
 #include <cstdint>
+#include <memory>
 
 namespace gooseberry {
 
@@ -18,6 +20,8 @@
   Duration KeepAlive_ = std::chrono::seconds(60);     ///< Between requests.
   Duration WriteTimeout_ = std::chrono::seconds(20);  ///< Each write.
   Duration DefaultDeadline_ = std::chrono::seconds(120);
+  /// Bounds the bodies of all requests together; null for no bound.
+  std::shared_ptr<ByteBudget> Bodies_ = nullptr;
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/http/ClientConnection.h
+++ b/include/gooseberrybeam/http/ClientConnection.h
@@ -75,6 +75,9 @@
   /// the connection, also if the server fails.
   bool statesEnd() const { return Parser_ && !Parser_->need_eof(); }
 
+  /// Gives back the memory that the last answer needed; it has been read.
+  void trim();
+
   /// Makes `isReusable` return false from now on.
   void preventReuse() { MayBeReused_ = false; }
   /// \returns whether an earlier call was answered on this connection.
@@ -89,7 +92,7 @@
   CallError failed(CallFailure Failure, bool MayHaveStarted);
 
   beast::tcp_stream Stream_;
-  beast::flat_buffer Buffer_{MaxConnectionBuffer};
+  beast::flat_buffer Buffer_{MaxClientBuffer};
   std::optional<Parser> Parser_;
   std::optional<Duration> IdleLimit_;
   std::uint64_t Calls_ = 0; ///< Requests sent.
--- a/include/gooseberrybeam/http/ConnectionPool.h
+++ b/include/gooseberrybeam/http/ConnectionPool.h
@@ -4,6 +4,7 @@
 #define GOOSEBERRYBEAM_HTTP_CONNECTIONPOOL_H
 
 #include "gooseberrybeam/base/Ids.h"
+#include "gooseberrybeam/http/ByteBudget.h"
 #include "gooseberrybeam/http/ClientConnection.h"
 
 #include <unordered_map>
@@ -16,6 +17,8 @@
   std::size_t IdlePerServer_ = 64;
   Duration MaxIdle_ = std::chrono::seconds(20);
   Duration ConnectTimeout_ = std::chrono::milliseconds(500);
+  /// For the bodies of all responses that are being received, in bytes.
+  std::size_t MaxHeldBytes_ = std::size_t{32} << 20;
 };
 
 /// Which connections a call may use.
@@ -49,6 +52,9 @@
   /// \param Server whose connections to close.
   void discard(const BackendId &Server);
 
+  /// \returns what bounds the bodies of all responses together.
+  const std::shared_ptr<ByteBudget> &bodies() const { return Bodies_; }
+
 private:
   struct Idle {
     std::unique_ptr<ClientConnection> Connection_;
@@ -59,6 +65,7 @@
   std::unique_ptr<ClientConnection> takeIdle(const BackendId &Server);
 
   PoolLimits Limits_;
+  std::shared_ptr<ByteBudget> Bodies_;
   std::unordered_map<BackendId, std::vector<Idle>> Idle_;
 };
 
--- a/include/gooseberrybeam/http/HttpCall.h
+++ b/include/gooseberrybeam/http/HttpCall.h
@@ -4,7 +4,10 @@
 #define GOOSEBERRYBEAM_HTTP_HTTPCALL_H
 
 #include "gooseberrybeam/http/ConnectionPool.h"
+#include "gooseberrybeam/http/HeldBody.h"
 
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -14,6 +17,7 @@
 struct HttpReply {
   ResponseHead Head_;
   std::string Body_;
+  HeldBytes Held_ = {}; ///< Of the pool's budget, for the body.
 };
 
 /// Bounds of a call.
@@ -43,13 +47,25 @@
 callHttp(ConnectionPool &Pool, BackendId Server, HttpRequest Request,
          CallLimits Limits, CancelScope &Scope);
 
-/// Reads the rest of an answer's body.
+/// Reads the rest of an answer's body. One that is too large, by itself or with
+/// all others that are held, is malformed: a faulty server sends without end.
 /// \param Connection whose answer's start has been read.
 /// \param Limits bounds of the call.
+/// \param Budget bounds what all bodies hold; null for no bound.
 /// \param Scope aborts the read when cancelled.
 /// \returns the body or a failure.
-Task<Result<std::string, CallError>>
-readBody(ClientConnection &Connection, CallLimits Limits, CancelScope &Scope);
+Task<Result<HeldBody, CallError>> readBody(ClientConnection &Connection,
+                                           CallLimits Limits,
+                                           std::shared_ptr<ByteBudget> Budget,
+                                           CancelScope &Scope);
+
+/// Reads the rest of an answer's body and keeps nothing of it.
+/// \param Connection whose answer's start has been read.
+/// \param Limits bounds of the call.
+/// \param Scope aborts the read when cancelled.
+/// \returns a failure, or none.
+Task<std::optional<CallError>> skipBody(ClientConnection &Connection,
+                                        CallLimits Limits, CancelScope &Scope);
 
 } // namespace gooseberry
 
--- a/include/gooseberrybeam/relayd/PlainCall.h
+++ b/include/gooseberrybeam/relayd/PlainCall.h
@@ -3,6 +3,7 @@
 #ifndef GOOSEBERRYBEAM_RELAYD_PLAINCALL_H
 #define GOOSEBERRYBEAM_RELAYD_PLAINCALL_H
 
+#include "gooseberrybeam/http/HeldBody.h"
 #include "gooseberrybeam/relay/StallFailover.h"
 #include "gooseberrybeam/relayd/RequestRetries.h"
 #include "gooseberrybeam/relayd/ServerCall.h"
@@ -38,7 +39,7 @@
   struct BufferedResponse {
     ResponseHead Head_;
     ServerResponseInfo Info_;
-    std::string Body_;
+    HeldBody Body_;
   };
   using AttemptResult = Result<BufferedResponse, CallError>;
 
@@ -60,7 +61,7 @@
   void start(const BackendEntry &Server);
   Task<void> attempt(std::shared_ptr<Attempt> Running);
   AttemptOutcome takeEnded();
-  void keepResult(const Attempt &Ended);
+  void keepResult(Attempt &Ended);
   bool mayHedge() const;
   Task<void> hedge(StallFailover &Failover);
   Task<void> cancelAttempts();
@@ -75,7 +76,7 @@
   void endTrial(TrialOutcome Outcome);
   AttemptOutcome classify(const AttemptResult &Attempt) const;
   bool mayRetry(AttemptOutcome Outcome);
-  Task<void> relayResponse(const BufferedResponse &Response);
+  Task<void> relayResponse(BufferedResponse Response);
   Task<void> refuseUnsent();
   Task<void> refuseSuspect(CrashAdmission Admission);
   Task<void> refuseAfterFailure(const AttemptResult &LastAttempt);
--- a/include/gooseberrybeam/relayd/RelaySettings.h
+++ b/include/gooseberrybeam/relayd/RelaySettings.h
@@ -9,6 +9,8 @@
 #include "gooseberrybeam/relay/RateLimitBounds.h"
 #include "gooseberrybeam/relay/RetryWindow.h"
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
 namespace gooseberry {
@@ -23,7 +25,9 @@
   std::string MetricsListen_; ///< `ip:port`; empty for none.
   std::string ReadyPath_ = "/readyz";
   InstanceCapacity Capacity_; ///< Of this instance.
-  BackendId StoreAddress_;    ///< `ip:port` of the platform's store.
+  /// Bytes that the process may use; none if unknown.
+  std::optional<std::uint64_t> MemoryLimit_;
+  BackendId StoreAddress_; ///< `ip:port` of the platform's store.
   Duration ShutdownTimeout_ =
       std::chrono::seconds(8); ///< From SIGTERM to exit.
   /// The interval in which backend servers renew their registrations.
--- a/src/engine/HttpEngineClient.cpp
+++ b/src/engine/HttpEngineClient.cpp
@@ -96,11 +96,11 @@
         Pool_, Engine, std::move(Connection), Timeouts_.DecodeToken_);
   CallLimits Limits;
   Limits.IdleTimeout_ = Timeouts_.Control_;
-  auto Body = co_await readBody(*Connection, Limits, Scope);
+  auto Body = co_await readBody(*Connection, Limits, Pool_.bodies(), Scope);
   if (!isOk(Body))
     co_return asEngineError(errorOf(Body));
   Pool_.release(Engine, std::move(Connection));
-  co_return parseEngineRefusal(valueOf(Head).Status_, valueOf(Body));
+  co_return parseEngineRefusal(valueOf(Head).Status_, valueOf(Body).Text_);
 }
 
 EngineClient::Outcome<EngineFreed>
--- a/src/http/CallerExchange.cpp
+++ b/src/http/CallerExchange.cpp
@@ -20,6 +20,8 @@
 constexpr unsigned Version11 = 11;
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
+/// Sent to callers while the bodies of others need all memory for bodies.
+constexpr Duration RetryAfterBodies = std::chrono::milliseconds(500);
 
 CallerError malformedBody() {
   return {{RefusalReason::MalformedRequest, Execution::NotRun, std::nullopt},
@@ -27,6 +29,12 @@
           ""};
 }
 
+CallerError bodiesTooLarge() {
+  return {{RefusalReason::QueueFull, Execution::NotRun, RetryAfterBodies},
+          "The bodies of other requests need all memory for bodies.",
+          ""};
+}
+
 std::int64_t wholeSecondsUp(Duration Value) {
   return std::chrono::ceil<std::chrono::seconds>(Value).count();
 }
@@ -62,7 +70,7 @@
                                const CallerLimits &Limits, RequestId Id)
     : Stream_(Stream), Buffer_(Buffer), Request_(Request), Limits_(Limits),
       Id_(std::move(Id)), Arrival_(readBootClock()),
-      Watch_(std::make_shared<Watch>(Stream, Scope_)) {
+      Watch_(std::make_shared<Watch>(Stream, Scope_)), Held_(Limits.Bodies_) {
   setDeadline(Arrival_ + Limits.DefaultDeadline_);
 }
 
@@ -144,6 +152,8 @@
       co_return errorOf(Read);
     if (valueOf(Read) == 0)
       co_return std::move(Body);
+    if (!Held_.tryResize(Body.size() + valueOf(Read)))
+      co_return bodiesTooLarge();
     Body.append(Part.data(), valueOf(Read));
   }
 }
--- a/src/http/CallerSession.cpp
+++ b/src/http/CallerSession.cpp
@@ -1,6 +1,7 @@
 #include "http/CallerSession.h"
 
 #include "http/ReadDeadline.h"
+#include "http/TrimBuffer.h"
 
 #include <boost/beast/http/read.hpp>
 
@@ -15,8 +16,9 @@
 namespace http = beast::http;
 
 constexpr std::size_t FirstRead = 1024;
-/// Beast throws on a field that is larger than 65,533 bytes.
-constexpr std::uint32_t MaxHeaderBytes = 65'000;
+/// The buffer holds a head and what was read beyond it, and at least this much.
+constexpr std::size_t MinMaxBuffer = std::size_t{16} << 10;
+constexpr std::size_t HeadsPerBuffer = 2;
 constexpr std::string_view DeadlineField = "X-Request-Deadline-Ms";
 constexpr std::int64_t MaxDeadlineMs = 24LL * 3600 * 1000;
 constexpr Duration LingerTimeout = std::chrono::milliseconds(500);
@@ -24,6 +26,15 @@
 /// as the caller may not have been told of the close.
 constexpr Duration ClosingIdleLimit = std::chrono::milliseconds(300);
 
+std::uint32_t headerLimit(const CallerLimits &Limits) {
+  return std::min(Limits.MaxHeaderBytes_,
+                  static_cast<std::uint32_t>(MaxFieldBytes));
+}
+
+std::size_t maxBuffer(const CallerLimits &Limits) {
+  return std::max(MinMaxBuffer, HeadsPerBuffer * headerLimit(Limits));
+}
+
 CallerError makeError(RefusalReason Reason, std::string_view Message) {
   return {{Reason, Execution::NotRun, std::nullopt}, std::string(Message), ""};
 }
@@ -73,7 +84,8 @@
 } // namespace
 
 CallerSession::CallerSession(CallerServer &Server, tcp::socket Socket)
-    : Server_(Server), Stream_(std::move(Socket)) {
+    : Server_(Server), Stream_(std::move(Socket)),
+      Buffer_(maxBuffer(Server.Limits_)) {
   boost::system::error_code Ignored;
   Stream_.socket().set_option(tcp::no_delay(true), Ignored);
   Server_.Sessions_.insert(this);
@@ -98,6 +110,7 @@
     if (!HasRequest)
       co_return;
     const bool KeepsAlive = co_await Self->serveOne();
+    trimBuffer(Self->Buffer_);
     if (!KeepsAlive)
       break;
   }
@@ -150,8 +163,8 @@
 
 Task<bool> CallerSession::serveOne() {
   Parser Request;
-  Request.header_limit(
-      std::min(Server_.Limits_.MaxHeaderBytes_, MaxHeaderBytes));
+  Request.header_limit(headerLimit(Server_.Limits_));
+  Buffer_.max_size(std::max(maxBuffer(Server_.Limits_), Buffer_.size()));
   Request.body_limit(Server_.Limits_.MaxBodyBytes_);
   boost::system::error_code Error;
   bool HasTimedOut = false;
--- a/src/http/CallerSession.h
+++ b/src/http/CallerSession.h
@@ -50,7 +50,7 @@
 
   CallerServer &Server_;
   beast::tcp_stream Stream_;
-  beast::flat_buffer Buffer_{MaxConnectionBuffer};
+  beast::flat_buffer Buffer_;
   bool IsIdle_ = true;
   CancelScope *Request_ = nullptr; ///< Of the request in progress, or null.
 };
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -1,5 +1,7 @@
 #include "gooseberrybeam/http/ClientConnection.h"
 
+#include "http/TrimBuffer.h"
+
 #include <boost/asio/this_coro.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -147,6 +149,8 @@
   co_return std::size_t{0};
 }
 
+void ClientConnection::trim() { trimBuffer(Buffer_); }
+
 void ClientConnection::close() {
   IsOpen_ = false;
   Stream_.close();
--- a/src/http/ConnectionPool.cpp
+++ b/src/http/ConnectionPool.cpp
@@ -12,7 +12,9 @@
 
 } // namespace
 
-ConnectionPool::ConnectionPool(PoolLimits Limits) : Limits_(Limits) {}
+ConnectionPool::ConnectionPool(PoolLimits Limits)
+    : Limits_(Limits),
+      Bodies_(std::make_shared<ByteBudget>(Limits.MaxHeldBytes_)) {}
 
 Duration ConnectionPool::maxIdleOf(const ClientConnection &Connection) const {
   const auto Limit = Connection.idleLimit();
@@ -55,6 +57,7 @@
                              std::unique_ptr<ClientConnection> Connection) {
   if (!Connection || !Connection->isReusable())
     return;
+  Connection->trim();
   auto &Connections = Idle_[Server];
   if (Connections.size() < Limits_.IdlePerServer_)
     Connections.push_back({std::move(Connection), readBootClock()});
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -31,14 +31,21 @@
 constexpr Duration ResumeTarget = std::chrono::milliseconds(300);
 constexpr Duration RetryAfterFailure = std::chrono::milliseconds(300);
 constexpr Duration ReleaseTimeout = std::chrono::seconds(1);
+constexpr std::size_t MaxReleaseBody = std::size_t{64} << 10;
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
 constexpr std::size_t MaxEventBytes = std::size_t{1} << 20;
+/// The answer of a prefill engine names the KV cache and little else.
+constexpr std::size_t MaxPrefillBody = std::size_t{64} << 10;
+/// The body of an engine's error is a short text.
+constexpr std::size_t MaxErrorBody = std::size_t{256} << 10;
+constexpr Duration ErrorBodyTimeout = std::chrono::seconds(2);
 
 Task<void> releaseHandle(RelayContext &Context, BackendId Address,
                          HttpRequest Request) {
   CancelScope Scope;
   CallLimits Limits;
   Limits.IdleTimeout_ = ReleaseTimeout;
+  Limits.MaxBody_ = MaxReleaseBody;
   const auto Response = co_await callHttp(Context.Pool_, Address,
                                           std::move(Request), Limits, Scope);
   if (!isOk(Response))
@@ -222,8 +229,9 @@
   CallLimits Limits;
   Limits.IdleTimeout_ = Request_.timeLeft();
   Limits.BodyTimeout_ = Request_.timeLeft();
-  auto Body =
-      co_await readBody(*Response.Connection_, Limits, Search->callScope());
+  Limits.MaxBody_ = MaxPrefillBody;
+  auto Body = co_await readBody(*Response.Connection_, Limits,
+                                Context_.Pool_.bodies(), Search->callScope());
   if (Scope.isCancelled())
     co_return StepOutcome::Stopped;
   if (!isOk(Body)) {
@@ -233,7 +241,8 @@
   Context_.Pool_.release(Engine.Address_, std::move(Response.Connection_));
   if (Response.Info_.IsNotExecuted_)
     co_return StepOutcome::Rejected;
-  const auto Prompt = Context_.Protocol_.parsePrefillResponse(valueOf(Body));
+  const auto Prompt =
+      Context_.Protocol_.parsePrefillResponse(valueOf(Body).Text_);
   if (Response.Head_.Status_ != HttpOk || !Prompt) {
     report(GenerationStep::ServerFailed, Engine);
     co_return StepOutcome::Failed;
@@ -349,6 +358,7 @@
   if (Search)
     Search->onHead();
   EventSplitter Splitter;
+  HeldBytes Held(Context_.Pool_.bodies());
   std::array<char, ReadBufferBytes> Buffer;
   for (;;) {
     auto ReadResult = co_await Response.Connection_->readSome(
@@ -358,7 +368,8 @@
     if (!isOk(ReadResult))
       co_return co_await failStream(
           Engine, asCode(errorOf(ReadResult).Failure_), errorOf(ReadResult));
-    if (Splitter.bufferedBytes() > MaxEventBytes)
+    if (Splitter.bufferedBytes() > MaxEventBytes ||
+        !Held.tryResize(Splitter.bufferedBytes() + valueOf(ReadResult)))
       co_return co_await failStream(Engine, "event too large",
                                     {CallFailure::Malformed, true});
     if (valueOf(ReadResult) == 0)
@@ -403,11 +414,16 @@
     MayHaveRun_ = true;
     ++StartedDecodes_;
   }
-  auto Body =
-      co_await readBody(*Response.Connection_, CallLimits(), Exchange.scope());
+  CallLimits Limits;
+  Limits.BodyTimeout_ = std::min(ErrorBodyTimeout, Request_.timeLeft());
+  Limits.MaxBody_ = MaxErrorBody;
+  auto Body = co_await readBody(*Response.Connection_, Limits,
+                                Context_.Pool_.bodies(), Exchange.scope());
+  if (!isOk(Body) && Exchange.scope().isCancelled())
+    co_return StepOutcome::Stopped;
   if (!isOk(Body))
-    co_return Exchange.scope().isCancelled() ? StepOutcome::Stopped
-                                             : StepOutcome::Failed;
+    co_return co_await failStream(Engine, asCode(errorOf(Body).Failure_),
+                                  errorOf(Body));
   Context_.Pool_.release(Engine.Address_, std::move(Response.Connection_));
   if (Response.Info_.IsNotExecuted_)
     co_return StepOutcome::Rejected;
@@ -417,7 +433,8 @@
   if (!IsEngineError || mayRetry(StepOutcome::Failed))
     co_return StepOutcome::Failed;
   co_await Exchange.answer(Response.Head_.Status_,
-                           relayedFields(Response.Head_), valueOf(Body));
+                           relayedFields(Response.Head_),
+                           takeValue(std::move(Body)).Text_);
   co_return StepOutcome::Succeeded;
 }
 
--- a/src/relayd/PlainCall.cpp
+++ b/src/relayd/PlainCall.cpp
@@ -104,7 +104,8 @@
   Limits.IdleTimeout_ = Request_.timeLeft();
   Limits.BodyTimeout_ = Request_.timeLeft();
   Limits.MaxBody_ = MaxBodyBytes;
-  auto Body = co_await readBody(*Response.Connection_, Limits, Scope);
+  auto Body = co_await readBody(*Response.Connection_, Limits,
+                                Context_.Pool_.bodies(), Scope);
   if (!isOk(Body))
     co_return errorOf(Body);
   Context_.Pool_.release(Target.Address_, std::move(Response.Connection_));
@@ -208,7 +209,7 @@
   const bool IsRelayed = Outcome == AttemptOutcome::Answered ||
                          Outcome == AttemptOutcome::ServerError;
   if (Last_ && IsRelayed)
-    co_await relayResponse(valueOf(*Last_));
+    co_await relayResponse(takeValue(std::move(*Last_)));
   else if (Admission >= CrashAdmission::Held && !MayHaveRun_)
     co_await refuseSuspect(Admission);
   else if (!Last_)
@@ -241,7 +242,7 @@
             formatFingerprint(Request_.Fingerprint_));
 }
 
-Task<void> PlainCall::relayResponse(const BufferedResponse &Response) {
+Task<void> PlainCall::relayResponse(BufferedResponse Response) {
   CallerExchange &Exchange = Request_.Exchange_;
   if (Context_.isDraining())
     Exchange.closeAfter();
@@ -249,7 +250,8 @@
   Context_.Metrics_.observe(Latency::ServiceAnswer,
                             readBootClock() - Exchange.arrival());
   co_await Exchange.answer(Response.Head_.Status_,
-                           relayedFields(Response.Head_), Response.Body_);
+                           relayedFields(Response.Head_),
+                           std::move(Response.Body_.Text_));
   logLine(
       LogPart::Service, LogLevel::Info, "Response sent.",
       {{"request", Exchange.id().Value_},
--- a/src/relayd/PlainCallAttempts.cpp
+++ b/src/relayd/PlainCallAttempts.cpp
@@ -97,8 +97,8 @@
 }
 
 // An answer of a server goes before a failure of another attempt.
-void PlainCall::keepResult(const Attempt &Ended) {
-  const AttemptResult &Result = *Ended.Result_;
+void PlainCall::keepResult(Attempt &Ended) {
+  AttemptResult &Result = *Ended.Result_;
   const bool HasRun = isOk(Result) ? !valueOf(Result).Info_.IsNotExecuted_
                                    : errorOf(Result).MayHaveStarted_;
   MayHaveRun_ = MayHaveRun_ || HasRun;
@@ -109,7 +109,7 @@
                        classify(Result) != AttemptOutcome::Answered);
   if (IsKept)
     return;
-  Last_ = Result;
+  Last_ = std::move(Result);
   LastServer_ = Ended.Server_.Id_;
 }
 
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -39,6 +39,9 @@
 /// The home unregisters an instance that has sent no message for this long.
 constexpr Duration MemberTimeout = std::chrono::seconds(20);
 constexpr Duration InitialCallerDeadline = std::chrono::seconds(30);
+/// Bodies may take this part of the process's memory. A body is copied as it
+/// grows and as it is passed on.
+constexpr std::uint64_t BodyMemoryDivisor = 6;
 /// Keys of rows are cut off here in the log.
 constexpr std::size_t MaxLoggedKey = 128;
 
@@ -51,8 +54,17 @@
            {"version", asText(Row.Version_)}});
 }
 
-CallerLimits makeCallerLimits(const RelayCallerLimits &Configured) {
+PoolLimits makePoolLimits(const RelaySettings &Settings) {
+  PoolLimits Limits;
+  if (Settings.MemoryLimit_)
+    Limits.MaxHeldBytes_ = *Settings.MemoryLimit_ / BodyMemoryDivisor;
+  return Limits;
+}
+
+CallerLimits makeCallerLimits(const RelayCallerLimits &Configured,
+                              std::shared_ptr<ByteBudget> Bodies) {
   CallerLimits Limits;
+  Limits.Bodies_ = std::move(Bodies);
   Limits.MaxHeaderBytes_ = Configured.MaxHeaderBytes_;
   Limits.MaxBodyBytes_ = Configured.MaxBodyBytes_;
   Limits.HeaderTimeout_ = Configured.HeaderTimeout_;
@@ -96,13 +108,14 @@
              Directory_,
              Home_,
              StartupGate(Context_, readBootClock()),
-             ConnectionPool(PoolLimits()),
+             ConnectionPool(makePoolLimits(Settings_)),
              {},
              {},
              {},
              {}},
       Handler_(Relay_),
-      Callers_(Context_, Handler_, makeCallerLimits(RelayCallerLimits()),
+      Callers_(Context_, Handler_,
+               makeCallerLimits(RelayCallerLimits(), Relay_.Pool_.bodies()),
                Settings_.Name_.Value_ + "-"),
       Store_(Adapter_.MakeStore_(Context_)), Incarnation_(makeIncarnation(0)),
       StartedAt_(readBootClock()), HomeSince_(StartedAt_),
@@ -263,7 +276,8 @@
                 Configuration->parts().CallerLimits_.IdleTimeout_))},
            {"from", Origin}});
   Relay_.Configuration_ = Configuration;
-  Callers_.setLimits(makeCallerLimits(Configuration->parts().CallerLimits_));
+  Callers_.setLimits(makeCallerLimits(Configuration->parts().CallerLimits_,
+                                      Relay_.Pool_.bodies()));
   Home_.configure(std::move(Configuration));
   openWhenReady();
 }
--- a/src/relayd/ServerCall.cpp
+++ b/src/relayd/ServerCall.cpp
@@ -11,6 +11,8 @@
 constexpr int HttpVersion = 11;
 /// A connection that delivers more responses to other requests is closed.
 constexpr int MaxForeignResponses = 2;
+/// A connection that delivers a larger one is closed.
+constexpr std::size_t MaxForeignBody = std::size_t{1} << 20;
 
 HttpRequest makeRequest(const RelayContext &Context,
                         const RelayRequest &Request,
@@ -116,9 +118,10 @@
       co_return CallError{CallFailure::Malformed, true};
     CallLimits Limits;
     Limits.BodyTimeout_ = ResponseTimeout;
-    auto SkippedBody = co_await readBody(*Response.Connection_, Limits, Scope);
-    if (!isOk(SkippedBody))
-      co_return errorOf(SkippedBody);
+    Limits.MaxBody_ = MaxForeignBody;
+    const auto Error = co_await skipBody(*Response.Connection_, Limits, Scope);
+    if (Error)
+      co_return *Error;
     Head = co_await Response.Connection_->readHead(ResponseTimeout, Scope);
   }
 }
--- a/tests/CallerServerTest.cpp
+++ b/tests/CallerServerTest.cpp
@@ -216,6 +216,31 @@
   }
 }
 
+// Guards against the end of the process for memory by many callers at a time.
+TEST_CASE("The bodies of all callers together are bounded", "[http]") {
+  CallerLimits Limits;
+  Limits.Bodies_ = std::make_shared<ByteBudget>(std::size_t{64} << 10);
+  Fixture Fixture(Limits);
+  const std::string Start = "POST /a HTTP/1.1\r\nHost: a\r\n";
+  const std::string Large =
+      Start + "Content-Length: 60000\r\n\r\n" + std::string(60'000, 'a');
+  const std::string Small = Start + "Connection: close\r\n"
+                                    "Content-Length: 3\r\n\r\nabc";
+
+  SECTION("and one that does not fit is refused as not run") {
+    const std::string Answer = Fixture.exchange(Large);
+    CHECK(hasStatus(Answer, 503));
+    CHECK(Answer.find("not_run") != std::string::npos);
+    CHECK(Answer.find("Retry-After") != std::string::npos);
+    CHECK(Limits.Bodies_->heldBytes() == 0);
+  }
+  SECTION("and a small one is taken whatever the others hold") {
+    HeldBytes Others(Limits.Bodies_);
+    REQUIRE(Others.tryResize(std::size_t{32} << 10));
+    CHECK(hasStatus(Fixture.exchange(Small), 200));
+  }
+}
+
 TEST_CASE("A head is too large for its parser, and no limit forbids it",
           "[http][odd]") {
   CallerLimits Limits;
--- a/tests/support/RelayUnderTest.h
+++ b/tests/support/RelayUnderTest.h
@@ -3,13 +3,13 @@
 #ifndef GOOSEBERRYBEAM_TESTS_SUPPORT_RELAYUNDERTEST_H
 #define GOOSEBERRYBEAM_TESTS_SUPPORT_RELAYUNDERTEST_H
 
-#include "PlatformProtocol.h"
 #include "PlatformStoreSchema.h"
 #include "gooseberrybeam/http/CallerServer.h"
 #include "gooseberrybeam/http/OpenAcceptor.h"
 #include "gooseberrybeam/relayd/RelayHandler.h"
 #include "support/FakeTables.h"
 #include "support/ScriptedBackend.h"
+#include "support/ThrowingProtocol.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/write.hpp>
@@ -47,8 +47,11 @@
 
   /// \param RetrySlack retries allowed in addition to the ratio.
   /// \param RetryWindow the window of the retry budget.
+  /// \param BodyBytes the memory for bodies.
   explicit RelayUnderTest(double RetrySlack = 100,
-                          Duration RetryWindow = std::chrono::seconds(10)) {
+                          Duration RetryWindow = std::chrono::seconds(10),
+                          std::size_t BodyBytes = PoolLimits().MaxHeldBytes_)
+      : PoolLimits_{.MaxHeldBytes_ = BodyBytes} {
     Settings_.Name_ = Self;
     Settings_.RetryBounds_.Slack_ = RetrySlack;
     Settings_.RetryBounds_.Window_ = RetryWindow;
@@ -183,6 +186,15 @@
       Each->restart();
   }
 
+  /// \returns what all bodies hold together.
+  const ByteBudget &bodies() const { return *Relay_.Pool_.bodies(); }
+
+  /// \returns the protocol, which a test may let fail.
+  ThrowingProtocol &protocol() { return Protocol_; }
+
+  /// \returns the state that the requests share.
+  RelayContext &context() { return Relay_; }
+
   /// \returns the registered servers.
   BackendDirectory &directory() { return Directory_; }
 
@@ -253,9 +265,16 @@
     Answer.IsWhole_ = !Error;
   }
 
+  static CallerLimits makeCallerLimits(const ConnectionPool &Pool) {
+    CallerLimits Limits;
+    Limits.Bodies_ = Pool.bodies();
+    return Limits;
+  }
+
   asio::io_context Context_;
+  PoolLimits PoolLimits_;
   RelaySettings Settings_;
-  platform::PlatformProtocol Protocol_;
+  ThrowingProtocol Protocol_;
   platform::PlatformStoreSchema Schema_;
   BackendDirectory Directory_;
   FakeTables Tables_;
@@ -267,13 +286,14 @@
                       Directory_,
                       Home_,
                       StartupGate(Context_, readBootClock()),
-                      ConnectionPool(PoolLimits()),
+                      ConnectionPool(PoolLimits_),
                       {},
                       {},
                       {},
                       {}};
   RelayHandler Handler_{Relay_};
-  CallerServer Callers_{Context_, Handler_, CallerLimits(), "t-"};
+  CallerServer Callers_{Context_, Handler_, makeCallerLimits(Relay_.Pool_),
+                        "t-"};
   tcp::acceptor Acceptor_{Context_,
                           tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
   std::vector<std::unique_ptr<ScriptedBackend>> Servers_;
