End a request with an answer when an exception ends its attempt

Cause: an exception in PlainCall::attempt ended its coroutine before the result was set; the request waited for it without end, beyond its deadline, and a shutdown waited for the request. In GenerationCall it ended the request without an answer and without the report that gives its engines back; after as many as there are places no generation was served.

Change: callServer turns an exception into a typed failure (Internal, may have run). An attempt has a result when its coroutine ends, whatever the reason, and none outlives its request. A generation reports its end before the exception goes on; RelayHandler then answers 500, "unknown". One log line names what was thrown.

--- a/include/gooseberrybeam/http/CallError.h
+++ b/include/gooseberrybeam/http/CallError.h
@@ -16,6 +16,7 @@
   Timeout,   ///< No byte came within the idle timeout.
   Malformed, ///< The answer was not understood.
   Cancelled, ///< The caller of this call gave up.
+  Internal,  ///< An unexpected exception ended the call.
 };
 
 /// A failed call.
@@ -30,7 +31,8 @@
 /// \returns its `snake_case` code, used in logs and metric labels.
 constexpr std::string_view asCode(CallFailure Failure) {
   constexpr std::string_view Codes[] = {"connect", "send",      "receive",
-                                        "timeout", "malformed", "cancelled"};
+                                        "timeout", "malformed", "cancelled",
+                                        "internal"};
   return Codes[static_cast<std::size_t>(Failure)];
 }
 
--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -41,6 +41,7 @@
     Stopped,  ///< The caller disconnected or the deadline passed.
   };
 
+  Task<void> runPlacements();
   PlacementRequest makePlacementRequest() const;
   Task<bool> prepareKv(const PlacementGrant &Grant, std::string &KvSource);
   Task<StepOutcome> prefill(const ChosenServer &Engine, std::string &KvSource);
--- a/include/gooseberrybeam/relayd/PlainCall.h
+++ b/include/gooseberrybeam/relayd/PlainCall.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
@@ -30,6 +31,9 @@
   PlainCall(RelayContext &Context, RelayRequest &Request)
       : Context_(Context), Request_(Request), Retries_(Context, Request),
         Wake_(Context.IoContext_) {}
+  ~PlainCall();
+  PlainCall(const PlainCall &) = delete;
+  PlainCall &operator=(const PlainCall &) = delete;
 
   /// \returns a task that completes when the caller has its response.
   Task<void> run();
@@ -49,7 +53,22 @@
     CancelScope Scope_;
     bool HasStalled_ = false;
     std::optional<AttemptResult> Result_; ///< Set when it has ended.
+    std::function<void()> OnEnd_; ///< Called then; null if nobody waits.
   };
+
+  /// Ends an attempt whose coroutine ends, whatever the reason.
+  class AttemptEnd {
+  public:
+    explicit AttemptEnd(std::shared_ptr<Attempt> Running)
+        : Running_(std::move(Running)) {}
+    ~AttemptEnd();
+    AttemptEnd(const AttemptEnd &) = delete;
+    AttemptEnd &operator=(const AttemptEnd &) = delete;
+
+  private:
+    std::shared_ptr<Attempt> Running_;
+  };
+
   using Attempts = std::vector<std::shared_ptr<Attempt>>;
 
   std::vector<const BackendEntry *> usableServers() const;
@@ -58,6 +77,7 @@
   std::optional<Duration>
   timeUntilAvailable(std::span<const BackendEntry *const> Servers) const;
   Task<void> runAttempts(const BackendEntry &Server);
+  Task<void> watchAttempts(const BackendEntry &Server);
   void start(const BackendEntry &Server);
   Task<void> attempt(std::shared_ptr<Attempt> Running);
   AttemptOutcome takeEnded();
--- a/src/daemon/ServiceProxy.cpp
+++ b/src/daemon/ServiceProxy.cpp
@@ -26,6 +26,7 @@
   case CallFailure::Send:
   case CallFailure::Receive:
   case CallFailure::Cancelled:
+  case CallFailure::Internal:
     break;
   }
   return AttemptFailure::ConnectionLost;
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -120,7 +120,8 @@
 // request.
 Task<void> GenerationCall::reportFailure(const ChosenServer &Engine,
                                          CallError Error) {
-  if (isLeftAsSilent(Error))
+  const bool IsOwnFault = Error.Failure_ == CallFailure::Internal;
+  if (isLeftAsSilent(Error) || IsOwnFault)
     co_return;
   const bool IsCrash =
       EngineEvents_ < AnsweringEvents &&
@@ -576,7 +577,22 @@
         "no engine accepted the request");
 }
 
+// The engines are given back whatever ends the call.
 Task<void> GenerationCall::run() {
+  std::exception_ptr Thrown;
+  try {
+    co_await runPlacements();
+  } catch (...) {
+    Thrown = std::current_exception();
+  }
+  if (!Thrown)
+    co_return;
+  releaseReplacement();
+  report(GenerationStep::Ended, {});
+  std::rethrow_exception(Thrown);
+}
+
+Task<void> GenerationCall::runPlacements() {
   StepOutcome Outcome = StepOutcome::Rejected;
   while (mayRetry(Outcome)) {
     // Rejected calls count as arrivals at the service too, so any further call
--- a/src/relayd/PlainCallAttempts.cpp
+++ b/src/relayd/PlainCallAttempts.cpp
@@ -15,10 +15,35 @@
 
 } // namespace
 
-// Sends the request to a server and, while that is silent, to a second one.
-// Ends with the first good answer, or when no attempt is under way.
+PlainCall::AttemptEnd::~AttemptEnd() {
+  if (!Running_->Result_)
+    Running_->Result_ = CallError{CallFailure::Internal, true};
+  if (Running_->OnEnd_)
+    Running_->OnEnd_();
+}
+
+PlainCall::~PlainCall() {
+  for (const auto &Each : Running_)
+    Each->OnEnd_ = nullptr;
+}
+
+// No attempt outlives the call, also if an exception ends the wait for them.
 Task<void> PlainCall::runAttempts(const BackendEntry &Server) {
   Last_.reset();
+  std::exception_ptr Thrown;
+  try {
+    co_await watchAttempts(Server);
+  } catch (...) {
+    Thrown = std::current_exception();
+  }
+  co_await cancelAttempts();
+  if (Thrown)
+    std::rethrow_exception(Thrown);
+}
+
+// Sends the request to a server and, while that is silent, to a second one.
+// Ends with the first good answer, or when no attempt is under way.
+Task<void> PlainCall::watchAttempts(const BackendEntry &Server) {
   CancelScope &Scope = Request_.Exchange_.scope();
   CancelScope::Guard Link(Scope, [this, &Scope] {
     cancelAll(Scope.reason().value_or(RefusalReason::ClientGone));
@@ -40,7 +65,6 @@
       Wake_.expires_after(Wait);
     co_await Wake_.async_wait(AsTuple);
   }
-  co_await cancelAttempts();
 }
 
 void PlainCall::start(const BackendEntry &Server) {
@@ -50,6 +74,11 @@
   ++SentAttempts_;
   auto Running = std::make_shared<Attempt>();
   Running->Server_ = Server;
+  Running->OnEnd_ = [this] {
+    Wake_.cancel();
+    if (ChoiceScope_)
+      ChoiceScope_->cancel(RefusalReason::BackendTimeout);
+  };
   Running_.push_back(Running);
   if (const auto Reason = Request_.Exchange_.scope().reason())
     Running->Scope_.cancel(*Reason);
@@ -57,6 +86,7 @@
 }
 
 Task<void> PlainCall::attempt(std::shared_ptr<Attempt> Running) {
+  const AttemptEnd End(Running);
   const ServerId &Id = Running->Server_.Id_;
   ServiceBalancer &Balancer = Context_.Balancers_[Request_.Service_];
   const TimePoint StartedAt = readBootClock();
@@ -81,9 +111,6 @@
              {"elapsed_ms", elapsedMs(Request_.Exchange_)}});
   co_await reportOutcome(Running->Server_, Result, Outcome);
   Running->Result_ = std::move(Result);
-  Wake_.cancel();
-  if (ChoiceScope_)
-    ChoiceScope_->cancel(RefusalReason::BackendTimeout);
 }
 
 // Removes attempts that have ended and keeps the result for the caller.
--- a/src/relayd/RelayHandler.cpp
+++ b/src/relayd/RelayHandler.cpp
@@ -1,6 +1,7 @@
 #include "gooseberrybeam/relayd/RelayHandler.h"
 
 #include "gooseberrybeam/http/HopByHop.h"
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/relayd/GenerationCall.h"
 #include "gooseberrybeam/relayd/PlainCall.h"
@@ -47,7 +48,19 @@
 Task<void> RelayHandler::onHandle(CallerExchange &Exchange) {
   const InFlightGuard Guard(Context_.InFlight_);
   Context_.Metrics_.add(Count::Requests);
-  co_await serve(Exchange);
+  std::exception_ptr Thrown;
+  try {
+    co_await serve(Exchange);
+  } catch (...) {
+    Thrown = std::current_exception();
+  }
+  if (!Thrown)
+    co_return;
+  logException("request", Thrown);
+  Exchange.closeAfter();
+  co_await refuse(Context_, Exchange,
+                  {RefusalReason::Internal, Execution::Unknown, {}},
+                  "an unexpected exception ended the request");
 }
 
 Task<void> RelayHandler::serve(CallerExchange &Exchange) {
--- a/src/relayd/ServerCall.cpp
+++ b/src/relayd/ServerCall.cpp
@@ -1,6 +1,7 @@
 #include "gooseberrybeam/relayd/ServerCall.h"
 
 #include "gooseberrybeam/http/HttpCall.h"
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
 
 #include <algorithm>
@@ -79,13 +80,11 @@
   return ConnectionUse::Any;
 }
 
-} // namespace
-
-Task<Result<ServerResponse, CallError>> callServer(RelayContext &Context,
-                                                   RelayRequest &Request,
-                                                   const ServerTarget &Target,
-                                                   Duration ResponseTimeout,
-                                                   CancelScope &Scope) {
+Task<Result<ServerResponse, CallError>> sendToServer(RelayContext &Context,
+                                                     RelayRequest &Request,
+                                                     const ServerTarget &Target,
+                                                     Duration ResponseTimeout,
+                                                     CancelScope &Scope) {
   const ConnectionUse Use = recordCall(Request, Target.Address_);
   auto Acquired = co_await Context.Pool_.acquire(Target.Address_, Scope, Use);
   if (!isOk(Acquired))
@@ -126,4 +125,21 @@
   }
 }
 
+} // namespace
+
+// An exception must not end the caller's request without an answer.
+Task<Result<ServerResponse, CallError>> callServer(RelayContext &Context,
+                                                   RelayRequest &Request,
+                                                   const ServerTarget &Target,
+                                                   Duration ResponseTimeout,
+                                                   CancelScope &Scope) {
+  try {
+    co_return co_await sendToServer(Context, Request, Target, ResponseTimeout,
+                                    Scope);
+  } catch (...) {
+    logException("call to a server", std::current_exception());
+  }
+  co_return CallError{CallFailure::Internal, true};
+}
+
 } // namespace gooseberry
