--- a/include/gooseberrybeam/relayd/RelayRequest.h
+++ b/include/gooseberrybeam/relayd/RelayRequest.h
@@ -24,7 +24,7 @@
   const RelayOrganisation *Organisation_; ///< Null on public routes.
   CallerRequestInfo CallerInfo_;
   ServiceId Service_;
-  beast::http::verb Method_;
+  std::string Method_; ///< As the caller wrote it.
   std::string Target_;
   HttpFields Fields_; ///< Without hop-by-hop fields.
   std::string Body_;
--- a/src/relayd/RelayHandler.cpp
+++ b/src/relayd/RelayHandler.cpp
@@ -126,7 +126,7 @@
                           Organisation,
                           std::move(CallerInfo),
                           Service,
-                          Exchange.head().method(),
+                          std::string(asStd(Exchange.head().method_string())),
                           std::string(asStd(Exchange.head().target())),
                           Exchange.head(),
                           {},
@@ -140,8 +140,7 @@
   }
   Request.Body_ = takeValue(std::move(Body));
   Request.Fingerprint_ =
-      makeRequestFingerprint(Request.organisationName(),
-                             asStd(beast::http::to_string(Request.Method_)),
+      makeRequestFingerprint(Request.organisationName(), Request.Method_,
                              Request.Target_, Request.Body_);
   removeHopByHop(Request.Fields_);
   Exchange.watchCaller();
--- a/src/relayd/ServerCall.cpp
+++ b/src/relayd/ServerCall.cpp
@@ -18,17 +18,15 @@
 HttpRequest makeRequest(const RelayContext &Context,
                         const RelayRequest &Request,
                         const ServerTarget &Target) {
-  HttpRequest ServerRequest(Request.Method_, asBeast(Request.Target_),
-                            HttpVersion);
+  HttpRequest ServerRequest;
   ServerRequest.base() = beast::http::request_header<>(Request.Fields_);
-  ServerRequest.method(Request.Method_);
+  ServerRequest.method_string(asBeast(Request.Method_));
   ServerRequest.target(asBeast(Request.Target_));
   ServerRequest.version(HttpVersion);
   Context.Protocol_.writeServerRequest(ServerRequest, Target.RequestInfo_);
   ServerRequest.body() = Request.Body_;
-  const bool HasBody = !Request.Body_.empty() ||
-                       Request.Method_ == beast::http::verb::post ||
-                       Request.Method_ == beast::http::verb::put;
+  const bool HasBody = !Request.Body_.empty() || Request.Method_ == "POST" ||
+                       Request.Method_ == "PUT";
   if (HasBody)
     ServerRequest.content_length(Request.Body_.size());
   return ServerRequest;
--- a/tests/ServerCrashCallTest.cpp
+++ b/tests/ServerCrashCallTest.cpp
@@ -48,11 +48,10 @@
     std::vector<std::string> Ids;
     for (int I = 0; I != Attempts; ++I)
       Ids.push_back("deadly" + std::to_string(++Sent_));
-    return Relay_.callAtOnce(Path, Ids,
-                             {beast::http::verb::post, std::string(Deadly)});
+    return Relay_.callAtOnce(Path, Ids, {"POST", std::string(Deadly)});
   }
   /// Sends a sound request.
-  CallerAnswer sendSound(std::string_view Path, beast::http::verb Method) {
+  CallerAnswer sendSound(std::string_view Path, std::string Method) {
     Relay_.restartServers();
     return Relay_.call(Path, "sound" + std::to_string(++Sent_),
                        {Method, "sound"});
@@ -87,8 +86,8 @@
 
 TEST_CASE("A request that crashes each server reaches few of them",
           "[relay][budget]") {
-  const auto Post = beast::http::verb::post;
-  const auto Get = beast::http::verb::get;
+  const std::string Post = "POST";
+  const std::string Get = "GET";
   std::string Path;
   std::string SoundPath;
   CallerContent Content = {Post, std::string(Deadly)};
@@ -129,7 +128,7 @@
           "[relay][budget]") {
   const std::string Path = GENERATE("/book/1", "/check/1");
   DeadlyPlay Play(std::nullopt);
-  const CallerContent Content = {beast::http::verb::post, std::string(Deadly)};
+  const CallerContent Content = {"POST", std::string(Deadly)};
   while (Play.reached() < 2)
     Play.sendDeadly(Path, Content);
   const std::vector<CallerAnswer> Answers = Play.sendDeadlyAtOnce(Path);
@@ -137,7 +136,7 @@
   CHECK(std::count_if(Answers.begin(), Answers.end(), isNotRun) ==
         Attempts - 1);
   CHECK(isQuarantined(Play.sendDeadly(Path, Content)));
-  CHECK(Play.sendSound(Path, beast::http::verb::post).Status_ == 200);
+  CHECK(Play.sendSound(Path, "POST").Status_ == 200);
 }
 
 TEST_CASE("A request whose servers close connections and take new ones is not "
@@ -158,8 +157,8 @@
                     });
   for (int I = 0; I != 5; ++I) {
     const int Before = Reached;
-    const CallerAnswer Answer = Relay.call(Path, "r" + std::to_string(I),
-                                           {beast::http::verb::post, "body"});
+    const CallerAnswer Answer =
+        Relay.call(Path, "r" + std::to_string(I), {"POST", "body"});
     CHECK_FALSE(isQuarantined(Answer));
     CHECK(Reached > Before);
   }
@@ -188,8 +187,8 @@
   int Served = 0;
   for (int I = 0; I != 9; ++I) {
     Relay.restartServers();
-    const CallerAnswer Answer = Relay.call(
-        Path, "r" + std::to_string(I), {beast::http::verb::post, "unlucky"});
+    const CallerAnswer Answer =
+        Relay.call(Path, "r" + std::to_string(I), {"POST", "unlucky"});
     CHECK_FALSE(isQuarantined(Answer));
     Served += Answer.Status_ == 200 ? 1 : 0;
   }
--- a/tests/support/RelayUnderTest.h
+++ b/tests/support/RelayUnderTest.h
@@ -33,7 +33,7 @@
 
 /// What a caller sends besides the path and the id.
 struct CallerContent {
-  beast::http::verb Method_ = beast::http::verb::post;
+  std::string Method_ = "POST";
   std::string Body_;
 };
 
@@ -243,8 +243,11 @@
     namespace http = beast::http;
     beast::tcp_stream Stream(Context_);
     co_await Stream.async_connect(Acceptor_.local_endpoint(), AsTuple);
-    http::request<http::string_body> Request(Content.Method_, asBeast(Path),
-                                             11);
+    constexpr unsigned Version11 = 11;
+    http::request<http::string_body> Request;
+    Request.method_string(asBeast(Content.Method_));
+    Request.target(asBeast(Path));
+    Request.version(Version11);
     Request.body() = std::move(Content.Body_);
     Request.set(http::field::host, "a.example");
     Request.set("Request-Id", Id);
--- a/tests/support/ScriptedBackend.h
+++ b/tests/support/ScriptedBackend.h
@@ -31,6 +31,7 @@
   std::string Body_;
   std::size_t NumberOnConnection_ = 0; ///< 1 for the first one.
   std::string Target_;
+  std::string Method_;
 };
 
 /// Bytes that a `ScriptedBackend` sends after a pause.
@@ -105,7 +106,8 @@
           {std::string(Received["Request-Id"]), std::string(Received["Stage"]),
            std::string(Received["Kv-Source"]),
            std::string(Received["Last-Event-Id"]), Received.body(), Number,
-           std::string(Received.target())});
+           std::string(Received.target()),
+           std::string(Received.method_string())});
       const ScriptedAnswer Answer = Answers_(Requests_.back());
       co_await asio::async_write(Socket, asio::buffer(Answer.Bytes_), AsTuple);
       for (const ScriptedPart &Part : Answer.Rest_) {
