Skip interim responses of servers

Change: ClientConnection reads on until the final response, up to 16 interim ones and within the time that the call has for its response; 101, which was not asked for, is malformed. It holds for all calls: servers, store, health checks. A caller's Expect is answered here, as its body is read whole, and no longer sent on.

--- a/include/gooseberrybeam/http/ClientConnection.h
+++ b/include/gooseberrybeam/http/ClientConnection.h
@@ -50,6 +50,7 @@
   exchange(HttpRequest &Request, Duration IdleTimeout, CancelScope &Scope);
 
   /// Reads the start of a further answer, after the body of the last was read.
+  /// Interim answers are skipped, up to a small number.
   /// \param IdleTimeout bound on the wait for it.
   /// \param Scope aborts the read when cancelled.
   /// \returns the start of the answer or a failure.
@@ -89,6 +90,8 @@
 private:
   using Parser = BoundedParser<false, beast::http::buffer_body>;
 
+  Task<Result<ResponseHead, CallError>> readOneHead(Duration Timeout,
+                                                    CancelScope &Scope);
   CallError failed(CallFailure Failure, bool MayHaveStarted);
 
   beast::tcp_stream Stream_;
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -19,6 +19,10 @@
 constexpr int KeepAliveIntervalS = 1;
 constexpr int KeepAliveProbes = 2;
 constexpr int UnacknowledgedLimitMs = 3000;
+constexpr int FirstFinalStatus = 200;
+constexpr int SwitchingProtocols = 101;
+/// A server that sends more before its final response is faulty.
+constexpr int MaxInterimResponses = 16;
 
 CallFailure failureOf(const boost::system::error_code &Error,
                       const CancelScope &Scope, CallFailure Otherwise) {
@@ -108,14 +112,32 @@
   co_return co_await readHead(IdleTimeout, Scope);
 }
 
+// Interim responses precede the final one (RFC 9110, section 15.2). One that
+// switches protocols was not asked for.
 Task<Result<ResponseHead, CallError>>
 ClientConnection::readHead(Duration IdleTimeout, CancelScope &Scope) {
+  const TimePoint Deadline = readBootClock() + IdleTimeout;
+  for (int Interim = 0; Interim <= MaxInterimResponses; ++Interim) {
+    auto Head = co_await readOneHead(Deadline - readBootClock(), Scope);
+    if (!isOk(Head))
+      co_return errorOf(Head);
+    const int Status = valueOf(Head).Status_;
+    if (Status >= FirstFinalStatus)
+      co_return std::move(Head);
+    if (Status == SwitchingProtocols)
+      break;
+  }
+  co_return failed(CallFailure::Malformed, true);
+}
+
+Task<Result<ResponseHead, CallError>>
+ClientConnection::readOneHead(Duration Timeout, CancelScope &Scope) {
   if (Scope.isCancelled())
     co_return failed(CallFailure::Cancelled, true);
   CancelScope::Guard Guard(Scope, [this] { close(); });
   Parser_.emplace();
   Parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-  Stream_.expires_after(IdleTimeout);
+  Stream_.expires_after(std::max(Timeout, Duration::zero()));
   auto [ReadError, Read] = co_await beast::http::async_read_header(
       Stream_, Buffer_, *Parser_, AsTuple);
   if (ReadError)
--- a/src/relayd/RelayHandler.cpp
+++ b/src/relayd/RelayHandler.cpp
@@ -143,6 +143,8 @@
       makeRequestFingerprint(Request.organisationName(), Request.Method_,
                              Request.Target_, Request.Body_);
   removeHopByHop(Request.Fields_);
+  // The caller was asked for its body; a server gets it with the head.
+  Request.Fields_.erase(beast::http::field::expect);
   Exchange.watchCaller();
   co_await relay(Request);
 }
