--- a/src/peers/MessageFramer.cpp
+++ b/src/peers/MessageFramer.cpp
@@ -27,7 +27,7 @@
   std::size_t Length = 0;
   for (std::size_t I = 0; I < HeaderBytes; ++I)
     Length = Length << BitsPerByte | static_cast<unsigned char>(Buffer_[I]);
-  if (Length > MaxPeerMessage) {
+  if (Length > MaxMessage_) {
     IsBroken_ = true;
     return std::nullopt;
   }
--- a/src/peers/MessageFramer.h
+++ b/src/peers/MessageFramer.h
@@ -26,11 +26,16 @@
   /// \returns the next whole message, if one has arrived.
   std::optional<std::string> next();
 
+  /// \param Bytes the longest message that is taken from now on, at most
+  /// `MaxPeerMessage`.
+  void setMaxMessage(std::size_t Bytes) { MaxMessage_ = Bytes; }
+
   /// \returns whether the stream announced a message that is too long.
   bool isBroken() const { return IsBroken_; }
 
 private:
   std::string Buffer_;
+  std::size_t MaxMessage_ = MaxPeerMessage;
   bool IsBroken_ = false;
 };
 
--- a/src/peers/PeerSession.cpp
+++ b/src/peers/PeerSession.cpp
@@ -13,6 +13,8 @@
 
 /// Messages that wait for a slow peer; beyond it they are dropped.
 constexpr std::size_t MaxOutbox = std::size_t{8} << 20;
+/// Whoever connects may send this much before it has proved who it is.
+constexpr std::size_t MaxProof = 1024;
 constexpr Duration HandshakeTimeout = std::chrono::seconds(2);
 /// A quiet connection is pinged; a silent one is closed.
 constexpr Duration PingAfter = std::chrono::seconds(2);
@@ -115,6 +117,7 @@
     return;
   }
   OwnNonce_ = *Nonce;
+  Framer_.setMaxMessage(MaxProof);
   makeNghttp2Session();
   if (Role_ == PeerRole::Client)
     submitRequest();
@@ -220,6 +223,7 @@
 
 void PeerSession::authenticate() {
   IsAuthenticated_ = true;
+  Framer_.setMaxMessage(MaxPeerMessage);
   ++Of_.Counters_->Connected_;
   Of_.Events_->onAuthenticated(*this);
 }
--- a/tests/PeerTransportTest.cpp
+++ b/tests/PeerTransportTest.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrybeam/http/Endpoint.h"
 #include "gooseberrybeam/peers/TcpPeerTransport.h"
+#include "peers/MessageFramer.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -44,6 +45,29 @@
   return Message;
 }
 
+// Guards against memory that anyone who connects can take.
+TEST_CASE("A peer that has not proved who it is may announce a short message "
+          "only",
+          "[peers]") {
+  constexpr std::size_t ShortMessage = 64;
+  const std::string Long = frameMessage(std::string(ShortMessage + 1, 'a'));
+  MessageFramer Framer;
+  Framer.setMaxMessage(ShortMessage);
+
+  SECTION("and a longer one breaks the stream before it has arrived") {
+    Framer.feed(Long.substr(0, 5));
+    CHECK_FALSE(Framer.next());
+    CHECK(Framer.isBroken());
+  }
+  SECTION("and any one after its proof") {
+    Framer.feed(frameMessage("proof") + Long);
+    CHECK(Framer.next() == "proof");
+    Framer.setMaxMessage(MaxPeerMessage);
+    REQUIRE(Framer.next());
+    CHECK_FALSE(Framer.isBroken());
+  }
+}
+
 TEST_CASE("Messages between daemons survive their encoding", "[peers]") {
   EpochDocument Document;
   Document.Epoch_ = 5;
