--- a/src/daemon/Worker.cpp
+++ b/src/daemon/Worker.cpp
@@ -21,6 +21,13 @@
   return Limits;
 }
 
+CallerLimits makeCallerLimits(const Settings &Options,
+                              const ConnectionPool &Pool) {
+  CallerLimits Limits = Options.Caller_;
+  Limits.Bodies_ = Pool.bodies();
+  return Limits;
+}
+
 std::string makeIdPrefix(const std::string &Holder, std::uint32_t Index) {
   return Holder + "-" + std::to_string(Index) + "-";
 }
@@ -39,8 +46,8 @@
                                              Engines_, Pool_,         Table_,
                                              Retries_, PrefillSpeed_, Holder},
       Router_(Shared_),
-      Server_(Context_, Router_, Options.Caller_, makeIdPrefix(Holder, Index)) {
-}
+      Server_(Context_, Router_, makeCallerLimits(Options, Pool_),
+              makeIdPrefix(Holder, Index)) {}
 
 Worker::~Worker() { stop(); }
 
