Let no task end silently, and answer a caller whose handler threw

Seen by callers of gooseberryd: a connection that closes without an answer if an exception ends the handling of a request; after one in a task that was started without a guard, what it did is over for good (the watch of an engine, the accepting of callers) and no line says so. A call to the table whose response could not be converted never called its handler.

Change: tasks are started by spawnTask and loops by spawnLoop, as in the relay; a table call reports a failure; CallerSession answers 500, "unknown", where the handler has not. The new section of CallerServerTest fails without it (the connection closes).

--- a/src/daemon/BackendWatcher.cpp
+++ b/src/daemon/BackendWatcher.cpp
@@ -1,9 +1,8 @@
 #include "gooseberrybeam/daemon/BackendWatcher.h"
 
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
@@ -53,7 +52,7 @@
       Table_(Table), Intervals_(Intervals) {}
 
 void BackendWatcher::start() {
-  asio::co_spawn(Context_, watchList(), asio::detached);
+  spawnLoop(Context_, "list of engines", [this] { return watchList(); });
 }
 
 Task<void> BackendWatcher::watchList() {
@@ -111,7 +110,7 @@
     const auto [Found, IsNew] = Engines_.try_emplace(Name);
     Found->second.Listed_ = Entry;
     if (IsNew)
-      asio::co_spawn(Context_, watchEngine(Name), asio::detached);
+      spawnLoop(Context_, "engine", [this, Name] { return watchEngine(Name); });
     if (Entry.State_ == ListedState::Leaving)
       onLeaving(Name);
   }
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -8,9 +8,6 @@
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/peers/PlacementCodec.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <csignal>
 
@@ -118,10 +115,11 @@
 }
 
 void Daemon::startParts() {
-  asio::co_spawn(Control_, watchSignals(), asio::detached);
-  asio::co_spawn(Control_, ignoreHangups(HangupSignals_), asio::detached);
-  asio::co_spawn(Control_, tickParts(), asio::detached);
-  asio::co_spawn(Control_, acceptCallers(), asio::detached);
+  spawnLoop(Control_, "signals", [this] { return watchSignals(); });
+  spawnLoop(Control_, "hangups",
+            [this] { return ignoreHangups(HangupSignals_); });
+  spawnLoop(Control_, "ticks", [this] { return tickParts(); });
+  spawnLoop(Control_, "accept", [this] { return acceptCallers(); });
   connectConfiguration();
   Operators_.start();
   followMembership();
@@ -247,7 +245,7 @@
     return;
   logLine(LogPart::Daemon, LogLevel::Info, "Daemon drains.", {});
   Cluster_.retire();
-  asio::co_spawn(Control_, drainAndStop(), asio::detached);
+  spawnTask(Control_, "drain", drainAndStop());
 }
 
 Task<void> Daemon::drainAndStop() {
--- a/src/daemon/GenerationRun.cpp
+++ b/src/daemon/GenerationRun.cpp
@@ -1,10 +1,9 @@
 #include "gooseberrybeam/daemon/GenerationRun.h"
 
 #include "daemon/EngineAttempt.h"
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <utility>
@@ -365,10 +364,9 @@
 }
 
 void GenerationRun::cancelOn(const BackendId &Engine) {
-  asio::co_spawn(
-      Worker_.Context_,
-      cancelOnEngine(Worker_, Engine, Exchange_.id(), Worker_.Holder_, Active_),
-      asio::detached);
+  spawnTask(Worker_.Context_, "cancel",
+            cancelOnEngine(Worker_, Engine, Exchange_.id(), Worker_.Holder_,
+                           Active_));
 }
 
 void GenerationRun::cleanUp() {
--- a/src/daemon/LedgerCall.cpp
+++ b/src/daemon/LedgerCall.cpp
@@ -1,11 +1,10 @@
 #include "daemon/LedgerCall.h"
 
 #include "gooseberrybeam/http/HopByHop.h"
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
 #include "tableclient/TableAwait.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 namespace gooseberry {
@@ -157,20 +156,18 @@
 
 Task<std::optional<CallerError>> LedgerCall::refuse(Refusal Why) {
   if (Call_.mayHaveOrphanedRow())
-    asio::co_spawn(
-        Worker_.Context_,
-        removeLeftRow(Worker_, Call_, RowKey_, InFlightMark(Worker_.State_)),
-        asio::detached);
+    spawnTask(
+        Worker_.Context_, "removal of a ledger row",
+        removeLeftRow(Worker_, Call_, RowKey_, InFlightMark(Worker_.State_)));
   CallerError Error = {Why, "", ""};
   co_await Exchange_.refuse(Error);
   co_return Error;
 }
 
 void LedgerCall::record(TableTransaction Transaction) {
-  asio::co_spawn(Worker_.Context_,
-                 writeRecord(Worker_, std::move(Transaction), Exchange_.id(),
-                             InFlightMark(Worker_.State_)),
-                 asio::detached);
+  spawnTask(Worker_.Context_, "ledger row",
+            writeRecord(Worker_, std::move(Transaction), Exchange_.id(),
+                        InFlightMark(Worker_.State_)));
 }
 
 } // namespace gooseberry
--- a/src/daemon/OrderRunner.cpp
+++ b/src/daemon/OrderRunner.cpp
@@ -1,10 +1,8 @@
 #include "gooseberrybeam/daemon/OrderRunner.h"
 
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 
 namespace gooseberry {
@@ -128,7 +126,7 @@
 
 void OrderRunner::perform(const BackendId &Engine, const SendOrder &Action) {
   if (State_.isLeaseValid(readBootClock()))
-    asio::co_spawn(Context_, send(Engine, Action), asio::detached);
+    spawnTask(Context_, "order", send(Engine, Action));
 }
 
 void OrderRunner::perform(const BackendId &Engine,
--- a/src/daemon/SweepRunner.cpp
+++ b/src/daemon/SweepRunner.cpp
@@ -1,9 +1,8 @@
 #include "gooseberrybeam/daemon/SweepRunner.h"
 
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -80,11 +79,11 @@
 }
 
 void SweepRunner::perform(const ListHoldings &Action) {
-  asio::co_spawn(Context_, list(Action.Engine_), asio::detached);
+  spawnTask(Context_, "list of holdings", list(Action.Engine_));
 }
 
 void SweepRunner::perform(const FreeHolding &Action) {
-  asio::co_spawn(Context_, free(Action), asio::detached);
+  spawnTask(Context_, "release of a holding", free(Action));
 }
 
 void SweepRunner::perform(const QueryHolder &Action) {
--- a/src/http/CallerSession.cpp
+++ b/src/http/CallerSession.cpp
@@ -1,5 +1,6 @@
 #include "http/CallerSession.h"
 
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "http/ReadDeadline.h"
 #include "http/TrimBuffer.h"
 
@@ -191,11 +192,28 @@
   if (Server_.IsClosing_)
     Exchange.closeAfter();
   Request_ = &Exchange.scope();
-  co_await Server_.Handler_.handle(Exchange);
+  co_await handle(Exchange);
   Request_ = nullptr;
   co_return Exchange.keepsAlive();
 }
 
+// An exception must not leave the caller without an answer.
+Task<void> CallerSession::handle(CallerExchange &Exchange) {
+  std::exception_ptr Thrown;
+  try {
+    co_await Server_.Handler_.handle(Exchange);
+  } catch (...) {
+    Thrown = std::current_exception();
+  }
+  if (!Thrown)
+    co_return;
+  logException("request", Thrown);
+  Exchange.closeAfter();
+  const CallerError Error = {
+      {RefusalReason::Internal, Execution::Unknown, std::nullopt}, "", ""};
+  co_await Exchange.refuse(Error);
+}
+
 Task<void> CallerSession::refuseHead(CallerExchange &Exchange,
                                      CallerError Error) {
   Exchange.closeAfter();
--- a/src/http/CallerSession.h
+++ b/src/http/CallerSession.h
@@ -45,6 +45,7 @@
   Arrival readArrived();
   Duration idleLimit(Duration Earlier) const;
   Task<bool> serveOne();
+  Task<void> handle(CallerExchange &Exchange);
   Task<void> refuseHead(CallerExchange &Exchange, CallerError Error);
   Task<void> finish();
 
--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -2,10 +2,9 @@
 
 #include "gooseberrybeam/http/BoundedParser.h"
 #include "gooseberrybeam/http/OpenAcceptor.h"
+#include "gooseberrybeam/http/SpawnTask.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -47,6 +46,20 @@
   return Reply;
 }
 
+/// Counts a connection for its own lifetime.
+class ConnectionCount {
+public:
+  explicit ConnectionCount(std::size_t &Counter) : Counter_(Counter) {
+    ++Counter_;
+  }
+  ~ConnectionCount() { --Counter_; }
+  ConnectionCount(const ConnectionCount &) = delete;
+  ConnectionCount &operator=(const ConnectionCount &) = delete;
+
+private:
+  std::size_t &Counter_;
+};
+
 /// What a waiting connection and the call's handler share.
 struct PendingCall {
   explicit PendingCall(asio::io_context &Context) : Done_(Context) {
@@ -66,7 +79,7 @@
   const auto Error = openAcceptor(Acceptor_, Endpoint);
   if (Error)
     return Error;
-  asio::co_spawn(Context_, accept(), asio::detached);
+  spawnLoop(Context_, "operator port", [this] { return accept(); });
   return std::nullopt;
 }
 
@@ -84,7 +97,7 @@
   while (Acceptor_.is_open()) {
     auto [Error, Connection] = co_await Acceptor_.async_accept(AsTuple);
     if (!Error && Connections_ < MaxConnections) {
-      asio::co_spawn(Context_, serve(std::move(Connection)), asio::detached);
+      spawnTask(Context_, "operator", serve(std::move(Connection)));
       continue;
     }
     Pause.expires_after(AcceptPause);
@@ -93,7 +106,7 @@
 }
 
 asio::awaitable<void> OperatorServer::serve(Socket Connection) {
-  ++Connections_;
+  const ConnectionCount Count(Connections_);
   beast::tcp_stream Stream(std::move(Connection));
   beast::flat_buffer Buffer(MaxConnectionBuffer);
   for (bool IsKept = true; IsKept;) {
@@ -114,7 +127,6 @@
         co_await http::async_write(Stream, Reply, AsTuple);
     IsKept = !WriteError && Reply.keep_alive();
   }
-  --Connections_;
 }
 
 asio::awaitable<OperatorResponse>
--- a/src/tableclient/HttpTableClient.cpp
+++ b/src/tableclient/HttpTableClient.cpp
@@ -1,11 +1,9 @@
 #include "gooseberrybeam/tableclient/HttpTableClient.h"
 
+#include "gooseberrybeam/http/SpawnTask.h"
 #include "tableclient/ParseInstanceList.h"
 #include "tableclient/TableJson.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace gooseberry {
 namespace {
 
@@ -53,8 +51,16 @@
                          T (*Convert)(const Reply &),
                          std::function<void(T)> Handler) {
   CancelScope Scope;
-  const Reply Answer = co_await callHttp(Pool, Server, Request, Limits, Scope);
-  Handler(Convert(Answer));
+  Reply Answer = CallError{CallFailure::Internal, true};
+  T Outcome = Convert(Answer);
+  // The caller waits for the handler.
+  try {
+    Answer = co_await callHttp(Pool, Server, Request, Limits, Scope);
+    Outcome = Convert(Answer);
+  } catch (...) {
+    logException("table call", std::current_exception());
+  }
+  Handler(std::move(Outcome));
 }
 
 } // namespace
@@ -69,31 +75,27 @@
                                  TransactHandler Handler) {
   HttpRequest Request = makeJsonRequest(beast::http::verb::post, "/v1/transact",
                                         writeTransaction(Transaction));
-  asio::co_spawn(Context_,
-                 callAndHandle<TransactOutcome>(
-                     Pool_, Server_, std::move(Request), Limits_, &readTransact,
-                     std::move(Handler)),
-                 asio::detached);
+  spawnTask(Context_, "table call",
+            callAndHandle<TransactOutcome>(Pool_, Server_, std::move(Request),
+                                           Limits_, &readTransact,
+                                           std::move(Handler)));
 }
 
 void HttpTableClient::onRead(TableQuery Query, ReadHandler Handler) {
   HttpRequest Request =
       makeJsonRequest(beast::http::verb::post, "/v1/read", writeQuery(Query));
-  asio::co_spawn(Context_,
-                 callAndHandle<ReadOutcome>(Pool_, Server_, std::move(Request),
-                                            Limits_, &readRows,
-                                            std::move(Handler)),
-                 asio::detached);
+  spawnTask(Context_, "table call",
+            callAndHandle<ReadOutcome>(Pool_, Server_, std::move(Request),
+                                       Limits_, &readRows, std::move(Handler)));
 }
 
 void HttpTableClient::readInstances(ListHandler Handler) {
   HttpRequest Request =
       makeJsonRequest(beast::http::verb::get, "/v1/instances", {});
-  asio::co_spawn(Context_,
-                 callAndHandle<std::optional<InstanceList>>(
-                     Pool_, Server_, std::move(Request), Limits_, &readList,
-                     std::move(Handler)),
-                 asio::detached);
+  spawnTask(Context_, "table call",
+            callAndHandle<std::optional<InstanceList>>(
+                Pool_, Server_, std::move(Request), Limits_, &readList,
+                std::move(Handler)));
 }
 
 } // namespace gooseberry
--- a/tests/CallerServerTest.cpp
+++ b/tests/CallerServerTest.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <stdexcept>
+
 using namespace gooseberry;
 
 namespace {
@@ -27,6 +29,8 @@
       co_return;
     }
     Exchange.watchCaller();
+    if (Exchange.path() == "/throw")
+      throw std::runtime_error("thrown by a test");
     if (Exchange.path() == "/wait")
       co_await waitForCancel(Exchange);
     else
@@ -151,6 +155,13 @@
     CHECK(hasStatus(Answer, 200));
     CHECK(Answer.ends_with("\r\n\r\n0"));
   }
+  // Guards against a request without an answer.
+  SECTION("until an unexpected exception ends a request") {
+    const auto Answer =
+        Fixture.exchange("GET /throw HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(hasStatus(Answer, 500));
+    CHECK(Answer.find("unknown") != std::string::npos);
+  }
   SECTION("until a head does not arrive in time") {
     CHECK(hasStatus(Fixture.exchange("GET /a HTTP/1.1\r\nHos"), 408));
     CHECK(Fixture.Handler_.Refused_ ==
