Log whether a dropped server was removed while the store was steady

The line on a lapsed registration did not tell an outage of the own path from one of the store. Two arguments of awaited calls get names: GCC 12 has freed the parts of such a temporary twice in a new test ("invalid pointer").

--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -433,9 +433,10 @@
                              !Exchange.isAnswerBegun();
   if (!IsEngineError || mayRetry(StepOutcome::Failed))
     co_return StepOutcome::Failed;
+  HeldBody Text = takeValue(std::move(Body));
   co_await Exchange.answer(Response.Head_.Status_,
                            relayedFields(Response.Head_),
-                           takeValue(std::move(Body)).Text_);
+                           std::move(Text.Text_));
   co_return StepOutcome::Succeeded;
 }
 
--- a/src/relayd/PlainCall.cpp
+++ b/src/relayd/PlainCall.cpp
@@ -208,9 +208,12 @@
     endTrial(TrialOutcome::Ended);
   const bool IsRelayed = Outcome == AttemptOutcome::Answered ||
                          Outcome == AttemptOutcome::ServerError;
-  if (Last_ && IsRelayed)
-    co_await relayResponse(takeValue(std::move(*Last_)));
-  else if (Admission >= CrashAdmission::Held && !MayHaveRun_)
+  if (Last_ && IsRelayed) {
+    BufferedResponse Response = takeValue(std::move(*Last_));
+    co_await relayResponse(std::move(Response));
+    co_return;
+  }
+  if (Admission >= CrashAdmission::Held && !MayHaveRun_)
     co_await refuseSuspect(Admission);
   else if (!Last_)
     co_await refuseUnsent();
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -493,7 +493,9 @@
       logLine(
           LogPart::Service, LogLevel::Info,
           "Backend server dropped: registration lapsed and was not renewed.",
-          {{"server", Server.Value_}});
+          {{"server", Server.Value_},
+           {"store_steady",
+            Directory_.storeContact().isSteady(Now) ? "true" : "false"}});
     for (const ServerId &Server : Relay_.Pauses_.takeEnded(Now))
       logLine(LogPart::Service, LogLevel::Info,
               "Pause of a backend server is over.",
