Do not tell a caller that a request has not run when it may have

What keeps a caller from booking twice goes first: on routes that may not be repeated, such a response without Not-Executed becomes our own 502, "unknown", without the server's signature. Where a request may be repeated it is handed on as it is.

--- a/include/gooseberrybeam/relayd/RelayProtocol.h
+++ b/include/gooseberrybeam/relayd/RelayProtocol.h
@@ -46,6 +46,8 @@
 struct ServerResponseInfo {
   RequestId RequestId_;        ///< Empty if absent.
   bool IsNotExecuted_ = false; ///< The request did not and will not run.
+  /// Callers take the status to mean that the request has not run.
+  bool MeansNotRun_ = false;
   bool IsWrongServer_ = false; ///< The address now belongs to another server.
   bool IsSigned_ = false;      ///< The signature field is present.
   /// Requests per second that the server accepts from all instances together,
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -428,7 +428,10 @@
   Context_.Pool_.release(Engine.Address_, std::move(Response.Connection_));
   if (Response.Info_.IsNotExecuted_)
     co_return StepOutcome::Rejected;
-  const bool IsEngineError = Response.Info_.IsSigned_ &&
+  // The caller would send it again, although it may have run.
+  const bool IsUntrue =
+      Response.Info_.MeansNotRun_ && !Request_.Route_.mayRetry();
+  const bool IsEngineError = Response.Info_.IsSigned_ && !IsUntrue &&
                              Response.Head_.Status_ != HttpOk &&
                              !Exchange.isAnswerBegun();
   if (!IsEngineError || mayRetry(StepOutcome::Failed))
--- a/src/relayd/PlainCall.cpp
+++ b/src/relayd/PlainCall.cpp
@@ -121,6 +121,9 @@
   const BufferedResponse &Response = valueOf(Attempt);
   if (Response.Info_.IsNotExecuted_)
     return AttemptOutcome::Rejected;
+  // The caller would send it again, although it may have run.
+  if (Response.Info_.MeansNotRun_ && !Request_.Route_.mayRetry())
+    return AttemptOutcome::Broken;
   if (Response.Head_.Status_ >= FirstServerError)
     return AttemptOutcome::ServerError;
   const bool IsFromServer =
--- a/tests/FaultyServerTest.cpp
+++ b/tests/FaultyServerTest.cpp
@@ -271,6 +271,34 @@
   }
 }
 
+// Guards against a request that runs twice: its caller takes the status to mean
+// that it has not run, and sends it again.
+TEST_CASE("A server that has run a request answers as if it had not",
+          "[relay][faulty]") {
+  RelayUnderTest Relay;
+  Relay.addServer("prefill", EngineRole::Prefill, prefillAll());
+  int Status = 0;
+
+  SECTION("with 503") { Status = 503; }
+  SECTION("with 429") { Status = 429; }
+  SECTION("with 408") { Status = 408; }
+  const auto Answer = closeAfter(makeHead(Status, withLength(ErrorBody)) +
+                                 std::string(ErrorBody));
+  Relay.addServer("server", std::nullopt, Answer);
+  Relay.addServer("decode", EngineRole::Decode, Answer);
+
+  for (const char *Path : {"/book/1", "/draft/1"}) {
+    const CallerAnswer Refusal = Relay.call(Path, "r1");
+    CHECK(Refusal.Status_ == 502);
+    CHECK(Refusal.Body_.find("unknown") != std::string::npos);
+    CHECK(Refusal.Fields_.count("Response-Signature") == 0);
+  }
+  // One that may be repeated is answered as the server did.
+  const CallerAnswer Relayed = Relay.call("/check/1", "r1");
+  CHECK(Relayed.Status_ == Status);
+  CHECK(Relayed.Body_ == ErrorBody);
+}
+
 TEST_CASE("Streams of engines that send no event are refused",
           "[relay][faulty]") {
   RelayUnderTest Relay;
