Guard the handling of a request in one way

CallerSession and RelayHandler each caught, logged and went on; endGuarded does it for both. A doc comment that the formatter had run together is split again. No behaviour changes; UnexpectedExceptionTest and CallerServerTest pass.

--- a/include/gooseberrybeam/http/ByteBudget.h
+++ b/include/gooseberrybeam/http/ByteBudget.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <utility>
 
 namespace gooseberry {
 
--- a/include/gooseberrybeam/http/SpawnTask.h
+++ b/include/gooseberrybeam/http/SpawnTask.h
@@ -37,6 +37,12 @@
 /// \param Thrown the exception.
 void logException(std::string_view Name, const std::exception_ptr &Thrown);
 
+/// Waits for a coroutine. An exception is logged and goes no further.
+/// \param Name a literal that names the coroutine in the log.
+/// \param Work the coroutine.
+/// \returns whether it ended without an exception.
+Task<bool> endGuarded(std::string_view Name, Task<void> Work);
+
 /// Runs a context until it is stopped or has no more work. An exception that
 /// leaves a handler ends the operation that it belongs to and is logged.
 /// \param Context the context.
--- a/include/gooseberrybeam/relay/BackendDirectory.h
+++ b/include/gooseberrybeam/relay/BackendDirectory.h
@@ -75,9 +75,10 @@
   /// \param Now the current time.
   void remove(const ServerId &Id, TimePoint Now);
   /// Removes registrations that were not renewed by their deadline, and adds
-  /// restored ones that were. If the store was steady, removes all of them;
-  /// else has no effect while the store is unavailable. \param Now the current
-  /// time. \returns the servers that were removed.
+  /// restored ones that were. If the store was steady, it removes all that
+  /// lapsed; else it has no effect while the store is unavailable.
+  /// \param Now the current time.
+  /// \returns the servers that were removed.
   std::vector<ServerId> expire(TimePoint Now);
 
   /// \returns the entry, or null if the server is unknown. The pointer is valid
--- a/src/http/CallerSession.cpp
+++ b/src/http/CallerSession.cpp
@@ -199,15 +199,10 @@
 
 // An exception must not leave the caller without an answer.
 Task<void> CallerSession::handle(CallerExchange &Exchange) {
-  std::exception_ptr Thrown;
-  try {
-    co_await Server_.Handler_.handle(Exchange);
-  } catch (...) {
-    Thrown = std::current_exception();
-  }
-  if (!Thrown)
+  const bool HasEnded =
+      co_await endGuarded("request", Server_.Handler_.handle(Exchange));
+  if (HasEnded)
     co_return;
-  logException("request", Thrown);
   Exchange.closeAfter();
   const CallerError Error = {
       {RefusalReason::Internal, Execution::Unknown, std::nullopt}, "", ""};
--- a/src/http/SpawnTask.cpp
+++ b/src/http/SpawnTask.cpp
@@ -60,6 +60,16 @@
   spawnTask(Context, Name, runLoop(Context, Name, std::move(Loop)));
 }
 
+Task<bool> endGuarded(std::string_view Name, Task<void> Work) {
+  try {
+    co_await std::move(Work);
+    co_return true;
+  } catch (...) {
+    logException(Name, std::current_exception());
+  }
+  co_return false;
+}
+
 void runContext(asio::io_context &Context, std::string_view Name) {
   for (;;) {
     try {
--- a/src/relayd/RelayHandler.cpp
+++ b/src/relayd/RelayHandler.cpp
@@ -48,15 +48,9 @@
 Task<void> RelayHandler::onHandle(CallerExchange &Exchange) {
   const InFlightGuard Guard(Context_.InFlight_);
   Context_.Metrics_.add(Count::Requests);
-  std::exception_ptr Thrown;
-  try {
-    co_await serve(Exchange);
-  } catch (...) {
-    Thrown = std::current_exception();
-  }
-  if (!Thrown)
+  const bool HasEnded = co_await endGuarded("request", serve(Exchange));
+  if (HasEnded)
     co_return;
-  logException("request", Thrown);
   Exchange.closeAfter();
   co_await refuse(Context_, Exchange,
                   {RefusalReason::Internal, Execution::Unknown, {}},
