--- a/tests/ServerCrashCallTest.cpp
+++ b/tests/ServerCrashCallTest.cpp
@@ -51,7 +51,7 @@
     return Relay_.callAtOnce(Path, Ids, {"POST", std::string(Deadly)});
   }
   /// Sends a sound request.
-  CallerAnswer sendSound(std::string_view Path, std::string Method) {
+  CallerAnswer sendSound(std::string_view Path, const std::string &Method) {
     Relay_.restartServers();
     return Relay_.call(Path, "sound" + std::to_string(++Sent_),
                        {Method, "sound"});
