--- a/include/gooseberrybeam/http/ByteBudget.h
+++ b/include/gooseberrybeam/http/ByteBudget.h
@@ -25,10 +25,10 @@
   std::size_t heldBytes() const { return Held_; }
 
   /// Changes the size of a body that is held.
-  /// \param From its present size.
-  /// \param To its next size.
+  /// \param Present its present size.
+  /// \param Next its next size.
   /// \returns false, without a change, if it may not grow so far.
-  bool tryResize(std::size_t From, std::size_t To);
+  bool tryResize(std::size_t Present, std::size_t Next);
 
 private:
   std::size_t Total_;
--- a/src/http/ByteBudget.cpp
+++ b/src/http/ByteBudget.cpp
@@ -5,11 +5,11 @@
 
 namespace gooseberry {
 
-bool ByteBudget::tryResize(std::size_t From, std::size_t To) {
-  assert(From <= Held_);
-  const std::size_t Held = Held_ - From + To;
+bool ByteBudget::tryResize(std::size_t Present, std::size_t Next) {
+  assert(Present <= Held_);
+  const std::size_t Held = Held_ - Present + Next;
   const std::size_t Free = Total_ > Held ? Total_ - Held : 0;
-  if (To > From && To > SmallBytes && To > Free)
+  if (Next > Present && Next > SmallBytes && Next > Free)
     return false;
   Held_ = Held;
   return true;
