--- a/include/gooseberrybeam/base/Ids.h
+++ b/include/gooseberrybeam/base/Ids.h
@@ -40,6 +40,8 @@
 using InstanceId = NamedId<struct InstanceTag>;
 /// A data centre.
 using DataCentreId = NamedId<struct DataCentreTag>;
+/// A region, which holds one or more data centres.
+using RegionId = NamedId<struct RegionTag>;
 /// A request, unique across instances.
 using RequestId = NamedId<struct RequestTag>;
 /// A segment of a prompt that other prompts may contain too.
--- /dev/null
+++ b/include/gooseberrybeam/relay/EvacuationState.h
@@ -0,0 +1,25 @@
+/// \file
+/// The data centres that operators have evacuated.
+#ifndef GOOSEBERRYBEAM_RELAY_EVACUATIONSTATE_H
+#define GOOSEBERRYBEAM_RELAY_EVACUATIONSTATE_H
+
+#include "gooseberrybeam/base/Ids.h"
+#include "gooseberrybeam/relay/StoreVersion.h"
+
+#include <set>
+
+namespace gooseberry {
+
+/// Data centres whose servers get no new requests, as of a version of the
+/// store. Of two states the one with the newer version holds.
+struct EvacuationState {
+  StoreVersion Version_; ///< Unknown until the store or a peer has told.
+  std::set<DataCentreId> DataCentres_;
+
+  friend bool operator==(const EvacuationState &,
+                         const EvacuationState &) = default;
+};
+
+} // namespace gooseberry
+
+#endif // GOOSEBERRYBEAM_RELAY_EVACUATIONSTATE_H
--- a/include/gooseberrybeam/relay/HomeMessages.h
+++ b/include/gooseberrybeam/relay/HomeMessages.h
@@ -4,10 +4,12 @@
 #ifndef GOOSEBERRYBEAM_RELAY_HOMEMESSAGES_H
 #define GOOSEBERRYBEAM_RELAY_HOMEMESSAGES_H
 
+#include "gooseberrybeam/relay/EvacuationState.h"
 #include "gooseberrybeam/relay/LeavingServer.h"
 #include "gooseberrybeam/relay/PlacementTypes.h"
 #include "gooseberrybeam/relay/PromptQuarantine.h"
 #include "gooseberrybeam/relay/ServerLimit.h"
+#include "gooseberrybeam/relay/ServerLoad.h"
 #include "gooseberrybeam/relay/StoreContact.h"
 #include "gooseberrybeam/relay/TableUpdate.h"
 #include "gooseberrybeam/relay/TrialMessages.h"
@@ -69,6 +71,9 @@
   std::vector<ServerLimit> ServerLimits_;
   /// If attached: servers that have said in a response that they leave.
   std::vector<LeavingServer> LeavingServers_;
+  EvacuationState Evacuation_; ///< As the sender knows it.
+  /// If attached and load is shared: the servers that the sender uses.
+  std::vector<ServerLoadReport> ServerLoads_;
 
   friend bool operator==(const HomeHeartbeat &,
                          const HomeHeartbeat &) = default;
@@ -93,6 +98,9 @@
   std::vector<ServerLimit> ServerLimits_;
   /// Servers that have said in a response that they leave.
   std::vector<LeavingServer> LeavingServers_;
+  EvacuationState Evacuation_; ///< As the sender knows it.
+  /// If load is shared: the servers of plain services.
+  std::vector<ServerLoadEstimate> ServerLoads_;
 
   friend bool operator==(const HomeReply &, const HomeReply &) = default;
 };
--- a/include/gooseberrybeam/relay/PlacementTypes.h
+++ b/include/gooseberrybeam/relay/PlacementTypes.h
@@ -6,6 +6,7 @@
 #include "gooseberrybeam/base/Ids.h"
 #include "gooseberrybeam/base/Refusal.h"
 #include "gooseberrybeam/base/Time.h"
+#include "gooseberrybeam/relay/RegionRestriction.h"
 #include "gooseberrybeam/relay/RequestFingerprint.h"
 
 #include <cstdint>
@@ -37,6 +38,7 @@
   /// Segments of the prompt that other prompts may contain too.
   std::vector<PromptSegmentId> SharedSegments_;
   RequestFingerprint Fingerprint_ = {};
+  RegionRestriction Regions_ = {}; ///< Where its engines may be.
 
   friend bool operator==(const PlacementRequest &,
                          const PlacementRequest &) = default;
--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -1,166 +1,18 @@
 #include "gooseberrybeam/relayd/HomeCodec.h"
 
-#include <home.pb.h>
+#include "relayd/HomeCodecParts.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace gooseberry {
 namespace {
 
 constexpr auto LastStep =
     static_cast<std::uint32_t>(GenerationStep::ServerResumed);
-
-/// Sums and multiples of shorter times fit into a `Duration`.
-constexpr std::int64_t MaxUs =
-    std::chrono::duration_cast<Duration>(std::chrono::hours(24 * 365)).count();
-
-/// \returns a time that may have passed, in range.
-Duration readTimeLeft(std::int64_t Us) {
-  return Duration(std::clamp(Us, -MaxUs, MaxUs));
-}
-
-/// \returns a time in range that is not negative.
-Duration readTime(std::int64_t Us) {
-  return Duration(std::clamp<std::int64_t>(Us, 0, MaxUs));
-}
-
-bool isAmount(double Value) { return std::isfinite(Value) && Value >= 0; }
 constexpr auto LastAdmission =
     static_cast<std::uint32_t>(CrashAdmission::Quarantined);
 constexpr auto LastOutcome = static_cast<std::uint32_t>(TrialOutcome::Ended);
 
-template <typename T>
-void writeUtilisation(T &Body,
-                      const std::vector<LimitUtilisation> &Utilisation) {
-  for (const auto &Source : Utilisation) {
-    auto &Limit = *Body.add_fills();
-    Limit.set_organisation(Source.Organisation_.Value_);
-    Limit.set_part(static_cast<float>(Source.UsedFraction_));
-  }
-}
-
-template <typename T>
-std::vector<LimitUtilisation> readUtilisation(const T &Body) {
-  std::vector<LimitUtilisation> Utilisation;
-  for (const auto &Limit : Body.fills())
-    if (isAmount(Limit.part()))
-      Utilisation.push_back({{Limit.organisation()}, Limit.part()});
-  return Utilisation;
-}
-
-template <typename T>
-void writeSegments(T &Body, const std::vector<PromptSegmentId> &Segments) {
-  for (const auto &Segment : Segments)
-    Body.add_segments(Segment.Value_);
-}
-
-template <typename T> std::vector<PromptSegmentId> readSegments(const T &Body) {
-  std::vector<PromptSegmentId> Segments;
-  for (const auto &Segment : Body.segments())
-    Segments.push_back({Segment});
-  return Segments;
-}
-
-template <typename T>
-void writeSuspects(T &Body, const std::vector<CrashSuspect> &Suspects) {
-  for (const auto &Source : Suspects) {
-    auto &Suspect = *Body.add_suspects();
-    writeSegments(Suspect, Source.Segments_);
-    Suspect.set_crashes(Source.Crashes_);
-    Suspect.set_age_us(Source.Age_.count());
-  }
-}
-
-template <typename T> std::vector<CrashSuspect> readSuspects(const T &Body) {
-  std::vector<CrashSuspect> Suspects;
-  for (const auto &Suspect : Body.suspects())
-    Suspects.push_back(
-        {readSegments(Suspect), Suspect.crashes(), readTime(Suspect.age_us())});
-  return Suspects;
-}
-
-template <typename T>
-void writeFingerprint(T &Body, const RequestFingerprint &Fingerprint) {
-  Body.set_fingerprint_high(Fingerprint.High_);
-  Body.set_fingerprint_low(Fingerprint.Low_);
-}
-
-template <typename T> RequestFingerprint readFingerprint(const T &Body) {
-  return {Body.fingerprint_high(), Body.fingerprint_low()};
-}
-
-template <typename T>
-void writeRequestSuspects(T &Body,
-                          const std::vector<RequestSuspect> &Suspects) {
-  for (const auto &Source : Suspects) {
-    auto &Suspect = *Body.add_request_suspects();
-    Suspect.set_high(Source.Fingerprint_.High_);
-    Suspect.set_low(Source.Fingerprint_.Low_);
-    Suspect.set_crashes(Source.Crashes_);
-    Suspect.set_age_us(Source.Age_.count());
-  }
-}
-
-template <typename T>
-std::vector<RequestSuspect> readRequestSuspects(const T &Body) {
-  std::vector<RequestSuspect> Suspects;
-  for (const auto &Suspect : Body.request_suspects())
-    Suspects.push_back({{Suspect.high(), Suspect.low()},
-                        Suspect.crashes(),
-                        readTime(Suspect.age_us())});
-  return Suspects;
-}
-
-template <typename T>
-void writeContact(T &Body, const std::optional<StoreContactSpan> &Span) {
-  if (!Span)
-    return;
-  Body.mutable_store_contact()->set_age_us(Span->Age_.count());
-  Body.mutable_store_contact()->set_length_us(Span->Length_.count());
-}
-
-template <typename T>
-std::optional<StoreContactSpan> readContact(const T &Body) {
-  if (!Body.has_store_contact())
-    return std::nullopt;
-  return StoreContactSpan{readTime(Body.store_contact().age_us()),
-                          readTime(Body.store_contact().length_us())};
-}
-
-template <typename T>
-void writeLimits(T &Body, const std::vector<ServerLimit> &Limits) {
-  for (const auto &Source : Limits) {
-    auto &Limit = *Body.add_server_limits();
-    Limit.set_server(Source.Server_.Value_);
-    Limit.set_per_second(Source.RequestsPerSecond_);
-  }
-}
-
-template <typename T> std::vector<ServerLimit> readLimits(const T &Body) {
-  std::vector<ServerLimit> Limits;
-  for (const auto &Limit : Body.server_limits())
-    if (isAmount(Limit.per_second()))
-      Limits.push_back({{Limit.server()}, Limit.per_second()});
-  return Limits;
-}
-
-template <typename T>
-void writeLeaving(T &Body, const std::vector<LeavingServer> &Servers) {
-  for (const LeavingServer &Source : Servers) {
-    auto &Server = *Body.add_leaving_servers();
-    Server.set_id(Source.Id_.Value_);
-    Server.set_start_time_ms(Source.StartTimeMs_);
-  }
-}
-
-template <typename T> std::vector<LeavingServer> readLeaving(const T &Body) {
-  std::vector<LeavingServer> Servers;
-  for (const auto &Server : Body.leaving_servers())
-    Servers.push_back({{Server.id()}, Server.start_time_ms()});
-  return Servers;
-}
-
 void write(wire::Home &Envelope, const HomeHeartbeat &Message) {
   auto &Body = *Envelope.mutable_heartbeat();
   Body.set_sequence(Message.Sequence_);
@@ -176,6 +28,8 @@
   writeRequestSuspects(Body, Message.RequestSuspects_);
   writeLimits(Body, Message.ServerLimits_);
   writeLeaving(Body, Message.LeavingServers_);
+  writeEvacuation(*Body.mutable_evacuation(), Message.Evacuation_);
+  writeLoadReports(Body, Message.ServerLoads_);
   Body.set_is_leaving(Message.IsLeaving_);
   for (const auto &Used : Message.TokenUsage_) {
     auto &Usage = *Body.add_used();
@@ -210,6 +64,8 @@
   writeRequestSuspects(Body, Message.RequestSuspects_);
   writeLimits(Body, Message.ServerLimits_);
   writeLeaving(Body, Message.LeavingServers_);
+  writeEvacuation(*Body.mutable_evacuation(), Message.Evacuation_);
+  writeLoadEstimates(Body, Message.ServerLoads_);
   for (const auto &Source : Message.Feeds_) {
     auto &Feed = *Body.add_feeds();
     Feed.set_era(Source.Version_.Era_);
@@ -239,6 +95,7 @@
     Body.add_avoid(Server.Value_);
   writeSegments(Body, Message.SharedSegments_);
   writeFingerprint(Body, Message.Fingerprint_);
+  writeRegions(Body, Message.Regions_);
 }
 
 void write(wire::HomeServer &Body, const ChosenServer &Server) {
@@ -357,6 +214,8 @@
   Message.RequestSuspects_ = readRequestSuspects(Body);
   Message.ServerLimits_ = readLimits(Body);
   Message.LeavingServers_ = readLeaving(Body);
+  Message.Evacuation_ = readEvacuation(Body.evacuation());
+  Message.ServerLoads_ = readLoadReports(Body);
   Message.IsLeaving_ = Body.is_leaving();
   for (const auto &Usage : Body.used())
     if (isAmount(Usage.tokens()))
@@ -387,6 +246,8 @@
   Message.RequestSuspects_ = readRequestSuspects(Body);
   Message.ServerLimits_ = readLimits(Body);
   Message.LeavingServers_ = readLeaving(Body);
+  Message.Evacuation_ = readEvacuation(Body.evacuation());
+  Message.ServerLoads_ = readLoadEstimates(Body);
   // An instance of an earlier release states no feeds: they count as unread.
   const int FeedCount =
       std::min(Body.feeds_size(), static_cast<int>(SharedTableCount));
@@ -420,6 +281,7 @@
     Message.ExcludedEngines_.push_back({Server});
   Message.SharedSegments_ = readSegments(Body);
   Message.Fingerprint_ = readFingerprint(Body);
+  Message.Regions_ = readRegions(Body);
   return Message;
 }
 
--- a/tests/HomeCodecTest.cpp
+++ b/tests/HomeCodecTest.cpp
@@ -32,6 +32,8 @@
     Message.RequestSuspects_ = {{{7, 1}, 3, 5s}, {{0, 9}, 2, 1ms}};
     Message.ServerLimits_ = {{{"s1"}, 1.5}, {{"s2"}, 0}};
     Message.LeavingServers_ = {{{"s3"}, 1791444837026}};
+    Message.Evacuation_ = {{12, 1}, {{"dc1"}, {"dc2"}}};
+    Message.ServerLoads_ = {{{"s1"}, 3, 12, 31.5, 1}};
     checkRoundTrip(Message);
     HomeReply Reply;
     Reply.Sequence_ = 4;
@@ -46,6 +48,8 @@
     Reply.RequestSuspects_ = {{{7, 1}, 3, 5s}};
     Reply.ServerLimits_ = {{{"s1"}, 1.5}};
     Reply.LeavingServers_ = {{{"s3"}, 1791444837026}, {{"s4"}, 0}};
+    Reply.Evacuation_ = {{12, 1}, {}};
+    Reply.ServerLoads_ = {{{"s1"}, 3.5, 30, 75, 0.25, 150ms}};
     checkRoundTrip(Reply);
   }
   SECTION("placement requests, grants and denials") {
@@ -61,6 +65,9 @@
     Request.ExcludedEngines_ = {{"d1"}, {"d2"}};
     Request.SharedSegments_ = {{"s1"}, {"s2"}};
     Request.Fingerprint_ = {0xfedcba9876543210, 3};
+    Request.Regions_ = {true, {{"eu"}, {"us"}}};
+    checkRoundTrip(Request);
+    Request.Regions_ = {true, {}};
     checkRoundTrip(Request);
     checkRoundTrip(PlacementGrant{{"r"},
                                   ChosenServer{{"p1"}, {"10.0.0.1:80"}},
