--- a/include/gooseberrybeam/relay/BackendDirectory.h
+++ b/include/gooseberrybeam/relay/BackendDirectory.h
@@ -5,13 +5,16 @@
 
 #include "gooseberrybeam/base/Time.h"
 #include "gooseberrybeam/relay/BackendEntry.h"
+#include "gooseberrybeam/relay/EvacuationState.h"
 #include "gooseberrybeam/relay/LeavingServer.h"
+#include "gooseberrybeam/relay/RegionMap.h"
 #include "gooseberrybeam/relay/StoreContact.h"
 
 #include <deque>
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace gooseberry {
@@ -34,6 +37,11 @@
   /// \returns since when the store has answered; to be told of its answers.
   StoreContact &storeContact() { return StoreContact_; }
 
+  /// \param Regions the region of each data centre.
+  void setRegions(RegionMap Regions) { Regions_ = std::move(Regions); }
+  /// \returns the data centres whose servers get no new requests.
+  EvacuationState &evacuation() { return Evacuation_; }
+
   /// Records that the store cannot be read.
   void onStoreUnavailable();
   /// Records that the store can be read again. Has no effect unless it was
@@ -87,6 +95,22 @@
   /// \returns whether the server takes no new work because it is leaving or was
   /// removed recently. False for servers that were never registered.
   bool isLeavingOrRemoved(const ServerId &Id) const;
+  /// \param Entry a registered server.
+  /// \param Regions the regions that a request allows.
+  /// \returns whether the server may get a new request: it does not leave, its
+  /// data centre is not evacuated, and it is in an allowed region.
+  bool takesRequests(const BackendEntry &Entry,
+                     const RegionRestriction &Regions) const {
+    return !Entry.IsLeaving_ &&
+           !Evacuation_.DataCentres_.contains(Entry.DataCentre_) &&
+           Regions_.allows(Regions, Entry.DataCentre_);
+  }
+  /// The same for a server that another instance has chosen.
+  /// \param Id the server, which may not be registered here yet. It takes
+  /// requests then unless they are restricted or it was removed.
+  /// \param Regions the regions that a request allows.
+  bool takesRequests(const ServerId &Id,
+                     const RegionRestriction &Regions) const;
   /// \returns the registered servers that have said in a response that they
   /// leave, for other instances.
   std::vector<LeavingServer> announcedLeaving() const;
@@ -128,6 +152,8 @@
 
   Duration Heartbeat_;
   StoreContact StoreContact_;
+  RegionMap Regions_;
+  EvacuationState Evacuation_;
   std::map<ServerId, BackendEntry> Entries_;
   std::map<ServerId, RestoredEntry> RestoredEntries_;
   std::map<ServerId, TimePoint> LapseDeadlines_; ///< Renewal deadlines.
--- a/include/gooseberrybeam/relay/EvacuationState.h
+++ b/include/gooseberrybeam/relay/EvacuationState.h
@@ -4,6 +4,7 @@
 #define GOOSEBERRYBEAM_RELAY_EVACUATIONSTATE_H
 
 #include "gooseberrybeam/base/Ids.h"
+#include "gooseberrybeam/relay/EvacuationChange.h"
 #include "gooseberrybeam/relay/StoreVersion.h"
 
 #include <set>
@@ -16,6 +17,10 @@
   StoreVersion Version_; ///< Unknown until the store or a peer has told.
   std::set<DataCentreId> DataCentres_;
 
+  /// Replaces this state by \p Other if that is newer.
+  /// \returns what that changes.
+  EvacuationChange merge(const EvacuationState &Other);
+
   friend bool operator==(const EvacuationState &,
                          const EvacuationState &) = default;
 };
--- a/include/gooseberrybeam/relay/RelayOrganisation.h
+++ b/include/gooseberrybeam/relay/RelayOrganisation.h
@@ -28,6 +28,8 @@
   std::optional<TokenLimit> Limit_;       ///< None: unlimited.
   /// Tokens charged for a request without a token count.
   double DefaultRequestTokens_ = 1;
+  /// Regions whose servers may get its requests; empty for all.
+  std::vector<RegionId> AllowedRegions_;
 
   friend bool operator==(const RelayOrganisation &,
                          const RelayOrganisation &) = default;
--- a/include/gooseberrybeam/relay/RelayRoute.h
+++ b/include/gooseberrybeam/relay/RelayRoute.h
@@ -49,6 +49,8 @@
   bool IsGeneration_ = false;    ///< Served by prefill and decode engines.
   bool IsResumable_ = false;     ///< A stream may continue on another engine.
   std::vector<RouteTarget> Targets_; ///< Never empty.
+  /// Regions whose servers may get its requests; empty for all.
+  std::vector<RegionId> AllowedRegions_;
 
   /// \returns whether a request may be retried although it may have run.
   bool mayRetry() const {
--- /dev/null
+++ b/include/gooseberrybeam/relayd/ApplyEvacuation.h
@@ -0,0 +1,21 @@
+/// \file
+/// Applies what the store or a peer says of evacuated data centres.
+#ifndef GOOSEBERRYBEAM_RELAYD_APPLYEVACUATION_H
+#define GOOSEBERRYBEAM_RELAYD_APPLYEVACUATION_H
+
+#include "gooseberrybeam/relay/BackendDirectory.h"
+
+#include <string_view>
+
+namespace gooseberry {
+
+/// Applies a state if it is newer than the known one, and logs what changes.
+/// \param Directory the registered backend servers.
+/// \param State the state that was read or received.
+/// \param Origin `store`, or the peer that has sent it, for the log.
+void applyEvacuation(BackendDirectory &Directory, const EvacuationState &State,
+                     std::string_view Origin);
+
+} // namespace gooseberry
+
+#endif // GOOSEBERRYBEAM_RELAYD_APPLYEVACUATION_H
--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -79,6 +79,7 @@
   void releaseReplacement();
   bool excludeUnusableEngines(const PlacementGrant &Grant);
   bool isPaused(const ServerId &Server) const;
+  bool takesRequests(const ServerId &Server) const;
   Duration timeUntilDecodeEngine() const;
   Task<std::optional<PlacementAnswer>> place();
   Task<std::optional<PlacementAnswer>> nextPlacement();
--- a/include/gooseberrybeam/relayd/RelayDaemon.h
+++ b/include/gooseberrybeam/relayd/RelayDaemon.h
@@ -71,6 +71,7 @@
   void openWhenReady();
   void applyConfiguration(std::string_view Source, std::string_view Origin);
   void applyConfigurationRows(std::span<const StoreRow> Changed);
+  EvacuationState storedEvacuation() const;
   void applyServers(const TableFeeds::Changes &Changed);
   void applyInstances(bool IsRestored);
   void registerSelf();
--- a/include/gooseberrybeam/relayd/RelayRequest.h
+++ b/include/gooseberrybeam/relayd/RelayRequest.h
@@ -4,6 +4,7 @@
 #define GOOSEBERRYBEAM_RELAYD_RELAYREQUEST_H
 
 #include "gooseberrybeam/http/CallerExchange.h"
+#include "gooseberrybeam/relay/RegionRestriction.h"
 #include "gooseberrybeam/relay/RelayConfiguration.h"
 #include "gooseberrybeam/relay/RequestFingerprint.h"
 #include "gooseberrybeam/relayd/RelayProtocol.h"
@@ -42,6 +43,12 @@
       return *Organisation_->Priority_;
     return Route_.Priority_;
   }
+  /// \returns the regions whose servers may get it.
+  RegionRestriction regions() const {
+    return makeRegionRestriction(Route_.AllowedRegions_,
+                                 Organisation_ ? Organisation_->AllowedRegions_
+                                               : std::span<const RegionId>());
+  }
   /// \returns the time until the deadline; negative after it.
   Duration timeLeft() const { return Exchange_.deadline() - readBootClock(); }
 };
--- a/include/gooseberrybeam/relayd/RelaySettings.h
+++ b/include/gooseberrybeam/relayd/RelaySettings.h
@@ -7,6 +7,7 @@
 #include "gooseberrybeam/base/Time.h"
 #include "gooseberrybeam/relay/InstanceCapacity.h"
 #include "gooseberrybeam/relay/RateLimitBounds.h"
+#include "gooseberrybeam/relay/RegionMap.h"
 #include "gooseberrybeam/relay/RetryWindow.h"
 
 #include <cstdint>
@@ -34,6 +35,7 @@
   Duration ServerHeartbeat_ = std::chrono::milliseconds(1200);
   RetryWindowLimits RetryBounds_;
   RateLimitBounds LimitBounds_;
+  RegionMap Regions_; ///< Of all data centres.
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/relayd/StoreSchema.h
+++ b/include/gooseberrybeam/relayd/StoreSchema.h
@@ -30,6 +30,10 @@
   /// \returns the configuration, or null if it is malformed.
   virtual std::shared_ptr<const RelayConfiguration>
   parseConfiguration(std::string_view Source) const = 0;
+  /// \param Row a row of the configuration's table.
+  /// \returns the data centre that the row evacuates; none if it does not.
+  virtual std::optional<DataCentreId>
+  parseEvacuation(const StoreRow &Row) const = 0;
   /// \param Row a row of the servers' table.
   /// \returns the backend server, or none if the row registers no usable one.
   virtual std::optional<BackendEntry>
--- a/src/relay/BackendDirectory.cpp
+++ b/src/relay/BackendDirectory.cpp
@@ -173,6 +173,13 @@
   return Known ? Known->IsLeaving_ : findAbsent(Id) != nullptr;
 }
 
+bool BackendDirectory::takesRequests(const ServerId &Id,
+                                     const RegionRestriction &Regions) const {
+  if (const BackendEntry *Known = find(Id))
+    return takesRequests(*Known, Regions);
+  return !Regions.IsRestricted_ && !findAbsent(Id);
+}
+
 std::vector<ServerId> BackendDirectory::expire(TimePoint Now) {
   std::vector<ServerId> Dropped;
   const bool IsSteady = StoreContact_.isSteady(Now);
--- a/src/relay/GenerationPlacerChoice.cpp
+++ b/src/relay/GenerationPlacerChoice.cpp
@@ -53,7 +53,8 @@
                                 const EngineState &Engine,
                                 const PlacementRequest &Placement,
                                 TimePoint Now) const {
-  if (Entry.IsLeaving_ || !Engine.Health_.isUsable(Now))
+  if (!Directory_.takesRequests(Entry, Placement.Regions_) ||
+      !Engine.Health_.isUsable(Now))
     return false;
   return std::find(Placement.ExcludedEngines_.begin(),
                    Placement.ExcludedEngines_.end(),
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -99,6 +99,7 @@
     Placement.ExcludedEngines_.push_back(Each);
   Placement.SharedSegments_ = Request_.CallerInfo_.SharedSegments_;
   Placement.Fingerprint_ = Request_.Fingerprint_;
+  Placement.Regions_ = Request_.regions();
   if (LastEventId_) {
     Placement.NeedsPrefill_ = false;
     Placement.TargetLeft_ = ResumeTarget;
@@ -150,15 +151,20 @@
   return Context_.Pauses_.pausedUntil(Server) > readBootClock();
 }
 
+bool GenerationCall::takesRequests(const ServerId &Server) const {
+  return Context_.Directory_.takesRequests(Server, Request_.regions()) &&
+         !isPaused(Server);
+}
+
 // The home may have lost its connection to the store and therefore not know
-// that an engine is leaving, and does not know of pauses.
+// that an engine is leaving or evacuated, does not know of pauses, and one of
+// an earlier release does not know of regions.
 bool GenerationCall::excludeUnusableEngines(const PlacementGrant &Grant) {
   bool IsRejected = false;
   const auto Reject = [&](const ChosenServer &Engine) {
-    const bool IsLeaving = Context_.Directory_.isLeavingOrRemoved(Engine.Id_);
-    if (!IsLeaving && !isPaused(Engine.Id_))
+    if (takesRequests(Engine.Id_))
       return;
-    if (IsLeaving)
+    if (Context_.Directory_.isLeavingOrRemoved(Engine.Id_))
       report(GenerationStep::ServerReplaced, Engine);
     ExcludedServers_.push_back(Engine.Id_);
     IsRejected = true;
@@ -173,9 +179,11 @@
 Duration GenerationCall::timeUntilDecodeEngine() const {
   std::optional<Duration> Least;
   const TimePoint Now = readBootClock();
+  const RegionRestriction Regions = Request_.regions();
   for (const auto &[Id, Entry] : Context_.Directory_.entries()) {
-    if (Entry.Service_ != Request_.Service_ || Entry.IsLeaving_ ||
-        Entry.Role_ != EngineRole::Decode)
+    if (Entry.Service_ != Request_.Service_ ||
+        Entry.Role_ != EngineRole::Decode ||
+        !Context_.Directory_.takesRequests(Entry, Regions))
       continue;
     const Duration Wait = Context_.Pauses_.pausedUntil(Id) - Now;
     Least = std::min(Least.value_or(Wait), Wait);
@@ -632,11 +640,9 @@
     }
     if (IsKvReady) {
       Outcome = co_await decode(Grant.Decode_, KvSource);
-      const bool TakesRequests =
-          !Context_.Directory_.isLeavingOrRemoved(Grant.Decode_.Id_) &&
-          !isPaused(Grant.Decode_.Id_);
       if (Outcome == StepOutcome::Rejected && !KvSource.empty() &&
-          !Replacement_ && TakesRequests && Retries_.tryReserve()) {
+          !Replacement_ && takesRequests(Grant.Decode_.Id_) &&
+          Retries_.tryReserve()) {
         if (Grant.Prefill_)
           report(GenerationStep::HandleLost, *Grant.Prefill_);
         // The engine may have rejected the call because it could not fetch the
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
+#include "gooseberrybeam/relayd/ApplyEvacuation.h"
 #include "gooseberrybeam/relayd/HomeCodec.h"
 
 #include <algorithm>
@@ -144,6 +145,7 @@
   Message.Uptime_ = readBootClock() - StartedAt_;
   Message.Attachment_ = Attachment_;
   Message.IsLeaving_ = IsLeaving_;
+  Message.Evacuation_ = Directory_.evacuation();
   return Message;
 }
 
@@ -385,6 +387,7 @@
   if (Message.IsLeaving_ && Sender != Self_)
     Selector_.onLeaving(Sender);
   handleLeaving(Message.LeavingServers_, Sender);
+  applyEvacuation(Directory_, Message.Evacuation_, Sender.Value_);
   handleStoreContact(Message.StoreContact_, Sender);
   HomeReply Reply;
   Reply.Sequence_ = Message.Sequence_;
@@ -394,6 +397,7 @@
   Reply.ServersVersion_ = Tables_.feedState(SharedTableId::Servers).LastChange_;
   Reply.StoreContact_ = Directory_.storeContact().span(Now);
   Reply.IsLeaving_ = IsLeaving_;
+  Reply.Evacuation_ = Directory_.evacuation();
   Reply.ExhaustedOrganisations_ =
       Coordinator_.onHeartbeat(Sender, Message, Now);
   if (Message.IsAttached_) {
@@ -417,6 +421,7 @@
 }
 
 void HomeLink::handleReply(const InstanceId &Sender, const HomeReply &Message) {
+  applyEvacuation(Directory_, Message.Evacuation_, Sender.Value_);
   handleStoreContact(Message.StoreContact_, Sender);
   if (Sender != Self_) {
     Selector_.onHeartbeatReply(Sender, readBootClock());
--- a/src/relayd/PlainCall.cpp
+++ b/src/relayd/PlainCall.cpp
@@ -30,8 +30,10 @@
 
 std::vector<const BackendEntry *> PlainCall::usableServers() const {
   std::vector<const BackendEntry *> Servers;
+  const RegionRestriction Regions = Request_.regions();
   for (const auto &[Id, Entry] : Context_.Directory_.entries())
-    if (Entry.Service_ == Request_.Service_ && !Entry.IsLeaving_)
+    if (Entry.Service_ == Request_.Service_ &&
+        Context_.Directory_.takesRequests(Entry, Regions))
       Servers.push_back(&Entry);
   return Servers;
 }
@@ -231,7 +233,7 @@
       {Wait ? RefusalReason::QueueFull : RefusalReason::NoBackendServer,
        Execution::NotRun, std::max(RetryAfterFull, Wait.value_or(Duration()))},
       Wait ? "all backend servers of the service want no request now"
-           : "no backend server registered for the service");
+           : "no backend server of the service may get the request");
 }
 
 Task<void> PlainCall::refuseSuspect(CrashAdmission Admission) {
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -8,6 +8,7 @@
 #include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/peers/PeerAuth.h"
+#include "gooseberrybeam/relayd/ApplyEvacuation.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
@@ -120,7 +121,9 @@
       Store_(Adapter_.MakeStore_(Context_)), Incarnation_(makeIncarnation(0)),
       StartedAt_(readBootClock()), HomeSince_(StartedAt_),
       StopSignals_(Context_, SIGTERM, SIGINT),
-      HangupSignals_(Context_, SIGHUP) {}
+      HangupSignals_(Context_, SIGHUP) {
+  Directory_.setRegions(Settings_.Regions_);
+}
 
 RelayDaemon::~RelayDaemon() { Context_.stop(); }
 
@@ -253,6 +256,17 @@
   for (const auto &Row : Changed)
     if (Row.Key_ == Adapter_.Schema_->configurationKey() && !Row.IsRemoved_)
       applyConfiguration(Row.Value_, "store");
+  applyEvacuation(Directory_, storedEvacuation(), "store");
+}
+
+EvacuationState RelayDaemon::storedEvacuation() const {
+  const TableCache &Copy = Feeds_.table(SharedTableId::Configuration).cache();
+  EvacuationState State;
+  State.Version_ = Copy.version();
+  for (const auto &[Key, Row] : Copy.rows())
+    if (const auto DataCentre = Adapter_.Schema_->parseEvacuation(Row))
+      State.DataCentres_.insert(*DataCentre);
+  return State;
 }
 
 void RelayDaemon::applyConfiguration(std::string_view Source,
