--- a/tests/HomeLinkTest.cpp
+++ b/tests/HomeLinkTest.cpp
@@ -86,6 +86,20 @@
                         PlacementBytes{encodeHomeMessage(Reply)});
   }
 
+  /// Delivers a reply of the home that tells of evacuated data centres.
+  void tellEvacuation(const EvacuationState &State) {
+    HomeReply Reply;
+    Reply.Sequence_ = heartbeats().back().Sequence_;
+    Reply.Evacuation_ = State;
+    Transport_->deliver({Home_, 7}, PlacementBytes{encodeHomeMessage(Reply)});
+  }
+  /// Delivers a heartbeat of the other instance that tells of them.
+  void probeWithEvacuation(const EvacuationState &State) {
+    HomeHeartbeat Probe;
+    Probe.Evacuation_ = State;
+    Transport_->deliver({Home_, 7}, PlacementBytes{encodeHomeMessage(Probe)});
+  }
+
   /// Starts a placement, which stays pending.
   void startPlacement() {
     asio::co_spawn(Context_, place(), asio::detached);
@@ -352,3 +366,27 @@
   CHECK(Link.budgetSharers().Count_ == 2);
   Context.stop();
 }
+
+TEST_CASE("An instance that the store turns away learns of an evacuation",
+          "[relay][regions]") {
+  AttachedInstance Instance;
+  const EvacuationState Evacuation = {{12, 0}, {{"dc"}}};
+
+  SECTION("from its home, and tells the next one") {
+    Instance.tellEvacuation(Evacuation);
+    CHECK(Instance.directory().evacuation() == Evacuation);
+    Instance.replyFromHome(8);
+    CHECK(Instance.heartbeats().back().Evacuation_ == Evacuation);
+  }
+  SECTION("from any heartbeat, if it is a home itself") {
+    Instance.probeWithEvacuation(Evacuation);
+    CHECK(Instance.directory().evacuation() == Evacuation);
+  }
+  SECTION("and that it has ended, but not from an older message") {
+    Instance.tellEvacuation(Evacuation);
+    Instance.tellEvacuation({{11, 0}, {}});
+    CHECK(Instance.directory().evacuation() == Evacuation);
+    Instance.tellEvacuation({{13, 0}, {}});
+    CHECK(Instance.directory().evacuation().DataCentres_.empty());
+  }
+}
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -17,6 +17,7 @@
   "bounds": {"grace_s": 8, "quota_window_s": 5, "retry_budget_ratio": 0.3,
              "budget_slack": 56, "fail_closed": false},
   "provider": {"address": "10.200.1.7:8361", "form": "table"},
+  "zones": {"dc-a": "eu", "dc-b": "us", "dc-odd": 7},
   "unknown": [1, 2]
 })";
 
@@ -62,6 +63,12 @@
   CHECK(Settings.LimitBounds_.Window_ == 5s);
   CHECK(Settings.RetryBounds_.RetriesPerRequest_ == 0.3);
 
+  SECTION("the region of each data centre is known") {
+    const RegionRestriction Europe = {true, {{"eu"}}};
+    CHECK(Settings.Regions_.allows(Europe, {"dc-a"}));
+    CHECK_FALSE(Settings.Regions_.allows(Europe, {"dc-b"}));
+    CHECK_FALSE(Settings.Regions_.allows(Europe, {"dc-odd"}));
+  }
   SECTION("the error names the missing field") {
     const auto Missing = parseNodeSettings(R"({"node_name": "edge-1"})");
     REQUIRE_FALSE(isOk(Missing));
@@ -98,6 +105,40 @@
     CHECK(Acme->Limit_->RatePerSecond_ == 1000);
     CHECK(Acme->DefaultRequestTokens_ == 200);
   }
+  SECTION("regions of routes and organisations are decoded") {
+    const auto Restricted = Schema.parseConfiguration(R"({"version": 1,
+      "routes": [{"name": "r", "host": "a", "path_prefix": "/", "service": "s",
+                  "kind": "idempotent", "allowed_regions": ["eu", "us"]}],
+      "tenants": [{"name": "acme", "api_keys": ["k"],
+                   "allowed_regions": ["eu"]}]})");
+    REQUIRE(Restricted);
+    CHECK(Restricted->parts().Routes_.front().AllowedRegions_ ==
+          std::vector<RegionId>{{"eu"}, {"us"}});
+    CHECK(Restricted->parts().Organisations_.front().AllowedRegions_ ==
+          std::vector<RegionId>{{"eu"}});
+  }
+  SECTION("regions that cannot be read reject the configuration, as requests "
+          "would be served anywhere otherwise") {
+    for (const char *Regions : {R"("eu")", "[1]", "{}", R"(["eu", null])"}) {
+      const std::string Text =
+          R"({"version": 1, "routes": [{"name": "r", "host": "a",
+          "path_prefix": "/", "service": "s", "kind": "idempotent",
+          "allowed_regions": )" +
+          std::string(Regions) + "}]}";
+      CHECK_FALSE(Schema.parseConfiguration(Text));
+    }
+  }
+  SECTION("rows beside the configuration evacuate a data centre") {
+    StoreRow Row;
+    Row.Key_ = "evacuate/lhr-a";
+    Row.Value_ = "{}";
+    CHECK(Schema.parseEvacuation(Row) == DataCentreId{"lhr-a"});
+    for (const char *Key :
+         {"evacuate/", "evacuate", "config", "x/evacuate/a"}) {
+      Row.Key_ = Key;
+      CHECK_FALSE(Schema.parseEvacuation(Row));
+    }
+  }
   SECTION("text that is not a configuration is rejected") {
     CHECK_FALSE(Schema.parseConfiguration("{}"));
     CHECK_FALSE(Schema.parseConfiguration("no json"));
