Evacuate a data centre in the soak

The soak had all servers in one data centre. One server of each part is in a second one now, which operators evacuate and take back at random moments, also around a store that is restored from a copy.

--- a/tools/gbsoak/SoakWorld.cpp
+++ b/tools/gbsoak/SoakWorld.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint16_t PortsPerRelay = 10;
 constexpr const char *KeyOne = "key-one";
 constexpr const char *KeyTwo = "key-two";
+constexpr const char *SecondDataCentre = "dc-b";
 constexpr milliseconds RestartPause(300);
 /// The time within which the platform wants everything back.
 constexpr milliseconds RecoveryTime(12000);
@@ -77,6 +78,8 @@
   Row.Part_ = Server.Face_->part();
   Row.Service_ = Row.Part_ == BackendPart::Plain ? "booking" : "writer";
   Row.Address_ = Server.Proxy_->address();
+  if (Server.Face_->id().ends_with("-2"))
+    Row.Zone_ = SecondDataCentre;
   Row.IsLeaving_ = Server.IsLeavingRegistered_;
   Row.Starts_ = Server.Starts_;
   Store_.putServer(Server.Face_->id(), writeRegistration(Row));
@@ -91,6 +94,14 @@
   Store_.putConfiguration(writeConfiguration(Record_.ConfigurationVersion_));
 }
 
+void SoakWorld::writeEvacuation() {
+  const std::string Key = std::string("evacuate/") + SecondDataCentre;
+  if (IsEvacuated_)
+    Store_.rows().put("op", Key, "{}");
+  else
+    Store_.rows().remove("op", Key);
+}
+
 std::vector<std::string> SoakWorld::run() {
   asio::co_spawn(Context_, play(), asio::detached);
   Context_.run();
@@ -123,15 +134,15 @@
 }
 
 asio::awaitable<void> SoakWorld::injectFaults() {
-  constexpr std::array<Fault, 15> Faults = {
-      &SoakWorld::killRelay,          &SoakWorld::freezeRelay,
-      &SoakWorld::terminateRelay,     &SoakWorld::hangUpRelay,
-      &SoakWorld::takeStoreDown,      &SoakWorld::compactStore,
-      &SoakWorld::restoreStore,       &SoakWorld::harmStoreLink,
-      &SoakWorld::harmBackendLink,    &SoakWorld::failBackend,
-      &SoakWorld::fillBackend,        &SoakWorld::limitBackend,
-      &SoakWorld::pauseBackend,       &SoakWorld::drainBackend,
-      &SoakWorld::changeConfiguration};
+  constexpr std::array<Fault, 16> Faults = {
+      &SoakWorld::killRelay,           &SoakWorld::freezeRelay,
+      &SoakWorld::terminateRelay,      &SoakWorld::hangUpRelay,
+      &SoakWorld::takeStoreDown,       &SoakWorld::compactStore,
+      &SoakWorld::restoreStore,        &SoakWorld::harmStoreLink,
+      &SoakWorld::harmBackendLink,     &SoakWorld::failBackend,
+      &SoakWorld::fillBackend,         &SoakWorld::limitBackend,
+      &SoakWorld::pauseBackend,        &SoakWorld::drainBackend,
+      &SoakWorld::changeConfiguration, &SoakWorld::evacuateDataCentre};
   co_await sleepFor(milliseconds(800));
   while (!IsOver_) {
     ++RunningFaults_;
@@ -231,6 +242,7 @@
   co_await sleepFor(drawMs(0, 600));
   // The operator and the servers write again what they wrote.
   writeNewestConfiguration();
+  writeEvacuation();
   for (const Backend &Each : Backends_)
     writeBackend(Each);
 }
@@ -301,6 +313,17 @@
   co_return;
 }
 
+// One server of each part is in the other data centre and serves on.
+asio::awaitable<void> SoakWorld::evacuateDataCentre() {
+  if (IsEvacuated_)
+    co_return;
+  IsEvacuated_ = true;
+  writeEvacuation();
+  co_await sleepFor(drawMs(500, 4000));
+  IsEvacuated_ = false;
+  writeEvacuation();
+}
+
 asio::awaitable<void> SoakWorld::checkRecovery() {
   SoakClient Client(Context_, "c1000", Record_);
   const auto End = std::chrono::steady_clock::now() + RecoveryTime;
--- a/tools/gbsoak/SoakWorld.h
+++ b/tools/gbsoak/SoakWorld.h
@@ -70,11 +70,13 @@
   asio::awaitable<void> limitBackend();
   asio::awaitable<void> drainBackend();
   asio::awaitable<void> changeConfiguration();
+  asio::awaitable<void> evacuateDataCentre();
 
   void addBackend(const char *Id, BackendPart Part);
   void writeBackend(const Backend &Server);
   void putConfiguration();
   void writeNewestConfiguration();
+  void writeEvacuation();
   void checkRuns();
   void checkPauses();
   void checkLeaving(const std::string &Request, const SeenRun &Run);
@@ -96,8 +98,9 @@
   std::vector<std::unique_ptr<RelayProcess>> Relays_;
   std::vector<std::string> Faults_;
   std::size_t RunningFaults_ = 0;
-  bool IsOver_ = false;     ///< No more faults.
-  bool IsStopping_ = false; ///< Relays are not started again.
+  bool IsEvacuated_ = false; ///< The second data centre.
+  bool IsOver_ = false;      ///< No more faults.
+  bool IsStopping_ = false;  ///< Relays are not started again.
 };
 
 } // namespace gooseberry
--- a/tools/standin_platform/PlatformTexts.cpp
+++ b/tools/standin_platform/PlatformTexts.cpp
@@ -17,7 +17,8 @@
 
 std::string writeRegistration(const RegisteredBackend &Server) {
   std::string Row = R"({"service":")" + Server.Service_;
-  Row += R"(","address":")" + Server.Address_ + R"(","zone":"dc-a",)";
+  Row += R"(","address":")" + Server.Address_ + R"(","zone":")" + Server.Zone_ +
+         R"(",)";
   Row += R"("slots":8,"born":)" + std::to_string(Server.Starts_);
   Row += R"(,"state":")";
   Row += Server.IsLeaving_ ? "draining" : "ready";
--- a/tools/standin_platform/PlatformTexts.h
+++ b/tools/standin_platform/PlatformTexts.h
@@ -15,6 +15,7 @@
   std::string Service_;
   std::string Address_; ///< `ip:port`.
   BackendPart Part_ = BackendPart::Plain;
+  std::string Zone_ = "dc-a"; ///< Its data centre.
   bool IsLeaving_ = false;
   std::uint64_t Starts_ = 1; ///< Of its process.
 };
