Serve queued generations by rank

Cause: PlacementRequest::Priority_ reached the home and nothing read it, so that under overload urgent work was served as seldom as other work.

Change: FairQueue keeps a RankQueue (its former body) for each rank, and RankSchedule gives one grant in six to a less urgent rank while ranks compete. A turn ends with a grant only. If a head cannot be placed, more urgent ranks are tried, and less urgent ones unless it waits for room at an engine that it may use. With a single rank the order is unchanged; gooseberryd uses rank 0 only. The home logs the rank.

Evidence: RankScheduleTest, RankLoadTest (virtual time). FairQueueTest, GenerationPlacerTest, GenerationLoadTest, HomeCoordinatorTest and DispatcherTest pass unchanged.

--- a/include/gooseberrybeam/fairness/FairQueue.h
+++ b/include/gooseberrybeam/fairness/FairQueue.h
@@ -3,10 +3,9 @@
 #ifndef GOOSEBERRYBEAM_FAIRNESS_FAIRQUEUE_H
 #define GOOSEBERRYBEAM_FAIRNESS_FAIRQUEUE_H
 
-#include "gooseberrybeam/base/Ids.h"
-#include "gooseberrybeam/base/Time.h"
+#include "gooseberrybeam/fairness/RankQueue.h"
+#include "gooseberrybeam/fairness/RankSchedule.h"
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -14,33 +13,12 @@
 
 namespace gooseberry {
 
-/// How organisations share the engines when they compete.
-enum class Fairness : std::uint8_t {
-  None,     ///< By slack only.
-  Equal,    ///< Equal numbers of tokens served.
-  Weighted, ///< Tokens in proportion to the organisations' rates.
-};
-
-/// The properties of a queued request that decide its position.
-struct QueueItem {
-  RequestId Request_;
-  OrganisationId Organisation_;
-  double Weight_ = 1;     ///< The organisation's rate in tokens per second.
-  TimePoint LatestStart_; ///< Started later, it misses its class's target.
-  TimePoint ExpiresAt_;   ///< Started later, it misses its deadline.
-  bool MayWait_ = false;  ///< Yields to other work while it has slack.
-  /// If it is refused, its caller has time to retry. It is therefore never
-  /// served before work that can still meet its target.
-  bool CallerMayRetry_ = false;
-};
-
-/// Queue of the work for one model. Among the organisations that have been
-/// served least, the request with the least slack is served first. Work that
-/// may wait yields until its own slack is short. Work that can no longer meet
-/// its target is served last, so that late work does not make other work late.
+/// Queue of the work for one model. More urgent ranks are served first, except
+/// for the turns that `RankSchedule` gives to the others. `RankQueue` orders
+/// the work inside a rank.
 class FairQueue {
 public:
-  /// \param Sharing how competing organisations share the engines.
+  /// \param Sharing how competing organisations of one rank share the engines.
   explicit FairQueue(Fairness Sharing = Fairness::Weighted)
       : Sharing_(Sharing) {}
 
@@ -52,16 +30,31 @@
   /// \returns the request to serve next, which stays in the queue; nothing if
   /// the queue is empty.
   std::optional<RequestId> peek(TimePoint Now);
+  /// \param Rank a rank.
+  /// \param Now the current time.
+  /// \returns the request of the rank to serve next, which stays in the queue;
+  /// nothing if none waits.
+  std::optional<RequestId> peek(std::uint32_t Rank, TimePoint Now);
+  /// \returns the ranks of waiting requests in the order in which engines are
+  /// to be offered to them: the rank whose turn it is, then the others, the
+  /// most urgent first.
+  std::vector<std::uint32_t> rankOrder() const;
 
   /// Removes a request; has no effect if it is not in the queue.
   /// \param Request the request.
   void erase(const RequestId &Request);
+  /// Removes a request that was granted an engine, which counts as a turn of
+  /// its rank; has no effect if it is not in the queue.
+  /// \param Request the request.
+  void eraseGranted(const RequestId &Request);
 
   /// Counts tokens as served when their request is granted an engine.
   /// \param Organisation the organisation of the request.
   /// \param Weight the organisation's rate in tokens per second.
   /// \param Tokens the number of tokens.
-  void charge(const OrganisationId &Organisation, double Weight, double Tokens);
+  /// \param Rank the rank of the request.
+  void charge(const OrganisationId &Organisation, double Weight, double Tokens,
+              std::uint32_t Rank = 0);
 
   /// Removes the requests that can no longer meet their deadline.
   /// \param Now the current time.
@@ -69,48 +62,16 @@
   std::vector<RequestId> takeExpired(TimePoint Now);
 
   /// \returns the number of waiting requests.
-  std::size_t size() const { return Index_.size(); }
+  std::size_t size() const { return Ranks_.size(); }
 
 private:
-  enum class Tier : std::uint8_t { Urgent, Deferrable, Late };
-  static constexpr std::size_t TierCount = 3;
-
-  using Key = std::pair<TimePoint, std::uint64_t>;
-  using Subqueue = std::map<Key, QueueItem>;
-
-  struct OrganisationQueue {
-    Subqueue Subqueues_[TierCount];
-    double Served_ = 0; ///< In seconds of its rate, or in tokens.
-    std::size_t Size_ = 0;
-  };
-
-  struct Position {
-    OrganisationId Organisation_;
-    Tier Tier_;
-    Key Key_;
-  };
-
-  Subqueue &subqueueOf(OrganisationQueue &Queue, Tier ItemTier) {
-    return Queue.Subqueues_[static_cast<std::size_t>(ItemTier)];
-  }
-  void insert(OrganisationQueue &Queue, Tier ItemTier, const QueueItem &Item);
-  void demoteLate(OrganisationQueue &Queue, TimePoint Now);
-  void demoteLate(OrganisationQueue &Queue, Tier SourceTier, TimePoint Now);
-  void erase(const Position &Removed);
-  double leastServed() const;
-  void collectExpired(OrganisationQueue &Queue, TimePoint Now,
-                      std::vector<RequestId> &Expired);
-  bool isBefore(Tier A, const QueueItem &ItemA, Tier B, const QueueItem &ItemB,
-                TimePoint Now) const;
+  RankQueue &queueOf(std::uint32_t Rank);
+  std::vector<std::uint32_t> waitingRanks() const;
 
   Fairness Sharing_;
-  std::unordered_map<OrganisationId, OrganisationQueue> Active_;
-  /// `Served_` of organisations without queued requests.
-  std::unordered_map<OrganisationId, double> IdleServed_;
-  std::unordered_map<RequestId, Position> Index_;
-  double MinServed_ = 0; ///< Least `Served_` of active ones, as last seen.
-  std::uint64_t Sequence_ = 0;
-  std::size_t LateCount_ = 0; ///< Number of items in tier `Late`.
+  RankSchedule Schedule_;
+  std::map<std::uint32_t, RankQueue> Queues_; ///< By rank.
+  std::unordered_map<RequestId, std::uint32_t> Ranks_;
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/relay/GenerationPlacer.h
+++ b/include/gooseberrybeam/relay/GenerationPlacer.h
@@ -6,6 +6,7 @@
 #include "gooseberrybeam/fairness/FairQueue.h"
 #include "gooseberrybeam/relay/BackendDirectory.h"
 #include "gooseberrybeam/relay/EngineHealth.h"
+#include "gooseberrybeam/relay/GrantPace.h"
 #include "gooseberrybeam/relay/KvForecast.h"
 #include "gooseberrybeam/relay/PlacementTypes.h"
 #include "gooseberrybeam/relay/PromptQuarantine.h"
@@ -15,6 +16,7 @@
 #include "gooseberrybeam/relay/ServerLimitLedger.h"
 
 #include <memory>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -25,7 +27,8 @@
 struct PlacementDecision {
   InstanceId Instance_;
   PlacementAnswer Answer_;
-  Duration WaitTime_{0}; ///< Time spent in the queue.
+  Duration WaitTime_{0};   ///< Time spent in the queue.
+  std::uint32_t Rank_ = 0; ///< Of the generation; 0 is the most urgent.
 };
 
 /// Queues generations until a decode engine is expected to have KV memory for
@@ -156,10 +159,7 @@
     double MeanOutputTokens_ = 0; ///< Smoothed; 0 before any sample.
     double PrefillTokensPerMs_ = 0;
     double DecodeTokensPerMs_ = 0;
-    TimePoint LastGrantAt_{Duration::zero()};
-    /// Smoothed time between grants while generations wait; 0 before any
-    /// sample.
-    double GrantIntervalMs_ = 0;
+    GrantPace Grants_;
   };
 
   struct EnginePair {
@@ -203,6 +203,11 @@
                          PoolState &Pool, const EngineTraits &Traits,
                          TimePoint Now,
                          std::vector<PlacementDecision> &Decisions);
+  bool hasUsableDecode(std::span<const DecodeCandidate> Candidates,
+                       const PlacementRequest &Placement, TimePoint Now) const;
+  bool placeNext(std::vector<DecodeCandidate> &Candidates, PoolState &Pool,
+                 const EngineTraits &Traits, TimePoint Now,
+                 std::vector<PlacementDecision> &Decisions);
   void placeQueued(std::vector<DecodeCandidate> &Candidates, PoolState &Pool,
                    const EngineTraits &Traits, TimePoint Now,
                    std::vector<PlacementDecision> &Decisions);
@@ -216,6 +221,8 @@
   std::optional<Duration> retryAfter(const PoolState &Pool,
                                      const GenerationState &Generation,
                                      TimePoint Now) const;
+  void refuseLate(const RequestId &Request, const PoolState &Pool,
+                  TimePoint Now, std::vector<PlacementDecision> &Decisions);
   void refuseExpired(PoolState &Pool, TimePoint Now,
                      std::vector<PlacementDecision> &Decisions);
   void decidePool(const ServiceId &Service, PoolState &Pool, TimePoint Now,
--- a/src/fairness/FairQueue.cpp
+++ b/src/fairness/FairQueue.cpp
@@ -1,178 +1,85 @@
 #include "gooseberrybeam/fairness/FairQueue.h"
 
 #include <algorithm>
-#include <cassert>
-#include <limits>
 
 namespace gooseberry {
-
 namespace {
 
-/// How far an organisation may be ahead of the least served one before it
-/// yields, in seconds of its rate.
-constexpr double MaxWeightedLead = 1;
-/// The same limit in tokens, for organisations that share equally.
-constexpr double MaxEqualLead = 20000;
-/// Work that may wait stops yielding when its latest start is this close.
-constexpr Duration YieldThreshold = std::chrono::milliseconds(500);
-/// Late work is served with the urgent work when it expires this soon ...
-constexpr Duration RescueWindow = std::chrono::seconds(1);
-/// ... unless more requests than this are late. Then the model is over
-/// capacity, and serving late work first would make all work late.
-constexpr std::size_t MaxRescuableLate = 8;
-/// Number of idle organisations above which those that are not ahead of the
-/// least served one are dropped.
-constexpr std::size_t MaxIdleOrganisations = 4096;
+/// Number of ranks above which the shares of ranks without requests are
+/// dropped. Each change of the configuration may name new ranks.
+constexpr std::size_t MaxKnownRanks = 64;
 
 } // namespace
 
-void FairQueue::push(const QueueItem &Item) {
-  assert(!Index_.contains(Item.Request_));
-  auto [Entry, IsNew] = Active_.try_emplace(Item.Organisation_);
-  OrganisationQueue &Queue = Entry->second;
-  if (IsNew) {
-    auto IdleEntry = IdleServed_.find(Item.Organisation_);
-    Queue.Served_ = std::max(
-        MinServed_, IdleEntry == IdleServed_.end() ? 0 : IdleEntry->second);
-    if (IdleEntry != IdleServed_.end())
-      IdleServed_.erase(IdleEntry);
-  }
-  insert(Queue, Item.MayWait_ ? Tier::Deferrable : Tier::Urgent, Item);
-}
-
-void FairQueue::insert(OrganisationQueue &Queue, Tier ItemTier,
-                       const QueueItem &Item) {
-  const TimePoint Order =
-      ItemTier == Tier::Late ? Item.ExpiresAt_ : Item.LatestStart_;
-  const Key OrderKey{Order, ++Sequence_};
-  subqueueOf(Queue, ItemTier).emplace(OrderKey, Item);
-  LateCount_ += ItemTier == Tier::Late ? 1 : 0;
-  Index_.insert_or_assign(Item.Request_,
-                          Position{Item.Organisation_, ItemTier, OrderKey});
-  ++Queue.Size_;
+RankQueue &FairQueue::queueOf(std::uint32_t Rank) {
+  if (Queues_.size() >= MaxKnownRanks && !Queues_.contains(Rank))
+    std::erase_if(Queues_,
+                  [](const auto &Each) { return Each.second.size() == 0; });
+  return Queues_.try_emplace(Rank, Sharing_).first->second;
 }
 
-void FairQueue::demoteLate(OrganisationQueue &Queue, TimePoint Now) {
-  demoteLate(Queue, Tier::Urgent, Now);
-  demoteLate(Queue, Tier::Deferrable, Now);
+std::vector<std::uint32_t> FairQueue::waitingRanks() const {
+  std::vector<std::uint32_t> Waiting;
+  for (const auto &[Rank, Queue] : Queues_)
+    if (Queue.size() > 0)
+      Waiting.push_back(Rank);
+  return Waiting;
 }
 
-void FairQueue::demoteLate(OrganisationQueue &Queue, Tier SourceTier,
-                           TimePoint Now) {
-  Subqueue &Items = subqueueOf(Queue, SourceTier);
-  while (!Items.empty() && Items.begin()->second.LatestStart_ < Now) {
-    const QueueItem Item = Items.begin()->second;
-    Items.erase(Items.begin());
-    --Queue.Size_;
-    insert(Queue, Tier::Late, Item);
+std::vector<std::uint32_t> FairQueue::rankOrder() const {
+  std::vector<std::uint32_t> Order = waitingRanks();
+  if (Order.size() > 1) {
+    const auto Turn =
+        std::find(Order.begin(), Order.end(), Schedule_.next(Order));
+    std::rotate(Order.begin(), Turn, Turn + 1);
   }
+  return Order;
 }
 
-double FairQueue::leastServed() const {
-  double MinServed = std::numeric_limits<double>::infinity();
-  for (const auto &[Organisation, Queue] : Active_)
-    MinServed = std::min(MinServed, Queue.Served_);
-  return MinServed;
+void FairQueue::push(const QueueItem &Item) {
+  queueOf(Item.Rank_).push(Item);
+  Ranks_.emplace(Item.Request_, Item.Rank_);
 }
 
-bool FairQueue::isBefore(Tier A, const QueueItem &ItemA, Tier B,
-                         const QueueItem &ItemB, TimePoint Now) const {
-  auto RankOf = [&](Tier ItemTier, const QueueItem &Item) {
-    if (ItemTier == Tier::Late && !Item.CallerMayRetry_ &&
-        LateCount_ <= MaxRescuableLate && Item.ExpiresAt_ - Now < RescueWindow)
-      return Tier::Urgent;
-    const bool HasLittleSlack = Item.LatestStart_ - Now < YieldThreshold;
-    return ItemTier == Tier::Deferrable && HasLittleSlack ? Tier::Urgent
-                                                          : ItemTier;
-  };
-  const Tier RankA = RankOf(A, ItemA);
-  const Tier RankB = RankOf(B, ItemB);
-  if (RankA != RankB)
-    return RankA < RankB;
-  return ItemA.LatestStart_ < ItemB.LatestStart_;
+std::optional<RequestId> FairQueue::peek(TimePoint Now) {
+  const std::vector<std::uint32_t> Order = rankOrder();
+  return Order.empty() ? std::nullopt : peek(Order.front(), Now);
 }
 
-std::optional<RequestId> FairQueue::peek(TimePoint Now) {
-  if (Index_.empty())
-    return std::nullopt;
-  MinServed_ = std::max(MinServed_, leastServed());
-  const double MaxLead =
-      Sharing_ == Fairness::Weighted ? MaxWeightedLead : MaxEqualLead;
-  const QueueItem *Best = nullptr;
-  Tier BestTier = Tier::Late;
-  for (auto &[Organisation, Queue] : Active_) {
-    if (Sharing_ != Fairness::None && Queue.Served_ > MinServed_ + MaxLead)
-      continue;
-    demoteLate(Queue, Now);
-    for (std::size_t I = 0; I < TierCount; ++I) {
-      const Subqueue &Items = Queue.Subqueues_[I];
-      if (Items.empty())
-        continue;
-      const QueueItem &Head = Items.begin()->second;
-      const auto ItemTier = static_cast<Tier>(I);
-      if (Best == nullptr || isBefore(ItemTier, Head, BestTier, *Best, Now)) {
-        Best = &Head;
-        BestTier = ItemTier;
-      }
-    }
-  }
-  assert(Best != nullptr);
-  return Best->Request_;
+std::optional<RequestId> FairQueue::peek(std::uint32_t Rank, TimePoint Now) {
+  const auto Found = Queues_.find(Rank);
+  return Found == Queues_.end() ? std::nullopt : Found->second.peek(Now);
 }
 
 void FairQueue::erase(const RequestId &Request) {
-  auto Found = Index_.find(Request);
-  if (Found == Index_.end())
+  const auto Found = Ranks_.find(Request);
+  if (Found == Ranks_.end())
     return;
-  const Position Removed = Found->second;
-  Index_.erase(Found);
-  erase(Removed);
+  Queues_.at(Found->second).erase(Request);
+  Ranks_.erase(Found);
 }
 
-void FairQueue::erase(const Position &Removed) {
-  auto Found = Active_.find(Removed.Organisation_);
-  assert(Found != Active_.end());
-  subqueueOf(Found->second, Removed.Tier_).erase(Removed.Key_);
-  LateCount_ -= Removed.Tier_ == Tier::Late ? 1 : 0;
-  if (--Found->second.Size_ > 0)
+void FairQueue::eraseGranted(const RequestId &Request) {
+  const auto Found = Ranks_.find(Request);
+  if (Found == Ranks_.end())
     return;
-  if (IdleServed_.size() >= MaxIdleOrganisations)
-    std::erase_if(IdleServed_, [&](const auto &Entry) {
-      return Entry.second <= MinServed_;
-    });
-  IdleServed_[Removed.Organisation_] = Found->second.Served_;
-  Active_.erase(Found);
+  Schedule_.onGranted(Found->second, waitingRanks());
+  erase(Request);
 }
 
 void FairQueue::charge(const OrganisationId &Organisation, double Weight,
-                       double Tokens) {
-  const double Amount =
-      Sharing_ == Fairness::Weighted ? Tokens / std::max(Weight, 1.0) : Tokens;
-  auto Found = Active_.find(Organisation);
-  if (Found != Active_.end())
-    Found->second.Served_ += Amount;
-  else
-    IdleServed_[Organisation] += Amount;
+                       double Tokens, std::uint32_t Rank) {
+  queueOf(Rank).charge(Organisation, Weight, Tokens);
 }
 
 std::vector<RequestId> FairQueue::takeExpired(TimePoint Now) {
   std::vector<RequestId> Expired;
-  for (auto &[Organisation, Queue] : Active_) {
-    demoteLate(Queue, Now);
-    collectExpired(Queue, Now, Expired);
-  }
-  for (const RequestId &Request : Expired)
-    erase(Request);
+  for (auto &[Rank, Queue] : Queues_)
+    for (RequestId &Request : Queue.takeExpired(Now)) {
+      Ranks_.erase(Request);
+      Expired.push_back(std::move(Request));
+    }
   return Expired;
 }
 
-void FairQueue::collectExpired(OrganisationQueue &Queue, TimePoint Now,
-                               std::vector<RequestId> &Expired) {
-  for (const auto &[OrderKey, Item] : subqueueOf(Queue, Tier::Late)) {
-    if (OrderKey.first >= Now)
-      return;
-    Expired.push_back(Item.Request_);
-  }
-}
-
 } // namespace gooseberry
--- a/src/relay/GenerationPlacer.cpp
+++ b/src/relay/GenerationPlacer.cpp
@@ -26,8 +26,6 @@
 /// Prefill rate samples are capped at this multiple of the pool's average.
 constexpr double MaxPrefillRateRatio = 1.3;
 
-/// Retry-After is at most the time left to the deadline divided by this.
-constexpr int RetryAfterDivisor = 3;
 constexpr Duration RetryAfterNoServer = std::chrono::seconds(1);
 
 void smooth(double &Value, double Sample, double Weight) {
@@ -128,19 +126,6 @@
   Generations_.emplace(Placement.Request_, std::move(Generation));
 }
 
-QueueItem
-GenerationPlacer::makeQueueItem(const GenerationState &Generation) const {
-  const PlacementRequest &Placement = Generation.Placement_;
-  QueueItem Item;
-  Item.Request_ = Placement.Request_;
-  Item.Organisation_ = Placement.Organisation_;
-  Item.LatestStart_ = Generation.LatestStart_;
-  Item.ExpiresAt_ = Generation.StartDeadline_;
-  Item.CallerMayRetry_ = Placement.PatienceLeft_ < Placement.TimeLeft_;
-  Item.Weight_ = weightOf(Placement.Organisation_);
-  return Item;
-}
-
 void GenerationPlacer::adopt(const InstanceId &Instance,
                              const RunningGeneration &Running, TimePoint Now) {
   const auto Known = Generations_.find(Running.Request_);
@@ -314,15 +299,13 @@
 void GenerationPlacer::grant(PoolState &Pool, GenerationState &Generation,
                              const EnginePair &Engines, TimePoint Now,
                              std::vector<PlacementDecision> &Decisions) {
-  if (Generation.Arrival_ < Pool.LastGrantAt_)
-    smooth(Pool.GrantIntervalMs_, asMilliseconds(Now - Pool.LastGrantAt_),
-           PoolSampleWeight);
-  Pool.LastGrantAt_ = Now;
-  Pool.Queue_.erase(Generation.Placement_.Request_);
+  Pool.Grants_.onGranted(Generation.Arrival_, Now);
+  Pool.Queue_.eraseGranted(Generation.Placement_.Request_);
   Pool.Queue_.charge(Generation.Placement_.Organisation_,
                      weightOf(Generation.Placement_.Organisation_),
                      Generation.Placement_.PromptTokens_ +
-                         Generation.ExpectedOutput_);
+                         Generation.ExpectedOutput_,
+                     Generation.Placement_.Priority_);
   Generation.IsGranted_ = true;
   Generation.OutputUpdatedAt_ = Now;
   Quarantine_.onGranted(Generation.Placement_.Request_,
@@ -356,8 +339,9 @@
     Answer.Prefill_ =
         ChosenServer{Engines.Prefill_->Id_, Engines.Prefill_->Address_};
   }
-  Decisions.push_back(
-      {Generation.Instance_, std::move(Answer), Now - Generation.Arrival_});
+  Decisions.push_back({Generation.Instance_, std::move(Answer),
+                       Now - Generation.Arrival_,
+                       Generation.Placement_.Priority_});
 }
 
 double GenerationPlacer::weightOf(const OrganisationId &Organisation) const {
@@ -371,41 +355,12 @@
                             std::optional<Duration> RetryAfter, TimePoint Now,
                             std::vector<PlacementDecision> &Decisions) {
   const GenerationState &Generation = Generations_.at(Request);
-  Decisions.push_back({Generation.Instance_,
-                       PlacementDenial{Request, Reason, RetryAfter},
-                       Now - Generation.Arrival_});
+  Decisions.push_back(
+      {Generation.Instance_, PlacementDenial{Request, Reason, RetryAfter},
+       Now - Generation.Arrival_, Generation.Placement_.Priority_});
   erase(Request, Now);
 }
 
-// Estimates when all generations waiting now will have been granted engines.
-// Returns none if the caller would not have enough time left after that.
-std::optional<Duration>
-GenerationPlacer::retryAfter(const PoolState &Pool,
-                             const GenerationState &Generation,
-                             TimePoint Now) const {
-  const Duration TimeLeft = Generation.Deadline_ - Now;
-  const auto QueueLength = static_cast<double>(Pool.Queue_.size());
-  const Duration Wait = std::min(fromMs(QueueLength * Pool.GrantIntervalMs_),
-                                 TimeLeft / RetryAfterDivisor);
-  if (Wait <= Duration::zero() ||
-      Wait + Generation.ExpectedDuration_ > TimeLeft)
-    return std::nullopt;
-  return Wait;
-}
-
-void GenerationPlacer::refuseExpired(
-    PoolState &Pool, TimePoint Now, std::vector<PlacementDecision> &Decisions) {
-  for (const RequestId &Request : Pool.Queue_.takeExpired(Now)) {
-    const GenerationState &Generation = Generations_.at(Request);
-    const auto RetryAfter = retryAfter(Pool, Generation, Now);
-    if (RetryAfter)
-      Refusals_.onRefused(Generation.Placement_, Generation.FirstEventDue_,
-                          Generation.Deadline_);
-    deny(Request, RefusalReason::DeadlineUnreachable, RetryAfter, Now,
-         Decisions);
-  }
-}
-
 CrashAdmission GenerationPlacer::admit(GenerationState &Generation,
                                        TimePoint Now) {
   const PlacementRequest &Placement = Generation.Placement_;
@@ -461,31 +416,6 @@
   }
 }
 
-void GenerationPlacer::placeQueued(std::vector<DecodeCandidate> &Candidates,
-                                   PoolState &Pool, const EngineTraits &Traits,
-                                   TimePoint Now,
-                                   std::vector<PlacementDecision> &Decisions) {
-  while (const auto Next = Pool.Queue_.peek(Now)) {
-    const RequestId &Request = *Next;
-    GenerationState &Generation = Generations_.at(Request);
-    const CrashAdmission Admission = admit(Generation, Now);
-    if (Admission == CrashAdmission::Quarantined) {
-      deny(Request, RefusalReason::PromptQuarantined, {}, Now, Decisions);
-      continue;
-    }
-    if (Admission == CrashAdmission::Held) {
-      Pool.Queue_.erase(Request);
-      Pool.HeldRequests_.push_back(Request);
-      continue;
-    }
-    const auto Chosen =
-        chooseEngines(Candidates, Pool, Generation, Traits, Now);
-    if (!Chosen)
-      return;
-    grant(Pool, Generation, *Chosen, Now, Decisions);
-  }
-}
-
 void GenerationPlacer::decidePool(const ServiceId &Service, PoolState &Pool,
                                   TimePoint Now,
                                   std::vector<PlacementDecision> &Decisions) {
--- a/src/relay/HomeCoordinator.cpp
+++ b/src/relay/HomeCoordinator.cpp
@@ -173,7 +173,8 @@
           {Sender,
            PlacementDenial{Placement.Request_, RefusalReason::RateExceeded,
                            Wait},
-           {}});
+           {},
+           Placement.Priority_});
       return;
     }
     PendingCharges_[Placement.Request_] = {Sender, Placement.Organisation_,
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -506,6 +506,7 @@
           Grant ? "Engines granted." : "Engines denied.",
           {{"request", Request.Value_},
            {"instance", Decision.Instance_.Value_},
+           {"rank", std::to_string(Decision.Rank_)},
            {"prefill", Prefill},
            {"decode", Grant ? Grant->Decode_.Id_.Value_ : ""},
            {"reason", Denial ? asCode(Denial->Reason_) : ""},
