Refuse generations in time that cannot begin before they expire

Cause: a generation that could not begin in time waited until it expired.

Change: off unless HomeCoordinator::setRefusesInTime. QueueForecast compares the grants ahead of a generation, at the pool's recent rate, with the time that it has left. The refusal has the same reason and Retry-After as an expired one.

Evidence: RankScheduleTest, RankLoadTest.

--- a/include/gooseberrybeam/fairness/FairQueue.h
+++ b/include/gooseberrybeam/fairness/FairQueue.h
@@ -61,6 +61,10 @@
   /// \returns those requests.
   std::vector<RequestId> takeExpired(TimePoint Now);
 
+  /// \returns the requests in the order in which they are expected to be served
+  /// without the turns of less urgent ranks; valid until the queue is changed.
+  std::vector<const QueueItem *> expectedOrder() const;
+
   /// \returns the number of waiting requests.
   std::size_t size() const { return Ranks_.size(); }
 
--- a/include/gooseberrybeam/fairness/RankQueue.h
+++ b/include/gooseberrybeam/fairness/RankQueue.h
@@ -54,6 +54,13 @@
   /// \returns those requests.
   std::vector<RequestId> takeExpired(TimePoint Now);
 
+  /// Lists the requests in the order in which they are expected to be served if
+  /// no more arrive: organisations take turns in proportion to their weights,
+  /// and work that can no longer meet its target goes last.
+  /// \param Order the list that they are appended to; valid until the queue is
+  /// changed.
+  void appendExpectedOrder(std::vector<const QueueItem *> &Order) const;
+
   /// \returns the number of waiting requests.
   std::size_t size() const { return Index_.size(); }
 
--- a/include/gooseberrybeam/relay/GenerationPlacer.h
+++ b/include/gooseberrybeam/relay/GenerationPlacer.h
@@ -47,6 +47,10 @@
   /// \param Configuration the configuration to apply.
   void configure(std::shared_ptr<const RelayConfiguration> Configuration);
 
+  /// \param RefusesInTime whether generations that are forecast to miss their
+  /// deadline in the queue are refused at once; false initially.
+  void setRefusesInTime(bool RefusesInTime) { RefusesInTime_ = RefusesInTime; }
+
   /// Queues a generation. A repeated request with the same id replaces the
   /// earlier one.
   /// \param Instance the instance that runs the generation.
@@ -160,6 +164,7 @@
     double PrefillTokensPerMs_ = 0;
     double DecodeTokensPerMs_ = 0;
     GrantPace Grants_;
+    TimePoint NextForecastAt_{Duration::zero()};
   };
 
   struct EnginePair {
@@ -223,6 +228,8 @@
                                      TimePoint Now) const;
   void refuseLate(const RequestId &Request, const PoolState &Pool,
                   TimePoint Now, std::vector<PlacementDecision> &Decisions);
+  void refuseUnreachable(PoolState &Pool, TimePoint Now,
+                         std::vector<PlacementDecision> &Decisions);
   void refuseExpired(PoolState &Pool, TimePoint Now,
                      std::vector<PlacementDecision> &Decisions);
   void decidePool(const ServiceId &Service, PoolState &Pool, TimePoint Now,
@@ -244,6 +251,7 @@
   PromptQuarantine Quarantine_;
   RequestQuarantine RequestQuarantine_;
   ServerLimitLedger ServerLimits_;
+  bool RefusesInTime_ = false;
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/relay/GrantPace.h
+++ b/include/gooseberrybeam/relay/GrantPace.h
@@ -5,6 +5,8 @@
 
 #include "gooseberrybeam/base/Time.h"
 
+#include <cstdint>
+
 namespace gooseberry {
 
 /// Measures the time between grants of a pool while generations wait.
@@ -18,10 +20,15 @@
   /// \returns the smoothed time between grants while generations wait, in
   /// milliseconds; 0 before any sample.
   double intervalMs() const { return IntervalMs_; }
+  /// \param Now the current time.
+  /// \returns whether enough recent samples support the interval.
+  bool isReliable(TimePoint Now) const;
 
 private:
   TimePoint LastGrantAt_{Duration::zero()};
+  TimePoint LastSampleAt_{Duration::zero()};
   double IntervalMs_ = 0;
+  std::uint32_t RecentSamples_ = 0; ///< Without a gap of `SampleLifetime`.
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/relay/HomeCoordinator.h
+++ b/include/gooseberrybeam/relay/HomeCoordinator.h
@@ -30,6 +30,11 @@
                  TimePoint Now);
   /// \param Count the number of instances that share the limits; at least 1.
   void setInstanceCount(std::size_t Count);
+  /// \param RefusesInTime whether generations that are forecast to miss their
+  /// deadline in the queue are refused at once; false initially.
+  void setRefusesInTime(bool RefusesInTime) {
+    Placer_.setRefusesInTime(RefusesInTime);
+  }
 
   /// Records which process of an instance sends. If the instance has restarted,
   /// the generations of its former process have ended, and their engines are
--- a/src/fairness/FairQueue.cpp
+++ b/src/fairness/FairQueue.cpp
@@ -82,4 +82,12 @@
   return Expired;
 }
 
+std::vector<const QueueItem *> FairQueue::expectedOrder() const {
+  std::vector<const QueueItem *> Order;
+  Order.reserve(size());
+  for (const auto &[Rank, Queue] : Queues_)
+    Queue.appendExpectedOrder(Order);
+  return Order;
+}
+
 } // namespace gooseberry
--- a/src/fairness/RankQueue.cpp
+++ b/src/fairness/RankQueue.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <limits>
+#include <tuple>
 
 namespace gooseberry {
 
@@ -175,4 +176,32 @@
   }
 }
 
+void RankQueue::appendExpectedOrder(
+    std::vector<const QueueItem *> &Order) const {
+  struct Expected {
+    bool IsLate_;
+    double Share_; ///< Requests of its organisation up to it, by weight.
+    const QueueItem *Item_;
+  };
+  std::vector<Expected> Items;
+  Items.reserve(size());
+  for (const auto &[Organisation, Queue] : Active_) {
+    double Position = 0;
+    for (std::size_t I = 0; I < TierCount; ++I)
+      for (const auto &[OrderKey, Item] : Queue.Subqueues_[I]) {
+        const double Weight =
+            Sharing_ == Fairness::Weighted ? std::max(Item.Weight_, 1.0) : 1;
+        Items.push_back(
+            {static_cast<Tier>(I) == Tier::Late, ++Position / Weight, &Item});
+      }
+  }
+  std::stable_sort(
+      Items.begin(), Items.end(), [](const Expected &A, const Expected &B) {
+        return std::tuple(A.IsLate_, A.Share_, A.Item_->LatestStart_) <
+               std::tuple(B.IsLate_, B.Share_, B.Item_->LatestStart_);
+      });
+  for (const Expected &Each : Items)
+    Order.push_back(Each.Item_);
+}
+
 } // namespace gooseberry
--- a/src/relay/GenerationPlacer.cpp
+++ b/src/relay/GenerationPlacer.cpp
@@ -420,6 +420,7 @@
                                   TimePoint Now,
                                   std::vector<PlacementDecision> &Decisions) {
   refuseExpired(Pool, Now, Decisions);
+  refuseUnreachable(Pool, Now, Decisions);
   queueHeldRequests(Pool, Now, Decisions);
   if (Pool.Queue_.size() + Pool.MovedStreams_.size() == 0)
     return;
--- a/src/relay/GenerationPlacerQueue.cpp
+++ b/src/relay/GenerationPlacerQueue.cpp
@@ -1,4 +1,5 @@
 #include "gooseberrybeam/relay/GenerationPlacer.h"
+#include "gooseberrybeam/relay/QueueForecast.h"
 #include "relay/Durations.h"
 
 #include <algorithm>
@@ -8,6 +9,8 @@
 
 /// Retry-After is at most the time left to the deadline divided by this.
 constexpr int RetryAfterDivisor = 3;
+/// The queue is forecast this often, as a forecast reads the whole queue.
+constexpr Duration ForecastInterval = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -59,6 +62,17 @@
     refuseLate(Request, Pool, Now, Decisions);
 }
 
+void GenerationPlacer::refuseUnreachable(
+    PoolState &Pool, TimePoint Now, std::vector<PlacementDecision> &Decisions) {
+  if (!RefusesInTime_ || Now < Pool.NextForecastAt_)
+    return;
+  Pool.NextForecastAt_ = Now + ForecastInterval;
+  const QueueForecast Forecast(Pool.Grants_, Now);
+  for (const RequestId &Request :
+       Forecast.unreachable(Pool.Queue_.expectedOrder()))
+    refuseLate(Request, Pool, Now, Decisions);
+}
+
 bool GenerationPlacer::hasUsableDecode(
     std::span<const DecodeCandidate> Candidates,
     const PlacementRequest &Placement, TimePoint Now) const {
--- a/src/relay/GrantPace.cpp
+++ b/src/relay/GrantPace.cpp
@@ -5,6 +5,10 @@
 
 /// Weight of the newest sample.
 constexpr double SampleWeight = 0.05;
+/// Fewer samples than this do not support a decision.
+constexpr std::uint32_t MinRecentSamples = 20;
+/// Samples older than the last gap of this length are not recent.
+constexpr Duration SampleLifetime = std::chrono::seconds(2);
 
 } // namespace
 
@@ -14,8 +18,17 @@
     IntervalMs_ = IntervalMs_ == 0
                       ? SampleMs
                       : IntervalMs_ + SampleWeight * (SampleMs - IntervalMs_);
+    if (LastSampleAt_ + SampleLifetime < Now)
+      RecentSamples_ = 0;
+    ++RecentSamples_;
+    LastSampleAt_ = Now;
   }
   LastGrantAt_ = Now;
 }
 
+bool GrantPace::isReliable(TimePoint Now) const {
+  return RecentSamples_ >= MinRecentSamples &&
+         Now <= LastSampleAt_ + SampleLifetime;
+}
+
 } // namespace gooseberry
--- a/tests/RankLoadTest.cpp
+++ b/tests/RankLoadTest.cpp
@@ -53,6 +53,11 @@
         enqueue(Each);
   }
 
+  void setRefusesInTime() {
+    for (const auto &Each : Homes_)
+      Each->Placer_.setRefusesInTime(true);
+  }
+
   /// \returns what the callers got whose kinds contain a word.
   Score scoreOf(const std::string &Word) const {
     Score Sum;
@@ -202,6 +207,15 @@
     RankLoad Load;
     Load.run(60s, 30ms);
     checkShares(Load);
+    SECTION("that refuses in time") {
+      // Failure: requests are refused that would have been served.
+      RankLoad Early;
+      Early.setRefusesInTime();
+      Early.run(60s, 30ms);
+      checkShares(Early);
+      CHECK(Early.RefusedLate_ < Load.RefusedLate_);
+      CHECK(Early.scoreOf("").Served_ >= Load.scoreOf("").Served_ * 95 / 100);
+    }
   }
   SECTION("with a new home in the middle") {
     // Failure: the next home takes all that waits for the same rank.
@@ -219,6 +233,26 @@
   }
 }
 
+TEST_CASE("A burst that cannot be served is refused at once", "[relay]") {
+  // 100 callers in a second, after three seconds at the rate of the pool.
+  const auto Burst = [](bool RefusesInTime) {
+    RankLoad Load;
+    if (RefusesInTime)
+      Load.setRefusesInTime();
+    Load.run(3s, 80ms);
+    Load.run(1s, 10ms);
+    Load.run(10s, 1h);
+    return Load;
+  };
+  const RankLoad Early = Burst(true);
+  const RankLoad Late = Burst(false);
+  // Failure: callers are refused only when most of their patience is gone.
+  CHECK(Early.RefusedLate_ < Late.RefusedLate_ * 3 / 4);
+  // Failure: requests are refused that would have been served.
+  CHECK(Early.scoreOf("urgent").Served_ >= Late.scoreOf("urgent").Served_);
+  CHECK(Early.scoreOf("").Served_ >= Late.scoreOf("").Served_ * 9 / 10);
+}
+
 TEST_CASE("A request that cannot be placed holds up others only for its room",
           "[relay]") {
   PoolFixture Fixture;
--- a/tests/RankScheduleTest.cpp
+++ b/tests/RankScheduleTest.cpp
@@ -1,4 +1,5 @@
 #include "gooseberrybeam/fairness/FairQueue.h"
+#include "gooseberrybeam/relay/QueueForecast.h"
 
 #include <catch2/catch.hpp>
 
@@ -89,3 +90,59 @@
     CHECK(Queue.size() == 0);
   }
 }
+
+TEST_CASE("A queued request is refused early only on clear evidence",
+          "[fairness]") {
+  // One grant each 100 ms; 30 requests of 2 s wait. The last ten begin after
+  // 2 s, but no more than half later than that, so that all may stay.
+  GrantPace Pace;
+  const auto Grant = [&Pace](int Count) {
+    for (int I = Count; I >= 0; --I)
+      Pace.onGranted(TimePoint(1s), Now - I * 100ms);
+  };
+  FairQueue Queue;
+  const auto CountUnreachable = [&](TimePoint At) {
+    return QueueForecast(Pace, At).unreachable(Queue.expectedOrder()).size();
+  };
+  for (int I = 0; I != 30; ++I)
+    Queue.push(makeItem("a" + std::to_string(I), 1, 2s));
+
+  SECTION("not without recent grants") {
+    // Failure: a new home, or one after a quiet time, refuses what it could
+    // serve.
+    Queue.push(makeItem("z", 1, 1ms));
+    CHECK(CountUnreachable(Now) == 0);
+    Grant(10);
+    CHECK(CountUnreachable(Now) == 0);
+    Grant(30);
+    CHECK(CountUnreachable(Now + 3s) == 0);
+  }
+  SECTION("not if the forecast misses the deadline by little") {
+    Grant(30);
+    CHECK(CountUnreachable(Now) == 0);
+    SECTION("but all that miss it clearly") {
+      for (int I = 30; I != 50; ++I)
+        Queue.push(makeItem("a" + std::to_string(I), 1, 2s));
+      CHECK(CountUnreachable(Now) == 19);
+    }
+  }
+  SECTION("not if its turn comes before the more urgent rank is served") {
+    // Failure: less urgent work is refused altogether.
+    Grant(30);
+    for (int I = 0; I != 9; ++I)
+      Queue.push(makeItem("b" + std::to_string(I), 2, 2s));
+    CHECK(CountUnreachable(Now) == 4);
+  }
+  SECTION("not because of the queue of another organisation") {
+    // Failure: one organisation's flood makes the home refuse all others.
+    Grant(30);
+    for (int I = 30; I != 90; ++I)
+      Queue.push(makeItem("a" + std::to_string(I), 1, 2s));
+    QueueItem Other = makeItem("other", 1, 2s);
+    Other.Organisation_ = {"other"};
+    Queue.push(Other);
+    for (const RequestId &Each :
+         QueueForecast(Pace, Now).unreachable(Queue.expectedOrder()))
+      CHECK(Each.Value_ != "other");
+  }
+}
