Read which servers are cold, and keep it apart from their entries

Cause: an engine that has just started tolerates cold_per_s requests a second for some seconds, and its row says for how long.

Change: RelayService::ColdStart_ from cold_start_s and cold_per_s, and BackendEntry::ColdRemaining_ from cold_remaining_ms, both bounded to 10 minutes. ColdServers keeps until when each server is assumed to be cold, from registrations and ends of evacuations; BackendDirectory owns it. The directory stores entries with a remaining time of zero, so that a row that counts down with each heartbeat is no change of the entry.

--- a/include/gooseberrybeam/relay/BackendDirectory.h
+++ b/include/gooseberrybeam/relay/BackendDirectory.h
@@ -5,6 +5,7 @@
 
 #include "gooseberrybeam/base/Time.h"
 #include "gooseberrybeam/relay/BackendEntry.h"
+#include "gooseberrybeam/relay/ColdServers.h"
 #include "gooseberrybeam/relay/LeavingServer.h"
 #include "gooseberrybeam/relay/StoreContact.h"
 
@@ -33,6 +34,9 @@
 
   /// \returns since when the store has answered; to be told of its answers.
   StoreContact &storeContact() { return StoreContact_; }
+  /// \returns the servers that are cold; to be told of registrations.
+  ColdServers &coldServers() { return ColdServers_; }
+  const ColdServers &coldServers() const { return ColdServers_; }
 
   /// Records that the store cannot be read.
   void onStoreUnavailable();
@@ -51,7 +55,8 @@
   /// \param Entries all registrations in the store.
   /// \param Now the current time.
   void replace(const std::vector<BackendEntry> &Entries, TimePoint Now);
-  /// Adds or updates a registration.
+  /// Adds or updates a registration. That a server stays cold is no change of
+  /// its entry.
   void put(const BackendEntry &Entry);
   /// Adds or updates a registration of a restored store. If the same process
   /// was removed before, the registration may be its old one, and counts only
@@ -128,6 +133,7 @@
 
   Duration Heartbeat_;
   StoreContact StoreContact_;
+  ColdServers ColdServers_;
   std::map<ServerId, BackendEntry> Entries_;
   std::map<ServerId, RestoredEntry> RestoredEntries_;
   std::map<ServerId, TimePoint> LapseDeadlines_; ///< Renewal deadlines.
--- a/include/gooseberrybeam/relay/BackendEntry.h
+++ b/include/gooseberrybeam/relay/BackendEntry.h
@@ -5,6 +5,7 @@
 
 #include "gooseberrybeam/base/EngineRole.h"
 #include "gooseberrybeam/base/Ids.h"
+#include "gooseberrybeam/base/Time.h"
 
 #include <cstdint>
 #include <optional>
@@ -22,6 +23,9 @@
   std::optional<EngineRole> Role_; ///< Set for engines only.
   /// Unix time of the process start in ms; a change means that it restarted.
   std::int64_t StartTimeMs_ = 0;
+  /// How much longer it stays cold, as of when the registration was written.
+  /// `ColdServers` keeps it; entries of `BackendDirectory` have zero.
+  Duration ColdRemaining_{0};
 
   friend bool operator==(const BackendEntry &, const BackendEntry &) = default;
 };
--- a/include/gooseberrybeam/relay/RelayService.h
+++ b/include/gooseberrybeam/relay/RelayService.h
@@ -5,6 +5,7 @@
 
 #include "gooseberrybeam/base/Ids.h"
 #include "gooseberrybeam/base/Time.h"
+#include "gooseberrybeam/relay/ColdStart.h"
 
 #include <cstdint>
 #include <optional>
@@ -28,6 +29,8 @@
   ServiceId Name_;
   std::uint32_t MaxConnections_ = 64; ///< Per server, from all instances.
   std::optional<EngineTraits> Engine_;
+  /// None: its servers take any rate as soon as they are registered.
+  std::optional<ColdStart> ColdStart_ = std::nullopt;
 
   friend bool operator==(const RelayService &, const RelayService &) = default;
 };
--- a/src/relay/BackendDirectory.cpp
+++ b/src/relay/BackendDirectory.cpp
@@ -58,6 +58,7 @@
 
 void BackendDirectory::put(const BackendEntry &Entry) {
   BackendEntry Known = Entry;
+  Known.ColdRemaining_ = Duration::zero();
   Known.IsLeaving_ = Entry.IsLeaving_ || isKnownToLeave(Entry);
   LapseDeadlines_.erase(Entry.Id_);
   RestoredEntries_.erase(Entry.Id_);
--- a/tests/BackendDirectoryTest.cpp
+++ b/tests/BackendDirectoryTest.cpp
@@ -99,6 +99,12 @@
     const auto Before = Directory.changeCount();
     Directory.put(makeEntry("a"));
     CHECK(Directory.changeCount() == Before);
+    SECTION("also while a cold server counts down with each heartbeat") {
+      BackendEntry Cold = makeEntry("a");
+      Cold.ColdRemaining_ = 3s;
+      Directory.put(Cold);
+      CHECK(Directory.changeCount() == Before);
+    }
   }
   SECTION("after the store was restored from a copy") {
     SECTION("registrations that it lost are kept until they are renewed") {
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -104,6 +104,29 @@
   }
 }
 
+TEST_CASE("A cold start is limited if both of its fields are usable",
+          "[platform][cold]") {
+  const PlatformStoreSchema Schema;
+  const auto ColdStartOf = [&](const std::string &Fields) {
+    const auto Parsed = Schema.parseConfiguration(
+        R"({"version": 1, "services": [{"name": "s1")" + Fields + "}]}");
+    REQUIRE(Parsed);
+    return Parsed->findService({"s1"})->ColdStart_;
+  };
+  CHECK(ColdStartOf(R"(, "cold_start_s": 8, "cold_per_s": 2.5)") ==
+        ColdStart{8s, 2.5});
+  CHECK(ColdStartOf(R"(, "cold_start_s": 1e12, "cold_per_s": 3)") ==
+        ColdStart{10min, 3});
+  for (const char *Fields :
+       {"", R"(, "cold_start_s": 8)", R"(, "cold_per_s": 3)",
+        R"(, "cold_start_s": 8, "cold_per_s": 0)",
+        R"(, "cold_start_s": 8, "cold_per_s": -3)",
+        R"(, "cold_start_s": -8, "cold_per_s": 3)",
+        R"(, "cold_start_s": "8", "cold_per_s": 3)",
+        R"(, "cold_start_s": 8, "cold_per_s": null)"})
+    CHECK_FALSE(ColdStartOf(Fields));
+}
+
 TEST_CASE("Backend server rows are decoded", "[platform]") {
   const PlatformStoreSchema Schema;
   const std::string Good =
@@ -116,6 +139,22 @@
   CHECK(Entry->StartTimeMs_ == 1700000000000);
   CHECK_FALSE(Entry->IsLeaving_);
 
+  SECTION("the time that a server stays cold is bounded, and bad values mean "
+          "none") {
+    CHECK(Entry->ColdRemaining_ == 0s);
+    const auto RemainingOf = [&](const std::string &Value) {
+      const std::string Start = Good.substr(0, Good.size() - 1);
+      return Schema
+          .parseServer(makeRow(Start + ",\"cold_remaining_ms\":" + Value + "}"))
+          ->ColdRemaining_;
+    };
+    CHECK(RemainingOf("1500") == 1500ms);
+    CHECK(RemainingOf("0.5") == 500us);
+    for (const char *Value : {"600001", "1e300", "18446744073709551615"})
+      CHECK(RemainingOf(Value) == 10min);
+    for (const char *Value : {"-1", "-1e300", "\"9\"", "null", "[9]"})
+      CHECK(RemainingOf(Value) == 0s);
+  }
   SECTION("rows with malformed values or unknown states register no server") {
     CHECK_FALSE(Schema.parseServer(makeRow("\xff\x01")));
     CHECK_FALSE(Schema.parseServer(makeRow(R"({"service":"s1"})")));
