Limit the requests that a cold server gets from all instances

Cause: an engine crashes at a rate well above cold_per_s while it is cold, and many engines can return at once, when an evacuation ends.

Change: a bucket of ServerLimitLedger has a second reason, being cold; the smaller rate holds, and the bucket disappears with its last reason. The home takes the cold servers from its directory and the rates from its configuration, before decisions and before a token is taken. HomeLink asks the home for a token of a cold server, too. A cold bucket begins with no tokens, less one for each grant whose prefill still runs. Instances that reach nobody are offset by their rank, which setInstanceCount takes: they all have the same small rate, so their first tokens came at the same moment.

--- a/include/gooseberrybeam/relay/GenerationPlacer.h
+++ b/include/gooseberrybeam/relay/GenerationPlacer.h
@@ -94,6 +94,9 @@
 
   /// \returns the limits that servers state; grants stay within them.
   ServerLimitLedger &serverLimits() { return ServerLimits_; }
+  /// \param Decode a decode engine.
+  /// \returns the number of its grants whose prefill has not ended yet.
+  std::size_t prefillingFor(const ServerId &Decode) const;
 
   /// \returns whether \p Request of \p Instance is waiting for engines.
   bool isWaiting(const InstanceId &Instance, const RequestId &Request) const;
--- a/include/gooseberrybeam/relay/HomeCoordinator.h
+++ b/include/gooseberrybeam/relay/HomeCoordinator.h
@@ -29,7 +29,9 @@
   void configure(std::shared_ptr<const RelayConfiguration> Configuration,
                  TimePoint Now);
   /// \param Count the number of instances that share the limits; at least 1.
-  void setInstanceCount(std::size_t Count);
+  /// \param Rank how many of them come before this one in an order that all
+  /// know, so that those that reach nobody can take turns.
+  void setInstanceCount(std::size_t Count, std::size_t Rank = 0);
 
   /// Records which process of an instance sends. If the instance has restarted,
   /// the generations of its former process have ended, and their engines are
@@ -93,6 +95,15 @@
   /// Records the limit that a backend server states.
   /// \param Now the current time.
   void onServerLimit(const ServerLimitReport &Report, TimePoint Now);
+  /// \param Server a server.
+  /// \returns the cold start of its service, or null if it has none or the
+  /// server is unknown.
+  const ColdStart *coldStartOf(const ServerId &Server) const;
+  /// \param Server a server.
+  /// \param Now the current time.
+  /// \returns its limit in requests per second if it is cold and limited.
+  std::optional<double> coldLimitOf(const ServerId &Server,
+                                    TimePoint Now) const;
   /// Takes a token for a request to a server of a plain service.
   /// \param Server the server.
   /// \param Now the current time.
@@ -140,9 +151,12 @@
   void detachSilent(TimePoint Now);
   void dropInstance(const InstanceId &Instance);
   void refund(const RequestId &Request);
-  void updateServerLimits();
+  void updateServerLimits(TimePoint Now);
+  void updateColdLimit(const ServerId &Server, TimePoint Now);
+  double coldTokenOffset() const;
 
   const BackendDirectory &Directory_;
+  std::shared_ptr<const RelayConfiguration> Configuration_;
   GenerationPlacer Placer_;
   RelayRateLimiter Limits_;
   std::map<InstanceId, AttachedInstance> AttachedInstances_;
@@ -153,6 +167,7 @@
   std::vector<LimitUtilisation> Utilisation_;
   TimePoint UtilisationUpdatedAt_{Duration::zero()};
   std::size_t InstanceCount_ = 1;
+  std::size_t Rank_ = 0;
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/relay/ServerLimitLedger.h
+++ b/include/gooseberrybeam/relay/ServerLimitLedger.h
@@ -1,5 +1,5 @@
 /// \file
-/// Keeps backend servers within the limits that they state, at a home.
+/// Keeps backend servers within their limits, at a home.
 #ifndef GOOSEBERRYBEAM_RELAY_SERVERLIMITLEDGER_H
 #define GOOSEBERRYBEAM_RELAY_SERVERLIMITLEDGER_H
 
@@ -13,11 +13,11 @@
 
 namespace gooseberry {
 
-/// One token bucket for each server that states a limit. All requests to such
-/// a server take a token from the home, so that the instances together stay
-/// within the limit however unevenly callers are spread over them. A home that
-/// some instances have not attached to grants only the others' part, so that
-/// two homes at a time grant no more than one.
+/// One token bucket for each server that states a limit or is cold; the smaller
+/// rate holds. All requests to such a server take a token from the home, so
+/// that the instances together stay within the limit however unevenly callers
+/// are spread over them. A home that some instances have not attached to grants
+/// only the others' part, so that two homes at a time grant no more than one.
 class ServerLimitLedger {
 public:
   /// \param Attached the number of instances whose home this is.
@@ -30,6 +30,13 @@
   /// \param Now the current time.
   void onLimit(const ServerId &Server, std::optional<double> RequestsPerSecond,
                TimePoint Now);
+  /// Records the limit of a server that is cold.
+  /// \param Server the server.
+  /// \param RequestsPerSecond its limit; none if it is warm or not limited.
+  /// \param Now the current time.
+  /// \returns whether the limit begins, with no tokens.
+  bool onCold(const ServerId &Server, std::optional<double> RequestsPerSecond,
+              TimePoint Now);
   /// Adds limits that instances heard of earlier; known ones stay.
   /// \param Limits the limits.
   /// \param Now the current time.
@@ -43,10 +50,13 @@
   /// asking.
   /// \param Server the server.
   /// \param Now the current time.
-  void take(const ServerId &Server, TimePoint Now);
+  /// \param Tokens how many tokens to take.
+  void take(const ServerId &Server, TimePoint Now, double Tokens = 1);
 
   /// \returns the limits of all servers that state one.
   std::vector<ServerLimit> limits() const;
+  /// \returns the servers that are limited because they are cold.
+  std::vector<ServerId> coldServers() const;
   /// Forgets servers that are gone.
   /// \param IsRegistered returns whether a server id is still registered.
   template <typename Predicate> void retainIf(Predicate IsRegistered) {
@@ -56,12 +66,17 @@
 
 private:
   struct Bucket {
-    double RequestsPerSecond_ = 0;
+    std::optional<double> Stated_; ///< Requests per second.
+    std::optional<double> Cold_;   ///< Likewise; set while it is cold.
     double Tokens_ = 0; ///< At `UpdatedAt_`; negative if taken in advance.
     TimePoint UpdatedAt_;
   };
 
+  void update(const ServerId &Server, std::optional<double> Bucket::*Reason,
+              std::optional<double> RequestsPerSecond, TimePoint Now);
+  static double limitOf(const Bucket &Each);
   double rateOf(const Bucket &Each) const;
+  double burstOf(const Bucket &Each) const;
   double tokensOf(const Bucket &Each, TimePoint Now) const;
 
   std::unordered_map<ServerId, Bucket> Buckets_;
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -122,11 +122,11 @@
   void onServerResponse(const ServerId &Server,
                         std::optional<double> RequestsPerSecond);
   /// Asks the home whether a request may be sent to a server of a plain
-  /// service. Servers without a limit take any. After a denial, the server is
-  /// not to be used until another request may be sent to it.
-  /// \param Server the server.
-  /// \param Scope ends the wait for the answer when cancelled.
-  /// \returns whether it may be sent; false if the home does not answer.
+  /// service. Servers that state no limit and are warm take any. After a
+  /// denial, the server is not to be used until another request may be sent to
+  /// it. \param Server the server. \param Scope ends the wait for the answer
+  /// when cancelled. \returns whether it may be sent; false if the home does
+  /// not answer.
   Task<bool> mayCallServer(ServerId Server, CancelScope &Scope);
   /// \param Server a server.
   /// \returns when its limit admits another request; in the past if now.
@@ -191,6 +191,7 @@
   void repeatCrashes();
   CrashAdmission admissionWithoutHome(const RequestFingerprint &Request) const;
   std::uint32_t knownCrashesOf(const RequestFingerprint &Request) const;
+  bool isLimited(const ServerId &Server) const;
   void handleTokenAnswer(const ServerTokenAnswer &Answer);
   void addRecentUsage(const OrganisationId &Organisation, double Tokens);
   void tick();
--- a/src/relay/GenerationPlacer.cpp
+++ b/src/relay/GenerationPlacer.cpp
@@ -360,6 +360,16 @@
       {Generation.Instance_, std::move(Answer), Now - Generation.Arrival_});
 }
 
+std::size_t GenerationPlacer::prefillingFor(const ServerId &Decode) const {
+  const auto Engine = Engines_.find(Decode);
+  if (Engine == Engines_.end())
+    return 0;
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Engine->second.Streams_, [this](const RequestId &Each) {
+        return Generations_.at(Each).IsPrefilling_;
+      }));
+}
+
 double GenerationPlacer::weightOf(const OrganisationId &Organisation) const {
   const RelayOrganisation *Known =
       Configuration_ ? Configuration_->findOrganisation(Organisation) : nullptr;
--- a/src/relay/HomeCoordinator.cpp
+++ b/src/relay/HomeCoordinator.cpp
@@ -19,16 +19,56 @@
                                  const RateLimitBounds &Bounds)
     : Directory_(Directory), Placer_(Directory), Limits_(Bounds) {}
 
-void HomeCoordinator::setInstanceCount(std::size_t Count) {
+void HomeCoordinator::setInstanceCount(std::size_t Count, std::size_t Rank) {
   InstanceCount_ = Count;
+  Rank_ = Rank;
   Limits_.setInstanceCount(Count);
 }
 
-void HomeCoordinator::updateServerLimits() {
+const ColdStart *HomeCoordinator::coldStartOf(const ServerId &Server) const {
+  const BackendEntry *Entry = Directory_.find(Server);
+  const RelayService *Service =
+      Entry && Configuration_ ? Configuration_->findService(Entry->Service_)
+                              : nullptr;
+  return Service && Service->ColdStart_ ? &*Service->ColdStart_ : nullptr;
+}
+
+std::optional<double> HomeCoordinator::coldLimitOf(const ServerId &Server,
+                                                   TimePoint Now) const {
+  if (!Directory_.coldServers().isCold(Server, Now))
+    return std::nullopt;
+  const ColdStart *Start = coldStartOf(Server);
+  return Start ? std::optional(Start->RequestsPerSecond_) : std::nullopt;
+}
+
+void HomeCoordinator::updateColdLimit(const ServerId &Server, TimePoint Now) {
+  ServerLimitLedger &Ledger = Placer_.serverLimits();
+  if (!Ledger.onCold(Server, coldLimitOf(Server, Now), Now))
+    return;
+  // Grants whose prefill still runs bring their decode calls later.
+  const auto Expected = static_cast<double>(Placer_.prefillingFor(Server));
+  Ledger.take(Server, Now, Expected + coldTokenOffset());
+}
+
+// Instances that reach nobody all begin with no tokens and the same small rate.
+// Without evenly spaced offsets they would send to a cold server at the same
+// moment.
+double HomeCoordinator::coldTokenOffset() const {
+  const auto Count = static_cast<double>(InstanceCount_);
+  const double Attached =
+      static_cast<double>(AttachedInstances_.size()) / Count;
+  return static_cast<double>(Rank_) / Count * std::max(0.0, 1 - Attached);
+}
+
+void HomeCoordinator::updateServerLimits(TimePoint Now) {
   ServerLimitLedger &Ledger = Placer_.serverLimits();
   Ledger.setInstanceCounts(AttachedInstances_.size(), InstanceCount_);
   Ledger.retainIf(
       [this](const ServerId &Id) { return Directory_.find(Id) != nullptr; });
+  for (const ServerId &Each : Ledger.coldServers())
+    updateColdLimit(Each, Now);
+  for (const ServerId &Each : Directory_.coldServers().all(Now))
+    updateColdLimit(Each, Now);
 }
 
 void HomeCoordinator::onServerLimit(const ServerLimitReport &Report,
@@ -40,6 +80,7 @@
 Duration HomeCoordinator::takeServerToken(const ServerId &Server,
                                           TimePoint Now) {
   ServerLimitLedger &Ledger = Placer_.serverLimits();
+  updateColdLimit(Server, Now);
   const Duration Wait = Ledger.timeUntilAvailable(Server, Now);
   if (Wait == Duration::zero())
     Ledger.take(Server, Now);
@@ -68,8 +109,9 @@
 
 void HomeCoordinator::configure(
     std::shared_ptr<const RelayConfiguration> Configuration, TimePoint Now) {
-  Limits_.configure(Configuration, Now);
-  Placer_.configure(std::move(Configuration));
+  Configuration_ = std::move(Configuration);
+  Limits_.configure(Configuration_, Now);
+  Placer_.configure(Configuration_);
 }
 
 void HomeCoordinator::attach(const InstanceId &Instance,
@@ -221,7 +263,7 @@
 
 std::vector<PlacementDecision> HomeCoordinator::decide(TimePoint Now) {
   detachSilent(Now);
-  updateServerLimits();
+  updateServerLimits(Now);
   std::vector<PlacementDecision> Decisions = std::move(PendingDenials_);
   PendingDenials_.clear();
   for (auto &Each : Placer_.decide(Now)) {
--- a/src/relay/ServerLimitLedger.cpp
+++ b/src/relay/ServerLimitLedger.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
 
 namespace gooseberry {
 namespace {
@@ -23,6 +24,8 @@
 /// The same for high limits, as the time in which they accrue.
 constexpr Duration BurstTime = std::chrono::milliseconds(100);
 
+constexpr double Unlimited = std::numeric_limits<double>::infinity();
+
 } // namespace
 
 void ServerLimitLedger::setInstanceCounts(std::size_t Attached,
@@ -35,36 +38,68 @@
 void ServerLimitLedger::onLimit(const ServerId &Server,
                                 std::optional<double> RequestsPerSecond,
                                 TimePoint Now) {
-  if (!RequestsPerSecond) {
-    Buckets_.erase(Server);
+  update(Server, &Bucket::Stated_, RequestsPerSecond, Now);
+}
+
+bool ServerLimitLedger::onCold(const ServerId &Server,
+                               std::optional<double> RequestsPerSecond,
+                               TimePoint Now) {
+  const auto Found = Buckets_.find(Server);
+  const bool WasCold = Found != Buckets_.end() && Found->second.Cold_;
+  update(Server, &Bucket::Cold_, RequestsPerSecond, Now);
+  if (WasCold || !RequestsPerSecond)
+    return false;
+  // What accrued at a higher rate would be a burst for a cold server.
+  double &Tokens = Buckets_.at(Server).Tokens_;
+  Tokens = std::min(Tokens, 0.0);
+  return true;
+}
+
+void ServerLimitLedger::update(const ServerId &Server,
+                               std::optional<double> Bucket::*Reason,
+                               std::optional<double> RequestsPerSecond,
+                               TimePoint Now) {
+  const auto Existing = Buckets_.find(Server);
+  const bool IsNew = Existing == Buckets_.end();
+  if (IsNew && !RequestsPerSecond)
     return;
-  }
-  const auto [Found, IsNew] = Buckets_.try_emplace(Server);
-  Bucket &Known = Found->second;
+  Bucket &Known = IsNew ? Buckets_[Server] : Existing->second;
   Known.Tokens_ = IsNew ? 0 : tokensOf(Known, Now);
-  Known.RequestsPerSecond_ = *RequestsPerSecond;
+  Known.*Reason = RequestsPerSecond;
   Known.UpdatedAt_ = Now;
+  if (!Known.Stated_ && !Known.Cold_)
+    Buckets_.erase(Server);
 }
 
 void ServerLimitLedger::merge(std::span<const ServerLimit> Limits,
                               TimePoint Now) {
-  for (const ServerLimit &Each : Limits)
-    if (!Buckets_.contains(Each.Server_))
+  for (const ServerLimit &Each : Limits) {
+    const auto Found = Buckets_.find(Each.Server_);
+    if (Found == Buckets_.end() || !Found->second.Stated_)
       onLimit(Each.Server_, Each.RequestsPerSecond_, Now);
+  }
+}
+
+double ServerLimitLedger::limitOf(const Bucket &Each) {
+  return std::min(Each.Stated_.value_or(Unlimited),
+                  Each.Cold_.value_or(Unlimited));
 }
 
 double ServerLimitLedger::rateOf(const Bucket &Each) const {
-  const double Excess =
-      std::min(MaxExcessPerSecond, Each.RequestsPerSecond_ * MaxExcessFraction);
-  return std::max(Each.RequestsPerSecond_ + Excess, MinRequestsPerSecond) *
-         AttachedFraction_;
+  const double Limit = limitOf(Each);
+  const double Excess = std::min(MaxExcessPerSecond, Limit * MaxExcessFraction);
+  return std::max(Limit + Excess, MinRequestsPerSecond) * AttachedFraction_;
+}
+
+double ServerLimitLedger::burstOf(const Bucket &Each) const {
+  const double Burst = std::max(MaxBurst, limitOf(Each) * asSeconds(BurstTime));
+  // While there are several homes, their bursts may meet at a cold server.
+  return Each.Cold_ ? std::max(1.0, Burst * AttachedFraction_) : Burst;
 }
 
 double ServerLimitLedger::tokensOf(const Bucket &Each, TimePoint Now) const {
-  const double Burst =
-      std::max(MaxBurst, Each.RequestsPerSecond_ * asSeconds(BurstTime));
   const double Accrued = rateOf(Each) * asSeconds(Now - Each.UpdatedAt_);
-  return std::min(Burst, Each.Tokens_ + Accrued);
+  return std::min(burstOf(Each), Each.Tokens_ + Accrued);
 }
 
 Duration ServerLimitLedger::timeUntilAvailable(const ServerId &Server,
@@ -80,19 +115,29 @@
   return std::max(Duration(1), fromMs(Missing / Rate * MsPerSecond));
 }
 
-void ServerLimitLedger::take(const ServerId &Server, TimePoint Now) {
+void ServerLimitLedger::take(const ServerId &Server, TimePoint Now,
+                             double Tokens) {
   const auto Found = Buckets_.find(Server);
   if (Found == Buckets_.end())
     return;
-  Found->second.Tokens_ = tokensOf(Found->second, Now) - 1;
+  Found->second.Tokens_ = tokensOf(Found->second, Now) - Tokens;
   Found->second.UpdatedAt_ = Now;
 }
 
 std::vector<ServerLimit> ServerLimitLedger::limits() const {
   std::vector<ServerLimit> Limits;
   for (const auto &[Server, Each] : Buckets_)
-    Limits.push_back({Server, Each.RequestsPerSecond_});
+    if (Each.Stated_)
+      Limits.push_back({Server, *Each.Stated_});
   return Limits;
 }
 
+std::vector<ServerId> ServerLimitLedger::coldServers() const {
+  std::vector<ServerId> Servers;
+  for (const auto &[Server, Each] : Buckets_)
+    if (Each.Cold_)
+      Servers.push_back(Server);
+  return Servers;
+}
+
 } // namespace gooseberry
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -60,7 +60,10 @@
     return !Names.contains(Entry.first);
   });
   Selector_.setInstances(Candidates);
-  Coordinator_.setInstanceCount(instanceCount());
+  const auto Rank = std::ranges::count_if(
+      Names, [this](const InstanceId &Each) { return Each < Self_; });
+  Coordinator_.setInstanceCount(instanceCount(),
+                                static_cast<std::size_t>(Rank));
   if (Transport_)
     Transport_->setMembers(Members_);
 }
--- a/src/relayd/HomeLinkServerLimits.cpp
+++ b/src/relayd/HomeLinkServerLimits.cpp
@@ -27,15 +27,19 @@
             RequestsPerSecond ? std::to_string(*RequestsPerSecond) : ""}});
 }
 
+bool HomeLink::isLimited(const ServerId &Server) const {
+  return StatedLimits_.isLimited(Server) ||
+         Coordinator_.coldLimitOf(Server, readBootClock());
+}
+
 TimePoint HomeLink::availableAt(const ServerId &Server) const {
   const auto Found = AvailableAt_.find(Server);
-  const bool IsPaused =
-      Found != AvailableAt_.end() && StatedLimits_.isLimited(Server);
+  const bool IsPaused = Found != AvailableAt_.end() && isLimited(Server);
   return IsPaused ? Found->second : TimePoint(Duration::zero());
 }
 
 Task<bool> HomeLink::mayCallServer(ServerId Server, CancelScope &Scope) {
-  if (!StatedLimits_.isLimited(Server))
+  if (!isLimited(Server))
     co_return true;
   asio::steady_timer Timer(Context_, TokenAnswerTimeout);
   PendingToken Token;
--- a/tests/HomeLinkTest.cpp
+++ b/tests/HomeLinkTest.cpp
@@ -290,6 +290,40 @@
   }
 }
 
+TEST_CASE("Requests to a cold server of a plain service wait for a token, too",
+          "[relay][cold]") {
+  AttachedInstance Instance;
+  BackendEntry Server;
+  Server.Id_ = {"s1"};
+  Server.Service_ = {"plain"};
+  Server.ColdRemaining_ = 1min;
+  Instance.directory().put(Server);
+  Instance.directory().coldServers().onRegistration(Server, readBootClock());
+  const auto Configure = [&](std::optional<ColdStart> Start) {
+    RelayConfigurationParts Parts;
+    Parts.Services_ = {{{"plain"}, 64, std::nullopt, Start}};
+    Instance.link().configure(
+        std::make_shared<const RelayConfiguration>(std::move(Parts)));
+    Instance.askForServer({"s1"});
+  };
+  SECTION("and spare it until there is one") {
+    Configure(ColdStart{10s, 2});
+    REQUIRE_FALSE(Instance.mayCall());
+    Instance.answerFromHome(10s);
+    CHECK(Instance.mayCall() == false);
+    CHECK(Instance.link().availableAt({"s1"}) > readBootClock() + 5s);
+  }
+  SECTION("and use another one if the home does not answer") {
+    Configure(ColdStart{10s, 2});
+    Instance.awaitTimeout();
+    CHECK(Instance.mayCall() == false);
+  }
+  SECTION("but no message is sent if the service has no cold start") {
+    Configure(std::nullopt);
+    CHECK(Instance.mayCall() == true);
+  }
+}
+
 TEST_CASE("An instance asks its home about suspect requests only",
           "[relay][budget]") {
   const RequestFingerprint Quarantined = {1, 1};
--- a/tests/ServerLimitLedgerTest.cpp
+++ b/tests/ServerLimitLedgerTest.cpp
@@ -133,6 +133,55 @@
   CHECK(Load.worstWindow() <= Load.allowedInWindow());
 }
 
+TEST_CASE("A cold server gets the smaller of its stated and its cold rate",
+          "[relay][cold]") {
+  ServerLimitLedger Ledger;
+  TimePoint Now{100s};
+  const auto CountIn = [&](Duration Time) {
+    int Count = 0;
+    for (const TimePoint End = Now + Time; Now < End; Now += 10ms)
+      if (Ledger.timeUntilAvailable(Server, Now) == Duration::zero()) {
+        Ledger.take(Server, Now);
+        ++Count;
+      }
+    return Count;
+  };
+  Ledger.onLimit(Server, 50, Now);
+  Now += 10s;
+  REQUIRE(Ledger.onCold(Server, 2, Now));
+
+  SECTION("without the tokens that accrued before") {
+    CHECK(Ledger.timeUntilAvailable(Server, Now) > 300ms);
+    CHECK_FALSE(Ledger.onCold(Server, 2, Now));
+    CHECK(CountIn(10s) <= 2.5 * 10 + 2);
+  }
+  SECTION("a smaller stated limit holds while it is cold, too") {
+    Ledger.onLimit(Server, 0.5, Now);
+    CHECK(CountIn(10s) <= 0.75 * 10 + 2);
+  }
+  SECTION("instances hear of the stated limit only, as every home knows "
+          "which servers are cold") {
+    Ledger.onLimit(Server, std::nullopt, Now);
+    CHECK(Ledger.limits().empty());
+    CHECK(Ledger.coldServers() == std::vector<ServerId>{Server});
+    SECTION("and a limit from before a change of home is still taken in") {
+      const std::vector<ServerLimit> Stated = {{Server, 50}};
+      Ledger.merge(Stated, Now);
+      CHECK(Ledger.limits() == Stated);
+    }
+    SECTION("and a server that is warm again is not limited") {
+      Ledger.onCold(Server, std::nullopt, Now);
+      CHECK(Ledger.coldServers().empty());
+      CHECK(CountIn(1s) == 100);
+    }
+  }
+  SECTION("the stated limit outlasts the cold start") {
+    Ledger.onCold(Server, std::nullopt, Now);
+    CHECK(Ledger.limits().size() == 1);
+    CHECK(CountIn(2s) <= 50.5 * 2 + 5);
+  }
+}
+
 TEST_CASE("The time until a server accepts a request is exact", "[relay]") {
   ServerLimitLedger Ledger;
   TimePoint Now{100s};
