Feed registrations to the cold servers, and log who is cold

Cause: nothing told ColdServers of rows yet.

Change: RelayDaemon::applyServers passes each registration on. A row of a restored store does not make a server warm, as it may have been written before the server became cold. One line when a server becomes cold and one when it is warm, if its service has a cold start. "Backend server changed." is not written for a row that only renews a cold server.

--- a/include/gooseberrybeam/relayd/RelayDaemon.h
+++ b/include/gooseberrybeam/relayd/RelayDaemon.h
@@ -72,6 +72,8 @@
   void applyConfiguration(std::string_view Source, std::string_view Origin);
   void applyConfigurationRows(std::span<const StoreRow> Changed);
   void applyServers(const TableFeeds::Changes &Changed);
+  void recordColdness(const BackendEntry &Entry, bool IsRestored);
+  void logWarmServers(TimePoint Now);
   void applyInstances(bool IsRestored);
   void registerSelf();
   void adoptPeerKey();
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -296,13 +296,19 @@
         Row.IsRemoved_ ? std::nullopt : Adapter_.Schema_->parseServer(Row);
     if (!Entry && !Row.IsRemoved_)
       logOddRow(Row);
+    const std::uint64_t ChangesBefore = Directory_.changeCount();
     if (Entry && Changed.IsRestored_)
       Directory_.putRestored(*Entry, Now);
     else if (Entry)
       Directory_.put(*Entry);
     else
       Directory_.remove({Row.Key_}, Now);
-    if (!HasServers_)
+    if (Entry)
+      recordColdness(*Entry, Changed.IsRestored_);
+    // A cold server's row is written with each heartbeat.
+    const bool IsRenewal = Entry && Entry->ColdRemaining_ > Duration::zero() &&
+                           Directory_.changeCount() == ChangesBefore;
+    if (!HasServers_ || IsRenewal)
       continue;
     logLine(LogPart::Service, LogLevel::Info, "Backend server changed.",
             {{"server", std::string_view(Row.Key_).substr(0, MaxLoggedKey)},
@@ -317,6 +323,31 @@
   openWhenReady();
 }
 
+void RelayDaemon::recordColdness(const BackendEntry &Entry, bool IsRestored) {
+  // A row of a restored store may have been written before the server became
+  // cold, so it does not make the server warm.
+  if (IsRestored && Entry.ColdRemaining_ <= Duration::zero())
+    return;
+  const TimePoint Now = readBootClock();
+  if (!Directory_.coldServers().onRegistration(Entry, Now))
+    return;
+  const auto Limit = Home_.coordinator().coldLimitOf(Entry.Id_, Now);
+  if (!Limit)
+    return;
+  logLine(LogPart::Service, LogLevel::Info, "Backend server is cold.",
+          {{"server", Entry.Id_.Value_},
+           {"remaining_ms",
+            std::to_string(wholeMilliseconds(Entry.ColdRemaining_))},
+           {"per_second", std::to_string(*Limit)}});
+}
+
+void RelayDaemon::logWarmServers(TimePoint Now) {
+  for (const ServerId &Server : Directory_.coldServers().takeWarm(Now))
+    if (Home_.coordinator().coldStartOf(Server))
+      logLine(LogPart::Service, LogLevel::Info, "Backend server is warm.",
+              {{"server", Server.Value_}});
+}
+
 RelayMember RelayDaemon::self() const {
   RelayMember Member;
   Member.Peer_.Id_ = {Settings_.Name_, Incarnation_};
@@ -500,6 +531,9 @@
       logLine(LogPart::Service, LogLevel::Info,
               "Pause of a backend server is over.",
               {{"server", Server.Value_}});
+    Directory_.coldServers().retainIf(
+        [this](const ServerId &Id) { return Directory_.find(Id) != nullptr; });
+    logWarmServers(Now);
     for (auto &[Service, Balancer] : Relay_.Balancers_)
       Balancer.retainIf([this](const ServerId &Id) {
         return Directory_.find(Id) != nullptr;
