--- a/include/gooseberrybeam/relay/EvacuationState.h
+++ b/include/gooseberrybeam/relay/EvacuationState.h
@@ -14,7 +14,7 @@
 /// Data centres whose servers get no new requests, as of a version of the
 /// store. Of two states the one with the newer version holds.
 struct EvacuationState {
-  StoreVersion Version_; ///< Unknown until the store or a peer has told.
+  StoreVersion Version_; ///< Unknown until the store or a peer has reported it.
   std::set<DataCentreId> DataCentres_;
 
   /// Replaces this state by \p Other if that is newer.
--- a/include/gooseberrybeam/relay/GenerationPlacer.h
+++ b/include/gooseberrybeam/relay/GenerationPlacer.h
@@ -101,6 +101,9 @@
 
   /// \returns the limits that servers state; grants stay within them.
   ServerLimitLedger &serverLimits() { return ServerLimits_; }
+  /// \param Decode a decode engine.
+  /// \returns the number of its grants whose prefill has not ended yet.
+  std::size_t prefillingFor(const ServerId &Decode) const;
 
   /// \returns whether \p Request of \p Instance is waiting for engines.
   bool isWaiting(const InstanceId &Instance, const RequestId &Request) const;
@@ -151,6 +154,8 @@
     std::vector<KvStream> Streams_; ///< Forecasts of its streams.
     std::size_t Starting_ = 0;      ///< Streams without an event so far.
     bool HasStartingSuspect_ = false;
+    /// Kept for a request that may only use engines of some regions.
+    bool IsWithheld_ = false;
   };
 
   /// Queues and estimates of one service.
@@ -160,6 +165,9 @@
     std::vector<RequestId> MovedStreams_;
     /// Requests that wait for the trial of another one like them.
     std::vector<RequestId> HeldRequests_;
+    /// Requests that wait for engines of some regions, during one pass over the
+    /// queue.
+    std::vector<RequestId> SetAside_;
     double MeanOutputTokens_ = 0; ///< Smoothed; 0 before any sample.
     double PrefillTokensPerMs_ = 0;
     double DecodeTokensPerMs_ = 0;
@@ -210,6 +218,10 @@
                          std::vector<PlacementDecision> &Decisions);
   bool hasUsableDecode(std::span<const DecodeCandidate> Candidates,
                        const PlacementRequest &Placement, TimePoint Now) const;
+  bool areAllEnginesClosed(std::span<const DecodeCandidate> Candidates,
+                           const PlacementRequest &Placement) const;
+  void setAside(std::vector<DecodeCandidate> &Candidates, PoolState &Pool,
+                const RequestId &Request);
   bool placeNext(std::vector<DecodeCandidate> &Candidates, PoolState &Pool,
                  const EngineTraits &Traits, TimePoint Now,
                  std::vector<PlacementDecision> &Decisions);
--- a/include/gooseberrybeam/relay/RegionMap.h
+++ b/include/gooseberrybeam/relay/RegionMap.h
@@ -19,7 +19,7 @@
     Regions_[DataCentre] = Region;
   }
 
-  /// \param Restriction the regions that a request allows.
+  /// \param Restriction the regions allowed for a request.
   /// \param DataCentre the data centre of a server.
   /// \returns whether the server may get the request. A data centre that is
   /// not listed is in none of the allowed regions.
--- a/include/gooseberrybeam/relay/RegionRestriction.h
+++ b/include/gooseberrybeam/relay/RegionRestriction.h
@@ -23,7 +23,8 @@
                          const RegionRestriction &) = default;
 };
 
-/// Combines what a route and an organisation allow; both bind.
+/// Combines what a route and an organisation allow; both restrictions
+/// apply.
 /// \param Route the regions that the route allows; empty for all.
 /// \param Organisation the regions that the organisation allows; empty for
 /// all.
--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -80,6 +80,7 @@
   bool excludeUnusableEngines(const PlacementGrant &Grant);
   bool isPaused(const ServerId &Server) const;
   bool takesRequests(const ServerId &Server) const;
+  void excludeClosedEngines(PlacementRequest &Placement) const;
   Duration timeUntilDecodeEngine() const;
   Task<std::optional<PlacementAnswer>> place();
   Task<std::optional<PlacementAnswer>> nextPlacement();
--- a/include/gooseberrybeam/relayd/RelayDaemon.h
+++ b/include/gooseberrybeam/relayd/RelayDaemon.h
@@ -72,7 +72,10 @@
   void applyConfiguration(std::string_view Source, std::string_view Origin);
   void applyConfigurationRows(std::span<const StoreRow> Changed);
   EvacuationState storedEvacuation() const;
+  void applyStoredEvacuation();
   void applyServers(const TableFeeds::Changes &Changed);
+  void recordColdness(const BackendEntry &Entry, bool IsRestored);
+  void logWarmServers(TimePoint Now);
   void applyInstances(bool IsRestored);
   void registerSelf();
   void adoptPeerKey();
--- a/src/relay/BackendDirectory.cpp
+++ b/src/relay/BackendDirectory.cpp
@@ -58,6 +58,7 @@
 
 void BackendDirectory::put(const BackendEntry &Entry) {
   BackendEntry Known = Entry;
+  Known.ColdRemaining_ = Duration::zero();
   Known.IsLeaving_ = Entry.IsLeaving_ || isKnownToLeave(Entry);
   LapseDeadlines_.erase(Entry.Id_);
   RestoredEntries_.erase(Entry.Id_);
@@ -177,7 +178,8 @@
                                      const RegionRestriction &Regions) const {
   if (const BackendEntry *Known = find(Id))
     return takesRequests(*Known, Regions);
-  return !Regions.IsRestricted_ && !findAbsent(Id);
+  return !Regions.IsRestricted_ && Evacuation_.DataCentres_.empty() &&
+         !findAbsent(Id);
 }
 
 std::vector<ServerId> BackendDirectory::expire(TimePoint Now) {
--- a/src/relay/GenerationPlacerChoice.cpp
+++ b/src/relay/GenerationPlacerChoice.cpp
@@ -136,7 +136,8 @@
       BookableKvFraction * static_cast<double>(Traits.KvTokens_);
   for (DecodeCandidate &Each : Candidates) {
     const EngineState &Engine = *Each.State_;
-    if (!isUsable(*Each.Entry_, Engine, Generation.Placement_, Now))
+    if (Each.IsWithheld_ ||
+        !isUsable(*Each.Entry_, Engine, Generation.Placement_, Now))
       continue;
     if (Each.Streams_.size() >= Traits.Slots_)
       continue;
--- a/src/relay/GenerationPlacerQueue.cpp
+++ b/src/relay/GenerationPlacerQueue.cpp
@@ -3,6 +3,7 @@
 #include "relay/Durations.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace gooseberry {
 namespace {
@@ -82,6 +83,33 @@
       });
 }
 
+// Whether engines serve the pool, but all of them are in an evacuated data
+// centre or in a region that the request does not allow.
+bool GenerationPlacer::areAllEnginesClosed(
+    std::span<const DecodeCandidate> Candidates,
+    const PlacementRequest &Placement) const {
+  bool HasEngine = false;
+  for (const DecodeCandidate &Each : Candidates) {
+    if (Directory_.takesRequests(*Each.Entry_, Placement.Regions_))
+      return false;
+    HasEngine |= !Each.Entry_->IsLeaving_;
+  }
+  return HasEngine;
+}
+
+// A request that waits for room in some regions does not hold up requests that
+// can use others. Its engines are kept for it, or small requests would take
+// the room that a large one waits for.
+void GenerationPlacer::setAside(std::vector<DecodeCandidate> &Candidates,
+                                PoolState &Pool, const RequestId &Request) {
+  const RegionRestriction &Regions =
+      Generations_.at(Request).Placement_.Regions_;
+  for (DecodeCandidate &Each : Candidates)
+    Each.IsWithheld_ |= Directory_.takesRequests(*Each.Entry_, Regions);
+  Pool.Queue_.erase(Request);
+  Pool.SetAside_.push_back(Request);
+}
+
 bool GenerationPlacer::placeNext(std::vector<DecodeCandidate> &Candidates,
                                  PoolState &Pool, const EngineTraits &Traits,
                                  TimePoint Now,
@@ -105,6 +133,14 @@
       grant(Pool, Generation, *Chosen, Now, Decisions);
       return true;
     }
+    if (areAllEnginesClosed(Candidates, Generation.Placement_)) {
+      deny(Request, RefusalReason::NoBackendServer, {}, Now, Decisions);
+      return true;
+    }
+    if (Generation.Placement_.Regions_.IsRestricted_) {
+      setAside(Candidates, Pool, Request);
+      return true;
+    }
     // Room for a head that waits for memory must not go to less urgent work,
     // or a large prompt would never be served. A head without a usable engine
     // keeps no room.
@@ -123,6 +159,8 @@
                                    std::vector<PlacementDecision> &Decisions) {
   while (placeNext(Candidates, Pool, Traits, Now, Decisions))
     ;
+  for (const RequestId &Request : std::exchange(Pool.SetAside_, {}))
+    Pool.Queue_.push(makeQueueItem(Generations_.at(Request)));
 }
 
 } // namespace gooseberry
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -30,6 +30,9 @@
 /// Target time to the first event after a stream was moved.
 constexpr Duration ResumeTarget = std::chrono::milliseconds(300);
 constexpr Duration RetryAfterFailure = std::chrono::milliseconds(300);
+/// A grant that is older is looked at again before the decode engine is called,
+/// as its data centre may have been evacuated during a slow prefill.
+constexpr Duration MaxGrantAge = std::chrono::seconds(1);
 constexpr Duration ReleaseTimeout = std::chrono::seconds(1);
 constexpr std::size_t MaxReleaseBody = std::size_t{64} << 10;
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
@@ -100,6 +103,8 @@
   Placement.SharedSegments_ = Request_.CallerInfo_.SharedSegments_;
   Placement.Fingerprint_ = Request_.Fingerprint_;
   Placement.Regions_ = Request_.regions();
+  if (Placements_ > 1)
+    excludeClosedEngines(Placement);
   if (LastEventId_) {
     Placement.NeedsPrefill_ = false;
     Placement.TargetLeft_ = ResumeTarget;
@@ -107,6 +112,16 @@
   return Placement;
 }
 
+// A home that knows neither of an evacuation nor of regions would grant one
+// engine after another that this instance rejects.
+void GenerationCall::excludeClosedEngines(PlacementRequest &Placement) const {
+  const BackendDirectory &Directory = Context_.Directory_;
+  for (const auto &[Id, Entry] : Directory.entries())
+    if (Entry.Service_ == Request_.Service_ && !Entry.IsLeaving_ &&
+        !Directory.takesRequests(Entry, Placement.Regions_))
+      Placement.ExcludedEngines_.push_back(Id);
+}
+
 void GenerationCall::report(GenerationStep Step, const ChosenServer &Engine,
                             std::uint32_t Tokens, Duration Elapsed) {
   Context_.Home_.report(
@@ -457,7 +472,8 @@
 GenerationCall::decode(const ChosenServer &Engine,
                        const std::string &KvSource) {
   CallerExchange &Exchange = Request_.Exchange_;
-  if (isPaused(Engine.Id_))
+  const bool IsGrantOld = readBootClock() > PlacedAt_ + MaxGrantAge;
+  if (isPaused(Engine.Id_) || (IsGrantOld && !takesRequests(Engine.Id_)))
     co_return StepOutcome::Rejected;
   Retries_.countRequest();
   Retries_.sendReserved();
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -61,7 +61,10 @@
     return !Names.contains(Entry.first);
   });
   Selector_.setInstances(Candidates);
-  Coordinator_.setInstanceCount(instanceCount());
+  const auto Rank = std::ranges::count_if(
+      Names, [this](const InstanceId &Each) { return Each < Self_; });
+  Coordinator_.setInstanceCount(instanceCount(),
+                                static_cast<std::size_t>(Rank));
   if (Transport_)
     Transport_->setMembers(Members_);
 }
@@ -387,7 +390,8 @@
   if (Message.IsLeaving_ && Sender != Self_)
     Selector_.onLeaving(Sender);
   handleLeaving(Message.LeavingServers_, Sender);
-  applyEvacuation(Directory_, Message.Evacuation_, Sender.Value_);
+  applyEvacuation(Directory_, Configuration_.get(), Message.Evacuation_,
+                  Sender.Value_);
   handleStoreContact(Message.StoreContact_, Sender);
   HomeReply Reply;
   Reply.Sequence_ = Message.Sequence_;
@@ -421,7 +425,8 @@
 }
 
 void HomeLink::handleReply(const InstanceId &Sender, const HomeReply &Message) {
-  applyEvacuation(Directory_, Message.Evacuation_, Sender.Value_);
+  applyEvacuation(Directory_, Configuration_.get(), Message.Evacuation_,
+                  Sender.Value_);
   handleStoreContact(Message.StoreContact_, Sender);
   if (Sender != Self_) {
     Selector_.onHeartbeatReply(Sender, readBootClock());
