Choose plain servers by the load of all instances

Cause: an instance chose servers of plain services by its own attempts only.

Change: with contract `pressure`, heartbeats carry what an instance has seen of its servers, and the home's replies carry the sum. ServiceBalancer chooses through ServerChoice: RoomShareChoice with estimates of at most 1 s, else LeastCostChoice, which is the former choice. Without the contract, neither field is filled and the choice is as before.

--- a/include/gooseberrybeam/metrics/Metrics.h
+++ b/include/gooseberrybeam/metrics/Metrics.h
@@ -34,11 +34,12 @@
   IdempotencyReplays,
   ServerPauses,
   RetriesDenied,
+  ServerLoadEstimates,
 };
 
 /// Number of counters without labels.
 inline constexpr std::size_t CountCount =
-    static_cast<std::size_t>(Count::RetriesDenied) + 1;
+    static_cast<std::size_t>(Count::ServerLoadEstimates) + 1;
 
 /// Latencies.
 enum class Latency : std::uint8_t {
--- a/include/gooseberrybeam/relay/HomeCoordinator.h
+++ b/include/gooseberrybeam/relay/HomeCoordinator.h
@@ -6,6 +6,7 @@
 #include "gooseberrybeam/relay/GenerationPlacer.h"
 #include "gooseberrybeam/relay/HomeMessages.h"
 #include "gooseberrybeam/relay/RelayRateLimiter.h"
+#include "gooseberrybeam/relay/ServerLoadBoard.h"
 
 #include <map>
 #include <unordered_map>
@@ -99,6 +100,13 @@
   /// \returns zero if the request may be sent, else the time until another one
   /// may.
   Duration takeServerToken(const ServerId &Server, TimePoint Now);
+  /// \param Now the current time.
+  /// \returns the load of the servers of plain services; empty while too few
+  /// instances are attached to estimate it.
+  std::vector<ServerLoadEstimate> serverLoads(TimePoint Now) const {
+    return ServerLoads_.estimates(AttachedInstances_.size(), InstanceCount_,
+                                  Now);
+  }
   /// Passes a progress report to the placer.
   /// \param Now the current time.
   void onReport(const GenerationReport &Report, TimePoint Now);
@@ -145,6 +153,7 @@
   const BackendDirectory &Directory_;
   GenerationPlacer Placer_;
   RelayRateLimiter Limits_;
+  ServerLoadBoard ServerLoads_;
   std::map<InstanceId, AttachedInstance> AttachedInstances_;
   /// Incarnations of the processes heard last.
   std::unordered_map<InstanceId, std::uint64_t> Processes_;
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -43,6 +43,15 @@
     std::function<bool()> IsStoreAvailable_;
   };
 
+  /// Functions of the instance that exchange the load of backend servers.
+  struct ServerLoadHandlers {
+    /// \returns what the instance has seen since the last call.
+    std::function<std::vector<ServerLoadReport>()> TakeReports_;
+    /// Applies the estimates of the latest reply of the home; empty if it has
+    /// none.
+    std::function<void(std::span<const ServerLoadEstimate>)> OnEstimates_;
+  };
+
   /// \param Context runs the timers and coroutines; outlives the link.
   /// \param Self the name of this instance.
   /// \param Directory the registered backend servers; outlives the link.
@@ -62,6 +71,9 @@
   void setMembers(std::span<const RelayMember> Members);
   /// \param Configuration the newest configuration.
   void configure(std::shared_ptr<const RelayConfiguration> Configuration);
+  /// Exchanges the load of backend servers from now on; else it is not sent.
+  /// \param Handlers functions of the instance; all must be set.
+  void shareServerLoads(ServerLoadHandlers Handlers);
   /// Starts the timer that sends heartbeats and decisions.
   void start();
   /// Announces to all members that this instance is shutting down, and moves to
@@ -213,6 +225,9 @@
                      const InstanceId &Sender);
   void handleStoreContact(const std::optional<StoreContactSpan> &Span,
                           const InstanceId &Sender);
+  void addServerLoads(HomeHeartbeat &Message);
+  void addServerLoads(HomeReply &Message) const;
+  void handleServerLoads(std::span<const ServerLoadEstimate> Estimates) const;
   HomeHeartbeat makeHeartbeat();
   std::vector<TokenUsage> recentTokenUsage() const;
   void logAnswer(const PlacementDecision &Decision) const;
@@ -227,6 +242,8 @@
   BackendDirectory &Directory_;
   TableExchange &Tables_;
   Callbacks Callbacks_;
+  /// None: load is not shared.
+  std::optional<ServerLoadHandlers> ServerLoadHandlers_;
   HomeCoordinator Coordinator_;
   HomeSelector Selector_;
   InstanceId Home_;
--- a/include/gooseberrybeam/relayd/RelayDaemon.h
+++ b/include/gooseberrybeam/relayd/RelayDaemon.h
@@ -10,6 +10,7 @@
 #include "gooseberrybeam/relayd/RelayContext.h"
 #include "gooseberrybeam/relayd/RelayHandler.h"
 #include "gooseberrybeam/relayd/RelaySettings.h"
+#include "gooseberrybeam/relayd/ServerLoadSharing.h"
 #include "gooseberrybeam/relayd/StoreSchema.h"
 #include "gooseberrybeam/relayd/TableFeeds.h"
 
@@ -76,6 +77,7 @@
   void registerSelf();
   void adoptPeerKey();
   HomeLink::Callbacks makeCallbacks();
+  void shareServerLoads();
   TableFeeds::Listener makeFeedListener();
   const std::map<std::string, StoreRow> &instanceRows() const;
   void updateMembers();
@@ -92,6 +94,7 @@
   TableFeeds Feeds_;
   HomeLink Home_;
   RelayContext Relay_;
+  ServerLoadSharing ServerLoads_;
   RelayHandler Handler_;
   CallerServer Callers_;
   std::unique_ptr<RowStore> Store_;
--- a/include/gooseberrybeam/relayd/RelaySettings.h
+++ b/include/gooseberrybeam/relayd/RelaySettings.h
@@ -34,6 +34,9 @@
   Duration ServerHeartbeat_ = std::chrono::milliseconds(1200);
   RetryWindowLimits RetryBounds_;
   RateLimitBounds LimitBounds_;
+  /// Whether instances tell each other the load of plain servers through their
+  /// home.
+  bool SharesServerLoad_ = false;
 };
 
 } // namespace gooseberry
--- a/src/metrics/Metrics.cpp
+++ b/src/metrics/Metrics.cpp
@@ -35,6 +35,8 @@
      "Rejections in which a backend server asked for a pause."},
     {"gooseberry_retries_denied_total",
      "Retries that the shared budget did not allow."},
+    {"gooseberry_server_load_estimates_total",
+     "Replies of the home whose load estimates were put in force."},
 }};
 
 constexpr std::array<Naming, LatencyCount> LatencyNames = {{
--- a/src/relay/HomeCoordinator.cpp
+++ b/src/relay/HomeCoordinator.cpp
@@ -27,8 +27,11 @@
 void HomeCoordinator::updateServerLimits() {
   ServerLimitLedger &Ledger = Placer_.serverLimits();
   Ledger.setInstanceCounts(AttachedInstances_.size(), InstanceCount_);
-  Ledger.retainIf(
-      [this](const ServerId &Id) { return Directory_.find(Id) != nullptr; });
+  const auto IsRegistered = [this](const ServerId &Id) {
+    return Directory_.find(Id) != nullptr;
+  };
+  Ledger.retainIf(IsRegistered);
+  ServerLoads_.retainIf(IsRegistered);
 }
 
 void HomeCoordinator::onServerLimit(const ServerLimitReport &Report,
@@ -90,6 +93,7 @@
 // there.
 void HomeCoordinator::dropInstance(const InstanceId &Instance) {
   Placer_.dropInstance(Instance);
+  ServerLoads_.dropInstance(Instance);
   std::erase_if(PendingCharges_, [&Instance](const auto &Each) {
     return Each.second.Instance_ == Instance;
   });
@@ -114,6 +118,7 @@
   for (const auto &Each : Message.RunningGenerations_)
     Placer_.adopt(Sender, Each, Now);
   recordUsage(Sender, Message, Now);
+  ServerLoads_.onReports(Sender, Message.ServerLoads_, Now);
   Placer_.mergeCrashSuspects(Message.CrashSuspects_, Now);
   mergeRequestSuspects(Message.RequestSuspects_, Now);
   Placer_.serverLimits().merge(Message.ServerLimits_, Now);
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -109,6 +109,7 @@
       continue;
     HomeHeartbeat Message = makeHeartbeat();
     Message.IsAttached_ = Member.Id_.Name_ == Home_;
+    addServerLoads(Message);
     send(Member.Id_.Name_, Message);
   }
   updateHome(Now);
@@ -202,6 +203,7 @@
   Heartbeat.RequestSuspects_ = RequestSuspects_;
   Heartbeat.ServerLimits_ = StatedLimits_.all();
   Heartbeat.LeavingServers_ = Directory_.announcedLeaving();
+  addServerLoads(Heartbeat);
   UnreportedUsage_.clear();
   for (const auto &[Request, Generation] : RunningGenerations_)
     Heartbeat.RunningGenerations_.push_back(Generation);
@@ -244,6 +246,7 @@
     Message.IsAttached_ = Instance == Home_;
     if (Message.IsAttached_) {
       Message.LeavingServers_ = Directory_.announcedLeaving();
+      addServerLoads(Message);
       for (const auto &[Organisation, Tokens] : UnreportedUsage_)
         Message.TokenUsage_.push_back({Organisation, Tokens, {}});
       // An exhausted organisation sends no tokens. It is listed with 0 tokens
@@ -402,6 +405,7 @@
     Reply.RequestSuspects_ = Coordinator_.requestQuarantine().suspects(Now);
     Reply.ServerLimits_ = Coordinator_.serverLimits();
     Reply.LeavingServers_ = Directory_.announcedLeaving();
+    addServerLoads(Reply);
   }
   if (Sender == Self_) {
     handleReply(Self_, Reply);
@@ -437,6 +441,7 @@
   RequestSuspects_ = Message.RequestSuspects_;
   handleLeaving(Message.LeavingServers_, Sender);
   StatedLimits_.assign(Message.ServerLimits_, readBootClock());
+  handleServerLoads(Message.ServerLoads_);
   ExhaustedOrganisations_.clear();
   ExhaustedOrganisations_.insert(Message.ExhaustedOrganisations_.begin(),
                                  Message.ExhaustedOrganisations_.end());
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -113,14 +113,17 @@
              {},
              {},
              {}},
-      Handler_(Relay_),
+      ServerLoads_(Relay_.Balancers_, Relay_.Metrics_), Handler_(Relay_),
       Callers_(Context_, Handler_,
                makeCallerLimits(RelayCallerLimits(), Relay_.Pool_.bodies()),
                Settings_.Name_.Value_ + "-"),
       Store_(Adapter_.MakeStore_(Context_)), Incarnation_(makeIncarnation(0)),
       StartedAt_(readBootClock()), HomeSince_(StartedAt_),
       StopSignals_(Context_, SIGTERM, SIGINT),
-      HangupSignals_(Context_, SIGHUP) {}
+      HangupSignals_(Context_, SIGHUP) {
+  if (Settings_.SharesServerLoad_)
+    shareServerLoads();
+}
 
 RelayDaemon::~RelayDaemon() { Context_.stop(); }
 
@@ -133,6 +136,15 @@
   return Handlers;
 }
 
+void RelayDaemon::shareServerLoads() {
+  HomeLink::ServerLoadHandlers Handlers;
+  Handlers.TakeReports_ = [this] { return ServerLoads_.takeReports(); };
+  Handlers.OnEstimates_ = [this](std::span<const ServerLoadEstimate> Received) {
+    ServerLoads_.onEstimates(Received, readBootClock());
+  };
+  Home_.shareServerLoads(std::move(Handlers));
+}
+
 TableFeeds::Listener RelayDaemon::makeFeedListener() {
   TableFeeds::Listener Handlers;
   Handlers.OnChanges_ = [this](const TableFeeds::Changes &Changed) {
@@ -504,6 +516,7 @@
       Balancer.retainIf([this](const ServerId &Id) {
         return Directory_.find(Id) != nullptr;
       });
+    ServerLoads_.tick(Now);
     Feeds_.tick();
     if (Instances_.hasJustSettled(Now))
       updateMembers();
--- a/tests/HomeLinkTest.cpp
+++ b/tests/HomeLinkTest.cpp
@@ -133,6 +133,26 @@
   /// \returns the outcome of the question; none while it is open.
   std::optional<bool> mayCall() const { return MayCall_; }
 
+  /// Delivers a reply of the home with load estimates.
+  void replyWithLoads(std::vector<ServerLoadEstimate> Estimates) {
+    HomeReply Reply;
+    Reply.Sequence_ = heartbeats().back().Sequence_;
+    Reply.ServerLoads_ = std::move(Estimates);
+    Transport_->deliver({Home_, 7}, PlacementBytes{encodeHomeMessage(Reply)});
+  }
+  /// Delivers a heartbeat of the other instance.
+  /// \returns this instance's reply.
+  HomeReply replyTo(const HomeHeartbeat &Heartbeat) {
+    Transport_->deliver({Home_, 7},
+                        PlacementBytes{encodeHomeMessage(Heartbeat)});
+    return Transport_->sent<HomeReply>().back();
+  }
+  /// Lets time pass until the instance has sent \p Count heartbeats.
+  void awaitHeartbeats(std::size_t Count) {
+    while (heartbeats().size() < Count)
+      Context_.run_one();
+  }
+
   HomeLink &link() { return *Link_; }
   BackendDirectory &directory() { return Directory_; }
   std::vector<HomeHeartbeat> heartbeats() const {
@@ -352,3 +372,60 @@
   CHECK(Link.budgetSharers().Count_ == 2);
   Context.stop();
 }
+
+TEST_CASE("Instances exchange the load of servers through their home",
+          "[relay][load]") {
+  const std::vector<ServerLoadReport> Reports = {{{"s1"}, 3, 2, 20, 1}};
+  const std::vector<ServerLoadEstimate> Estimates = {
+      {{"s1"}, 30, 20, 25, 0, 10ms}};
+  HomeHeartbeat FromOther;
+  FromOther.Sequence_ = 1;
+  FromOther.IsAttached_ = true;
+  FromOther.ServerLoads_ = Reports;
+  AttachedInstance Instance;
+
+  SECTION("if they share it") {
+    int Received = 0;
+    std::vector<ServerLoadEstimate> Latest;
+    HomeLink::ServerLoadHandlers Handlers;
+    Handlers.TakeReports_ = [&Reports] { return std::vector(Reports); };
+    Handlers.OnEstimates_ = [&](std::span<const ServerLoadEstimate> Estimated) {
+      ++Received;
+      Latest.assign(Estimated.begin(), Estimated.end());
+    };
+    Instance.link().shareServerLoads(std::move(Handlers));
+    Instance.replyWithLoads(Estimates);
+    CHECK(Latest == Estimates);
+
+    SECTION("with each heartbeat to the home") {
+      Instance.awaitHeartbeats(2);
+      CHECK(Instance.heartbeats().back().ServerLoads_ == Reports);
+    }
+    SECTION("and again after the home has restarted") {
+      Instance.replyFromHome(8);
+      CHECK(Instance.heartbeats().back().IsAttached_);
+      CHECK(Instance.heartbeats().back().ServerLoads_ == Reports);
+      // The new process has no estimates yet.
+      Instance.replyFromHome(8);
+      CHECK(Latest.empty());
+    }
+    SECTION("and the next home states it to those that attach: guards against "
+            "two homes of which one knows nothing") {
+      BackendEntry Server;
+      Server.Id_ = {"s1"};
+      Instance.directory().put(Server);
+      const HomeReply Reply = Instance.replyTo(FromOther);
+      REQUIRE(Reply.ServerLoads_.size() == 1);
+      // Scaled from one attached instance to both.
+      CHECK(Reply.ServerLoads_.front().InFlight_ == 6);
+      CHECK(Reply.ServerLoads_.front().LastingMs_ == 20);
+    }
+  }
+  SECTION("and send none if they do not: guards against a change for "
+          "deployments without the setting") {
+    Instance.replyWithLoads(Estimates);
+    Instance.awaitHeartbeats(2);
+    CHECK(Instance.heartbeats().back().ServerLoads_.empty());
+    CHECK(Instance.replyTo(FromOther).ServerLoads_.empty());
+  }
+}
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -62,6 +62,21 @@
   CHECK(Settings.LimitBounds_.Window_ == 5s);
   CHECK(Settings.RetryBounds_.RetriesPerRequest_ == 0.3);
 
+  SECTION("load is shared only if the list of contracts has it") {
+    CHECK_FALSE(Settings.SharesServerLoad_);
+    const auto SharesLoad = [](std::string_view Contracts) {
+      std::string Text = "{\"contracts\": " + std::string(Contracts) + ",";
+      const auto Changed =
+          parseNodeSettings(Text.append(SettingsText.substr(1)));
+      REQUIRE(isOk(Changed));
+      return valueOf(Changed).SharesServerLoad_;
+    };
+    CHECK(SharesLoad(R"(["ranks", "pressure"])"));
+    CHECK_FALSE(SharesLoad(R"(["ranks"])"));
+    // Of a wrong type: ignored.
+    CHECK_FALSE(SharesLoad(R"("pressure")"));
+    CHECK_FALSE(SharesLoad(R"([1, null, ["pressure"]])"));
+  }
   SECTION("the error names the missing field") {
     const auto Missing = parseNodeSettings(R"({"node_name": "edge-1"})");
     REQUIRE_FALSE(isOk(Missing));
--- a/tests/ServiceBalancerTest.cpp
+++ b/tests/ServiceBalancerTest.cpp
@@ -1,9 +1,12 @@
 #include "gooseberrybeam/relay/ServiceBalancer.h"
 
+#include "gooseberrybeam/relay/RoomShareChoice.h"
+
 #include <catch2/catch.hpp>
 
 #include <array>
 #include <map>
+#include <memory>
 #include <vector>
 
 using namespace gooseberry;
@@ -29,6 +32,12 @@
     Outcomes_[{Id}] = Outcome;
   }
 
+  /// Gives the balancer the home's estimates, \p Age old.
+  void setEstimates(std::vector<ServerLoadEstimate> Estimates,
+                    Duration Age = 0ms) {
+    Balancer_.setEstimates(makeLoadEstimates(Estimates, Now_ - Age));
+  }
+
   /// Sends a request every 10 ms for \p Period and delivers the answers.
   /// \returns the number of requests sent to each server.
   std::map<std::string, int> run(Duration Period) {
@@ -56,7 +65,8 @@
     return Found == Outcomes_.end() ? AttemptOutcome::Answered : Found->second;
   }
 
-  ServiceBalancer Balancer_;
+  ServiceBalancer Balancer_{std::make_unique<RoomShareChoice>(1),
+                            MaxLoadEstimateAge};
   std::array<BackendEntry, 3> Servers_;
   std::vector<const BackendEntry *> Candidates_;
   std::map<ServerId, Duration> AnswerTimes_;
@@ -96,3 +106,79 @@
     CHECK(Servers.run(3s)["a"] > 60);
   }
 }
+
+TEST_CASE("A balancer uses the load of all instances", "[relay][load]") {
+  SimulatedService Servers;
+  const std::vector<ServerLoadEstimate> Loaded = {{{"a"}, 30, 15, 15, 0, 0ms},
+                                                  {{"b"}, 1, 15, 15, 0, 0ms},
+                                                  {{"c"}, 1, 15, 15, 0, 0ms}};
+
+  SECTION("and spares a server that others have loaded") {
+    Servers.setEstimates(Loaded);
+    CHECK(Servers.run(20ms)["a"] == 0);
+  }
+  SECTION("until the estimates are 1 s old: guards against a lost home") {
+    Servers.setEstimates(Loaded, 1001ms);
+    CHECK(Servers.run(300ms)["a"] >= 8);
+  }
+  SECTION("until there are none: guards against a home that cannot know") {
+    Servers.setEstimates(Loaded);
+    Servers.run(100ms);
+    Servers.setEstimates({});
+    CHECK(Servers.run(300ms)["a"] >= 8);
+    SECTION("and again those of the next home") {
+      Servers.setEstimates(Loaded);
+      CHECK(Servers.run(20ms)["a"] == 0);
+    }
+  }
+  SECTION("and not the load of servers of other services") {
+    Servers.setEstimates({{{"x"}, 30, 15, 15, 0, 0ms}});
+    CHECK(Servers.run(300ms)["a"] >= 8);
+  }
+  SECTION("and uses a server without an estimate") {
+    Servers.setEstimates({Loaded[0], Loaded[1]});
+    CHECK(Servers.run(100ms)["c"] >= 2);
+  }
+  SECTION("and still avoids a server that fails: guards against one that "
+          "attracts requests because it has none in flight") {
+    Servers.setAnswerTime("a", 1ms, AttemptOutcome::ServerError);
+    int Sent = 0;
+    for (int I = 0; I != 30; ++I) {
+      Servers.setEstimates({{{"a"}, 0, 15, 15, 0.9, 0ms},
+                            {{"b"}, 3, 15, 15, 0, 0ms},
+                            {{"c"}, 3, 15, 15, 0, 0ms}});
+      Sent += Servers.run(100ms)["a"];
+    }
+    CHECK(Sent < 60);
+  }
+  SECTION("and survives absurd estimates") {
+    Servers.setEstimates({{{"a"}, 1e300, 1e300, 0, 1, 0ms},
+                          {{"b"}, 0, 1e-300, 1e300, 0, 0ms},
+                          {{"c"}, 1e300, 0, 1e-300, 1, 0ms}});
+    auto SentCounts = Servers.run(1s);
+    CHECK(SentCounts["a"] + SentCounts["b"] + SentCounts["c"] == 100);
+  }
+}
+
+TEST_CASE("A balancer reports what it has seen of servers", "[relay][load]") {
+  ServiceBalancer Balancer;
+  const TimePoint Now{1s};
+  CHECK(Balancer.takeReports().empty());
+  for (int I = 0; I != 5; ++I)
+    Balancer.onStart({"a"}, Now);
+  Balancer.onEnd({"a"}, Now, AttemptOutcome::Answered, Now + 10ms);
+  Balancer.onEnd({"a"}, Now, AttemptOutcome::Answered, Now + 30ms);
+  Balancer.onEnd({"a"}, Now, AttemptOutcome::ServerError, Now + 30ms);
+  Balancer.onEnd({"a"}, Now, AttemptOutcome::Abandoned, Now + 30ms);
+  CHECK(Balancer.takeReports() ==
+        std::vector<ServerLoadReport>{{{"a"}, 1, 2, 20, 1}});
+
+  SECTION("counting answers once, and what is in flight again") {
+    CHECK(Balancer.takeReports() ==
+          std::vector<ServerLoadReport>{{{"a"}, 1, 0, 0, 0}});
+  }
+  SECTION("without servers that it no longer uses") {
+    Balancer.onEnd({"a"}, Now, AttemptOutcome::Rejected, Now + 40ms);
+    CHECK(Balancer.takeReports().empty());
+  }
+}
