--- a/include/gooseberrybeam/relayd/RelaySettings.h
+++ b/include/gooseberrybeam/relayd/RelaySettings.h
@@ -36,6 +36,12 @@
   RetryWindowLimits RetryBounds_;
   RateLimitBounds LimitBounds_;
   RegionMap Regions_; ///< Of all data centres.
+  /// Whether instances tell each other the load of plain servers through their
+  /// home.
+  bool SharesServerLoad_ = false;
+  /// Whether a home refuses generations that are forecast to wait in its queue
+  /// until their callers give up.
+  bool RefusesInTime_ = false;
 };
 
 } // namespace gooseberry
--- a/src/relay/HomeCoordinator.cpp
+++ b/src/relay/HomeCoordinator.cpp
@@ -63,8 +63,11 @@
 void HomeCoordinator::updateServerLimits(TimePoint Now) {
   ServerLimitLedger &Ledger = Placer_.serverLimits();
   Ledger.setInstanceCounts(AttachedInstances_.size(), InstanceCount_);
-  Ledger.retainIf(
-      [this](const ServerId &Id) { return Directory_.find(Id) != nullptr; });
+  const auto IsRegistered = [this](const ServerId &Id) {
+    return Directory_.find(Id) != nullptr;
+  };
+  Ledger.retainIf(IsRegistered);
+  ServerLoads_.retainIf(IsRegistered);
   for (const ServerId &Each : Ledger.coldServers())
     updateColdLimit(Each, Now);
   for (const ServerId &Each : Directory_.coldServers().all(Now))
@@ -132,6 +135,7 @@
 // there.
 void HomeCoordinator::dropInstance(const InstanceId &Instance) {
   Placer_.dropInstance(Instance);
+  ServerLoads_.dropInstance(Instance);
   std::erase_if(PendingCharges_, [&Instance](const auto &Each) {
     return Each.second.Instance_ == Instance;
   });
@@ -156,6 +160,7 @@
   for (const auto &Each : Message.RunningGenerations_)
     Placer_.adopt(Sender, Each, Now);
   recordUsage(Sender, Message, Now);
+  ServerLoads_.onReports(Sender, Message.ServerLoads_, Now);
   Placer_.mergeCrashSuspects(Message.CrashSuspects_, Now);
   mergeRequestSuspects(Message.RequestSuspects_, Now);
   Placer_.serverLimits().merge(Message.ServerLimits_, Now);
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -114,7 +114,7 @@
              {},
              {},
              {}},
-      Handler_(Relay_),
+      ServerLoads_(Relay_.Balancers_, Relay_.Metrics_), Handler_(Relay_),
       Callers_(Context_, Handler_,
                makeCallerLimits(RelayCallerLimits(), Relay_.Pool_.bodies()),
                Settings_.Name_.Value_ + "-"),
@@ -123,6 +123,9 @@
       StopSignals_(Context_, SIGTERM, SIGINT),
       HangupSignals_(Context_, SIGHUP) {
   Directory_.setRegions(Settings_.Regions_);
+  Home_.setRefusesInTime(Settings_.RefusesInTime_);
+  if (Settings_.SharesServerLoad_)
+    shareServerLoads();
 }
 
 RelayDaemon::~RelayDaemon() { Context_.stop(); }
@@ -136,6 +139,15 @@
   return Handlers;
 }
 
+void RelayDaemon::shareServerLoads() {
+  HomeLink::ServerLoadHandlers Handlers;
+  Handlers.TakeReports_ = [this] { return ServerLoads_.takeReports(); };
+  Handlers.OnEstimates_ = [this](std::span<const ServerLoadEstimate> Received) {
+    ServerLoads_.onEstimates(Received, readBootClock());
+  };
+  Home_.shareServerLoads(std::move(Handlers));
+}
+
 TableFeeds::Listener RelayDaemon::makeFeedListener() {
   TableFeeds::Listener Handlers;
   Handlers.OnChanges_ = [this](const TableFeeds::Changes &Changed) {
@@ -557,6 +569,7 @@
       Balancer.retainIf([this](const ServerId &Id) {
         return Directory_.find(Id) != nullptr;
       });
+    ServerLoads_.tick(Now);
     Feeds_.tick();
     // The copy of the table may become newer without a changed row.
     applyStoredEvacuation();
--- a/tests/EvacuationTest.cpp
+++ b/tests/EvacuationTest.cpp
@@ -67,7 +67,9 @@
     directory().evacuation().merge({{++Version_, 0}, {Evacuated}});
   }
   /// Ends the evacuation.
-  void takeBack() { directory().evacuation().merge({{++Version_, 0}, {}}); }
+  void endEvacuation() {
+    directory().evacuation().merge({{++Version_, 0}, {}});
+  }
 
   /// Lets all routes use servers of one region only, in which the distant data
   /// centre is not.
@@ -109,29 +111,43 @@
 TEST_CASE("A server gets no request that may not go to its data centre",
           "[relay][regions]") {
   RelayOfThreeDataCentres Relay;
-  const DataCentreId Closed = GENERATE(Evacuated, Distant);
-  if (Closed == Evacuated)
+  const DataCentreId Excluded = GENERATE(Evacuated, Distant);
+  if (Excluded == Evacuated)
     Relay.evacuate();
   else
     Relay.restrictRegions();
   ScriptedBackend &Plain =
-      Relay.addIn(Closed, "plain", std::nullopt, answerPlain());
+      Relay.addIn(Excluded, "plain", std::nullopt, answerPlain());
   ScriptedBackend &Prefill =
-      Relay.addIn(Closed, "prefill", EngineRole::Prefill, prefill());
+      Relay.addIn(Excluded, "prefill", EngineRole::Prefill, prefill());
   ScriptedBackend &Decode =
-      Relay.addIn(Closed, "decode", EngineRole::Decode, stream());
+      Relay.addIn(Excluded, "decode", EngineRole::Decode, stream());
 
   SECTION(
       "and callers hear at once that it has not run, if there is no other") {
-    for (const char *Path : {"/check/1", "/book/1"})
+    for (const char *Path : {"/check/1", "/book/1", "/write/1"}) {
+      const TimePoint SentAt = readBootClock();
       CHECK(Relay.call(Path, Path).Status_ == 503);
+      CHECK(readBootClock() - SentAt < 1s);
+    }
   }
   SECTION("also where the others reject it, or break off a stream that goes on "
           "elsewhere") {
-    Relay.addIn(Near, "rejecting", std::nullopt, reject());
+    const ScriptedBackend &Rejecting =
+        Relay.addIn(Near, "rejecting", std::nullopt, reject());
     Relay.addIn(Near, "near-prefill", EngineRole::Prefill, prefill());
-    Relay.addIn(Near, "breaking", EngineRole::Decode, breakOffAfterOne());
+    const ScriptedBackend &Breaking =
+        Relay.addIn(Near, "breaking", EngineRole::Decode, breakOffAfterOne());
     callOnAllPaths(Relay, "r");
+    CHECK_FALSE(Rejecting.requests().empty());
+    CHECK_FALSE(Breaking.requests().empty());
+  }
+  SECTION("also where the other decode engine rejects the prefilled prompt") {
+    Relay.addIn(Near, "near-prefill", EngineRole::Prefill, prefill());
+    const ScriptedBackend &Rejecting =
+        Relay.addIn(Near, "rejecting", EngineRole::Decode, reject());
+    Relay.call("/write/1", "w");
+    CHECK_FALSE(Rejecting.requests().empty());
   }
   SECTION("and is served by the others") {
     Relay.addIn(Near, "near-plain", std::nullopt, answerPlain());
@@ -152,7 +168,7 @@
       Relay.addIn(Evacuated, "plain", std::nullopt, answerPlain());
   Relay.evacuate();
   CHECK(Relay.call("/check/1", "r1").Status_ == 503);
-  Relay.takeBack();
+  Relay.endEvacuation();
   CHECK(Relay.call("/check/1", "r2").Status_ == 200);
   CHECK(Server.requests().size() == 1);
 }
@@ -186,20 +202,54 @@
       "was evacuated") {
     for (const char *Id : {"p2", "d2"})
       Move(Id, Evacuated);
-    Pool.fill("f");
-    Pool.Directory_.evacuation().merge({{1, 0}, {Evacuated, Near}});
-    CHECK_FALSE(Pool.place(Placement));
-    for (int I = 0; I != 100; ++I)
+    const int Granted = Pool.fill("f");
+    Pool.Directory_.evacuation().merge({{1, 0}, {Evacuated}});
+    for (int I = 0; I != Granted; ++I)
       Pool.report(idOf("f", I).c_str(), GenerationStep::Ended, {});
-    CHECK_FALSE(Pool.answerFor({"r"}));
-    Pool.Directory_.evacuation().merge({{2, 0}, {Evacuated}});
-    const PlacementGrant Grant = Pool.grantOf(Pool.answerFor({"r"}));
+    const PlacementGrant Grant =
+        Pool.grantOf(Pool.answerFor({idOf("f", Granted)}));
     CHECK(Grant.Prefill_->Id_ == ServerId{"p1"});
     CHECK(Grant.Decode_.Id_ == ServerId{"d1"});
   }
+  SECTION("and refuses at once a generation that none may serve, rather than "
+          "when its caller would give up") {
+    for (const char *Id : {"p2", "d2"})
+      Move(Id, Distant);
+    const std::vector<RegionId> Elsewhere = {{"elsewhere"}};
+    Placement.Regions_ = makeRegionRestriction(Elsewhere, {});
+    const auto Answer = Pool.place(Placement);
+    REQUIRE(Answer);
+    REQUIRE(std::holds_alternative<PlacementDenial>(*Answer));
+    CHECK(std::get<PlacementDenial>(*Answer).Reason_ ==
+          RefusalReason::NoBackendServer);
+  }
+  SECTION("while a generation that waits for room in its region does not hold "
+          "up those that may use others") {
+    for (const char *Id : {"p2", "d2"})
+      Move(Id, Distant);
+    const std::vector<RegionId> Home = {{"home"}};
+    Placement.Regions_ = makeRegionRestriction(Home, {});
+    PlacementRequest Restricted = Placement;
+    int Granted = 0;
+    for (;; ++Granted) {
+      Restricted.Request_ = {idOf("f", Granted)};
+      const auto Answer = Pool.place(Restricted);
+      if (!Answer)
+        break;
+      Pool.report(Restricted.Request_.Value_.c_str(), GenerationStep::Prefilled,
+                  {"p1"}, 5000, 100ms);
+    }
+    Placement = PoolFixture::makePlacement("free");
+    CHECK(Pool.grantOf(Pool.place(Placement)).Decode_.Id_ == ServerId{"d2"});
+    CHECK(Pool.Placer_.waitingCount() == 1);
+    for (int I = 0; I != Granted; ++I)
+      Pool.report(idOf("f", I).c_str(), GenerationStep::Ended, {});
+    CHECK(Pool.grantOf(Pool.answerFor(Restricted.Request_)).Decode_.Id_ ==
+          ServerId{"d1"});
+  }
 }
 
-TEST_CASE("The newest state of an evacuation holds, whoever tells it",
+TEST_CASE("The newest state of an evacuation is in force, whatever its source",
           "[relay][regions]") {
   EvacuationState State;
   CHECK(State.merge({{5, 1}, {Evacuated}}).Begun_ ==
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -69,6 +69,21 @@
     CHECK_FALSE(Settings.Regions_.allows(Europe, {"dc-b"}));
     CHECK_FALSE(Settings.Regions_.allows(Europe, {"dc-odd"}));
   }
+  SECTION("load is shared only if the list of contracts has it") {
+    CHECK_FALSE(Settings.SharesServerLoad_);
+    const auto SharesLoad = [](std::string_view Contracts) {
+      std::string Text = "{\"contracts\": " + std::string(Contracts) + ",";
+      const auto Changed =
+          parseNodeSettings(Text.append(SettingsText.substr(1)));
+      REQUIRE(isOk(Changed));
+      return valueOf(Changed).SharesServerLoad_;
+    };
+    CHECK(SharesLoad(R"(["ranks", "pressure"])"));
+    CHECK_FALSE(SharesLoad(R"(["ranks"])"));
+    // Of a wrong type: ignored.
+    CHECK_FALSE(SharesLoad(R"("pressure")"));
+    CHECK_FALSE(SharesLoad(R"([1, null, ["pressure"]])"));
+  }
   SECTION("the error names the missing field") {
     const auto Missing = parseNodeSettings(R"({"node_name": "edge-1"})");
     REQUIRE_FALSE(isOk(Missing));
