Apply what two reviews of the new parts found

A less urgent request for some regions could keep engines from urgent ones while its rank had its turn; the forecast of waits used intervals from before a gap; a faulty peer's tiny answer times made weights of servers invalid. EvacuationTest shows the first; the interval since the last gap is a plain mean of its first samples now, apart from the one that Retry-After uses. Names, comments, log sentences and titles of tests as proposed.

--- a/include/gooseberrybeam/fairness/RankQueue.h
+++ b/include/gooseberrybeam/fairness/RankQueue.h
@@ -65,7 +65,7 @@
   std::size_t size() const { return Index_.size(); }
 
 private:
-  enum class Tier : std::uint8_t { Urgent, Deferrable, Late };
+  enum class Tier : std::uint8_t { Regular, Deferrable, Late };
   static constexpr std::size_t TierCount = 3;
 
   using Key = std::pair<TimePoint, std::uint64_t>;
--- a/include/gooseberrybeam/fairness/RankSchedule.h
+++ b/include/gooseberrybeam/fairness/RankSchedule.h
@@ -14,8 +14,8 @@
 /// turns.
 class RankSchedule {
 public:
-  /// One in six keeps the less urgent of two kinds of equal demand above a
-  /// quarter of the service of all: it gets a third of the average.
+  /// With equal demand, a less urgent rank gets a third of the average of two
+  /// ranks and a quarter of that of three; of more ranks, less than a quarter.
   static constexpr std::uint32_t GrantsPerTurn = 6;
 
   /// \param Waiting the ranks of the waiting requests, ascending, at least one.
--- a/include/gooseberrybeam/relay/DecayedMean.h
+++ b/include/gooseberrybeam/relay/DecayedMean.h
@@ -17,9 +17,6 @@
   /// \param Weight their number.
   /// \param Now the current time.
   void add(double Value, double Weight, TimePoint Now);
-  /// \param Now the current time.
-  /// \returns the decayed number of samples.
-  double weight(TimePoint Now) const;
   /// \param Prior counts as one sample at any time.
   /// \param Now the current time.
   /// \returns the mean with the prior.
--- a/include/gooseberrybeam/relay/GenerationPlacer.h
+++ b/include/gooseberrybeam/relay/GenerationPlacer.h
@@ -218,10 +218,10 @@
                          std::vector<PlacementDecision> &Decisions);
   bool hasUsableDecode(std::span<const DecodeCandidate> Candidates,
                        const PlacementRequest &Placement, TimePoint Now) const;
-  bool areAllEnginesClosed(std::span<const DecodeCandidate> Candidates,
-                           const PlacementRequest &Placement) const;
+  bool areAllEnginesForbidden(std::span<const DecodeCandidate> Candidates,
+                              const PlacementRequest &Placement) const;
   void setAside(std::vector<DecodeCandidate> &Candidates, PoolState &Pool,
-                const RequestId &Request);
+                const RequestId &Request, bool WithholdsEngines);
   bool placeNext(std::vector<DecodeCandidate> &Candidates, PoolState &Pool,
                  const EngineTraits &Traits, TimePoint Now,
                  std::vector<PlacementDecision> &Decisions);
--- a/include/gooseberrybeam/relay/GrantPace.h
+++ b/include/gooseberrybeam/relay/GrantPace.h
@@ -20,6 +20,8 @@
   /// \returns the smoothed time between grants while generations wait, in
   /// milliseconds; 0 before any sample.
   double intervalMs() const { return IntervalMs_; }
+  /// \returns the same since the last gap without samples; 0 before any sample.
+  double recentIntervalMs() const { return RecentIntervalMs_; }
   /// \param Now the current time.
   /// \returns whether enough recent samples support the interval.
   bool isReliable(TimePoint Now) const;
@@ -28,6 +30,7 @@
   TimePoint LastGrantAt_{Duration::zero()};
   TimePoint LastSampleAt_{Duration::zero()};
   double IntervalMs_ = 0;
+  double RecentIntervalMs_ = 0;
   std::uint32_t RecentSamples_ = 0; ///< Without a gap of `SampleLifetime`.
 };
 
--- a/include/gooseberrybeam/relay/HomeCoordinator.h
+++ b/include/gooseberrybeam/relay/HomeCoordinator.h
@@ -30,9 +30,9 @@
   void configure(std::shared_ptr<const RelayConfiguration> Configuration,
                  TimePoint Now);
   /// \param Count the number of instances that share the limits; at least 1.
-  /// \param Rank how many of them come before this one in an order that all
-  /// know, so that those that reach nobody can take turns.
-  void setInstanceCount(std::size_t Count, std::size_t Rank = 0);
+  /// \param Index the position of this instance in the ordered list of all,
+  /// from 0. It spreads the first tokens of instances that reach no other.
+  void setInstanceCount(std::size_t Count, std::size_t Index = 0);
   /// \param RefusesInTime whether generations that are forecast to miss their
   /// deadline in the queue are refused at once; false initially.
   void setRefusesInTime(bool RefusesInTime) {
@@ -181,7 +181,7 @@
   std::vector<LimitUtilisation> Utilisation_;
   TimePoint UtilisationUpdatedAt_{Duration::zero()};
   std::size_t InstanceCount_ = 1;
-  std::size_t Rank_ = 0;
+  std::size_t InstanceIndex_ = 0;
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/relay/ServerLoad.h
+++ b/include/gooseberrybeam/relay/ServerLoad.h
@@ -26,11 +26,13 @@
 /// of all attached instances.
 struct ServerLoadEstimate {
   ServerId Server_;
-  double InFlight_ = 0;    ///< Requests of all instances.
-  double LastingMs_ = 0;   ///< Answer time over a long time; 0 if unknown.
-  double PresentMs_ = 0;   ///< Answer time just now; 0 if unknown.
-  double FailureRate_ = 0; ///< Of the latest attempts, in [0, 1].
-  Duration Age_{0};        ///< Since the newest report that it is made from.
+  double InFlight_ = 0;  ///< Requests of all instances.
+  double LastingMs_ = 0; ///< Answer time over a long time; 0 if unknown.
+  double PresentMs_ = 0; ///< Answer time just now; 0 if unknown.
+  /// Of the latest attempts, in [0, 1]. For operators: the choice of a server
+  /// weighs the own failures of the instance.
+  double FailureRate_ = 0;
+  Duration Age_{0}; ///< Since the newest report that it is made from.
 
   friend bool operator==(const ServerLoadEstimate &,
                          const ServerLoadEstimate &) = default;
--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -79,8 +79,8 @@
   void releaseReplacement();
   bool excludeUnusableEngines(const PlacementGrant &Grant);
   bool isPaused(const ServerId &Server) const;
-  bool takesRequests(const ServerId &Server) const;
-  void excludeClosedEngines(PlacementRequest &Placement) const;
+  bool mayCall(const ServerId &Server) const;
+  void excludeForbiddenEngines(PlacementRequest &Placement) const;
   Duration timeUntilDecodeEngine() const;
   Task<std::optional<PlacementAnswer>> place();
   Task<std::optional<PlacementAnswer>> nextPlacement();
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -135,10 +135,10 @@
                         std::optional<double> RequestsPerSecond);
   /// Asks the home whether a request may be sent to a server of a plain
   /// service. Servers that state no limit and are warm take any. After a
-  /// denial, the server is not to be used until another request may be sent to
-  /// it. \param Server the server. \param Scope ends the wait for the answer
-  /// when cancelled. \returns whether it may be sent; false if the home does
-  /// not answer.
+  /// denial, the server is not to be used until another request may be sent.
+  /// \param Server the server.
+  /// \param Scope ends the wait for the answer when cancelled.
+  /// \returns whether it may be sent; false if the home does not answer.
   Task<bool> mayCallServer(ServerId Server, CancelScope &Scope);
   /// \param Server a server.
   /// \returns when its limit admits another request; in the past if now.
@@ -230,7 +230,7 @@
                      const InstanceId &Sender);
   void handleStoreContact(const std::optional<StoreContactSpan> &Span,
                           const InstanceId &Sender);
-  void addServerLoads(HomeHeartbeat &Message);
+  void takeServerLoads(HomeHeartbeat &Message);
   void addServerLoads(HomeReply &Message) const;
   void handleServerLoads(std::span<const ServerLoadEstimate> Estimates) const;
   HomeHeartbeat makeHeartbeat();
--- a/src/fairness/RankQueue.cpp
+++ b/src/fairness/RankQueue.cpp
@@ -38,7 +38,7 @@
     if (IdleEntry != IdleServed_.end())
       IdleServed_.erase(IdleEntry);
   }
-  insert(Queue, Item.MayWait_ ? Tier::Deferrable : Tier::Urgent, Item);
+  insert(Queue, Item.MayWait_ ? Tier::Deferrable : Tier::Regular, Item);
 }
 
 void RankQueue::insert(OrganisationQueue &Queue, Tier ItemTier,
@@ -54,7 +54,7 @@
 }
 
 void RankQueue::demoteLate(OrganisationQueue &Queue, TimePoint Now) {
-  demoteLate(Queue, Tier::Urgent, Now);
+  demoteLate(Queue, Tier::Regular, Now);
   demoteLate(Queue, Tier::Deferrable, Now);
 }
 
@@ -78,18 +78,18 @@
 
 bool RankQueue::isBefore(Tier A, const QueueItem &ItemA, Tier B,
                          const QueueItem &ItemB, TimePoint Now) const {
-  auto RankOf = [&](Tier ItemTier, const QueueItem &Item) {
+  auto EffectiveTier = [&](Tier ItemTier, const QueueItem &Item) {
     if (ItemTier == Tier::Late && !Item.CallerMayRetry_ &&
         LateCount_ <= MaxRescuableLate && Item.ExpiresAt_ - Now < RescueWindow)
-      return Tier::Urgent;
+      return Tier::Regular;
     const bool HasLittleSlack = Item.LatestStart_ - Now < YieldThreshold;
-    return ItemTier == Tier::Deferrable && HasLittleSlack ? Tier::Urgent
+    return ItemTier == Tier::Deferrable && HasLittleSlack ? Tier::Regular
                                                           : ItemTier;
   };
-  const Tier RankA = RankOf(A, ItemA);
-  const Tier RankB = RankOf(B, ItemB);
-  if (RankA != RankB)
-    return RankA < RankB;
+  const Tier TierA = EffectiveTier(A, ItemA);
+  const Tier TierB = EffectiveTier(B, ItemB);
+  if (TierA != TierB)
+    return TierA < TierB;
   return ItemA.LatestStart_ < ItemB.LatestStart_;
 }
 
--- a/src/relay/DecayedMean.cpp
+++ b/src/relay/DecayedMean.cpp
@@ -17,8 +17,6 @@
   UpdatedAt_ = std::max(UpdatedAt_, Now);
 }
 
-double DecayedMean::weight(TimePoint Now) const { return Weight_ * decay(Now); }
-
 double DecayedMean::meanWith(double Prior, TimePoint Now) const {
   const double Decay = decay(Now);
   return (Sum_ * Decay + Prior) / (Weight_ * Decay + 1);
--- a/src/relay/GenerationPlacerQueue.cpp
+++ b/src/relay/GenerationPlacerQueue.cpp
@@ -85,7 +85,7 @@
 
 // Whether engines serve the pool, but all of them are in an evacuated data
 // centre or in a region that the request does not allow.
-bool GenerationPlacer::areAllEnginesClosed(
+bool GenerationPlacer::areAllEnginesForbidden(
     std::span<const DecodeCandidate> Candidates,
     const PlacementRequest &Placement) const {
   bool HasEngine = false;
@@ -101,11 +101,13 @@
 // can use others. Its engines are kept for it, or small requests would take
 // the room that a large one waits for.
 void GenerationPlacer::setAside(std::vector<DecodeCandidate> &Candidates,
-                                PoolState &Pool, const RequestId &Request) {
+                                PoolState &Pool, const RequestId &Request,
+                                bool WithholdsEngines) {
   const RegionRestriction &Regions =
       Generations_.at(Request).Placement_.Regions_;
   for (DecodeCandidate &Each : Candidates)
-    Each.IsWithheld_ |= Directory_.takesRequests(*Each.Entry_, Regions);
+    Each.IsWithheld_ |=
+        WithholdsEngines && Directory_.takesRequests(*Each.Entry_, Regions);
   Pool.Queue_.erase(Request);
   Pool.SetAside_.push_back(Request);
 }
@@ -133,12 +135,16 @@
       grant(Pool, Generation, *Chosen, Now, Decisions);
       return true;
     }
-    if (areAllEnginesClosed(Candidates, Generation.Placement_)) {
+    if (areAllEnginesForbidden(Candidates, Generation.Placement_)) {
       deny(Request, RefusalReason::NoBackendServer, {}, Now, Decisions);
       return true;
     }
+    // The rank whose turn it is is tried before more urgent ones, and must not
+    // withhold engines from them.
+    const bool IsBeforeMoreUrgent =
+        I + 1 != Ranks.size() && Ranks[I] > Ranks[I + 1];
     if (Generation.Placement_.Regions_.IsRestricted_) {
-      setAside(Candidates, Pool, Request);
+      setAside(Candidates, Pool, Request, !IsBeforeMoreUrgent);
       return true;
     }
     // Room for a head that waits for memory must not go to less urgent work,
@@ -157,7 +163,12 @@
                                    PoolState &Pool, const EngineTraits &Traits,
                                    TimePoint Now,
                                    std::vector<PlacementDecision> &Decisions) {
-  while (placeNext(Candidates, Pool, Traits, Now, Decisions))
+  const auto AreAllWithheld = [&Candidates] {
+    return !Candidates.empty() &&
+           std::ranges::all_of(Candidates, &DecodeCandidate::IsWithheld_);
+  };
+  while (!AreAllWithheld() &&
+         placeNext(Candidates, Pool, Traits, Now, Decisions))
     ;
   for (const RequestId &Request : std::exchange(Pool.SetAside_, {}))
     Pool.Queue_.push(makeQueueItem(Generations_.at(Request)));
--- a/src/relay/GrantPace.cpp
+++ b/src/relay/GrantPace.cpp
@@ -1,5 +1,7 @@
 #include "gooseberrybeam/relay/GrantPace.h"
 
+#include <algorithm>
+
 namespace gooseberry {
 namespace {
 
@@ -21,6 +23,10 @@
     if (LastSampleAt_ + SampleLifetime < Now)
       RecentSamples_ = 0;
     ++RecentSamples_;
+    // A plain mean of the first samples, so that an interval from before a gap
+    // has no effect.
+    const double Weight = std::max(SampleWeight, 1.0 / RecentSamples_);
+    RecentIntervalMs_ += Weight * (SampleMs - RecentIntervalMs_);
     LastSampleAt_ = Now;
   }
   LastGrantAt_ = Now;
--- a/src/relay/HomeCoordinator.cpp
+++ b/src/relay/HomeCoordinator.cpp
@@ -19,9 +19,9 @@
                                  const RateLimitBounds &Bounds)
     : Directory_(Directory), Placer_(Directory), Limits_(Bounds) {}
 
-void HomeCoordinator::setInstanceCount(std::size_t Count, std::size_t Rank) {
+void HomeCoordinator::setInstanceCount(std::size_t Count, std::size_t Index) {
   InstanceCount_ = Count;
-  Rank_ = Rank;
+  InstanceIndex_ = Index;
   Limits_.setInstanceCount(Count);
 }
 
@@ -57,7 +57,8 @@
   const auto Count = static_cast<double>(InstanceCount_);
   const double Attached =
       static_cast<double>(AttachedInstances_.size()) / Count;
-  return static_cast<double>(Rank_) / Count * std::max(0.0, 1 - Attached);
+  return static_cast<double>(InstanceIndex_) / Count *
+         std::max(0.0, 1 - Attached);
 }
 
 void HomeCoordinator::updateServerLimits(TimePoint Now) {
--- a/src/relay/QueueForecast.cpp
+++ b/src/relay/QueueForecast.cpp
@@ -27,7 +27,8 @@
                              std::size_t GrantsAhead) const {
   if (GrantsAhead < MinGrantsAhead)
     return true;
-  const double WaitMs = static_cast<double>(GrantsAhead) * Pace_.intervalMs();
+  const double WaitMs =
+      static_cast<double>(GrantsAhead) * Pace_.recentIntervalMs();
   return WaitMs <= ClearMissFactor * asMilliseconds(Item.ExpiresAt_ - Now_);
 }
 
--- a/src/relay/RoomShareChoice.cpp
+++ b/src/relay/RoomShareChoice.cpp
@@ -40,7 +40,7 @@
     Sum += Each.Estimate_->LastingMs_;
     ++Count;
   }
-  return Count > 0 ? Sum / Count : InitialAnswerMs;
+  return std::max(MinAnswerMs, Count > 0 ? Sum / Count : InitialAnswerMs);
 }
 
 /// \returns the age of the newest estimate, in ms.
--- a/src/relay/ServerLoadBoard.cpp
+++ b/src/relay/ServerLoadBoard.cpp
@@ -6,16 +6,19 @@
 namespace gooseberry {
 namespace {
 
+/// Bounds the memory for loads and the size of a reply.
 constexpr std::size_t MaxServers = 256;
+/// Bounds the memory for reports; above the largest deployment.
 constexpr std::size_t MaxInstances = 1024;
-/// Reports with higher numbers are counted with these.
+/// Larger numbers in a report are treated as these, so that one faulty instance
+/// does not dominate.
 constexpr std::uint32_t MaxInFlight = 10'000;
 constexpr std::uint32_t MaxEnded = 10'000;
 /// No request takes longer; a longer mean answer time is dropped.
 constexpr double MaxAnswerMs = 600'000;
 /// Many slow periods long, so that these do not change the lasting time much.
 constexpr Duration LastingTime = std::chrono::seconds(10);
-/// As long as a slow period.
+/// Servers are slow for about this long at a time.
 constexpr Duration PresentTime = std::chrono::milliseconds(500);
 constexpr Duration FailureTime = std::chrono::seconds(2);
 /// If a smaller part of the instances is attached, as at a home that has just
@@ -98,7 +101,7 @@
     Estimate.LastingMs_ = State.LastingMs_.mean();
     if (Estimate.LastingMs_ > 0)
       Estimate.PresentMs_ = State.PresentMs_.meanWith(Estimate.LastingMs_, Now);
-    // One answer is assumed, so that a single failure is not a rate of 1.
+    // A prior of one success, so that a single failure is not a rate of 1.
     Estimate.FailureRate_ = State.FailureRate_.meanWith(0, Now);
     Estimate.Age_ = std::max(Duration::zero(), Now - State.ReportedAt_);
     Estimates.push_back(std::move(Estimate));
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -30,8 +30,9 @@
 /// Target time to the first event after a stream was moved.
 constexpr Duration ResumeTarget = std::chrono::milliseconds(300);
 constexpr Duration RetryAfterFailure = std::chrono::milliseconds(300);
-/// A grant that is older is looked at again before the decode engine is called,
-/// as its data centre may have been evacuated during a slow prefill.
+/// Grants are checked when they arrive. One that is older is checked again
+/// before the decode engine is called, as its data centre may have been
+/// evacuated during a slow prefill.
 constexpr Duration MaxGrantAge = std::chrono::seconds(1);
 constexpr Duration ReleaseTimeout = std::chrono::seconds(1);
 constexpr std::size_t MaxReleaseBody = std::size_t{64} << 10;
@@ -104,7 +105,7 @@
   Placement.Fingerprint_ = Request_.Fingerprint_;
   Placement.Regions_ = Request_.regions();
   if (Placements_ > 1)
-    excludeClosedEngines(Placement);
+    excludeForbiddenEngines(Placement);
   if (LastEventId_) {
     Placement.NeedsPrefill_ = false;
     Placement.TargetLeft_ = ResumeTarget;
@@ -114,7 +115,8 @@
 
 // A home that knows neither of an evacuation nor of regions would grant one
 // engine after another that this instance rejects.
-void GenerationCall::excludeClosedEngines(PlacementRequest &Placement) const {
+void GenerationCall::excludeForbiddenEngines(
+    PlacementRequest &Placement) const {
   const BackendDirectory &Directory = Context_.Directory_;
   for (const auto &[Id, Entry] : Directory.entries())
     if (Entry.Service_ == Request_.Service_ && !Entry.IsLeaving_ &&
@@ -168,7 +170,7 @@
   return Context_.Pauses_.pausedUntil(Server) > readBootClock();
 }
 
-bool GenerationCall::takesRequests(const ServerId &Server) const {
+bool GenerationCall::mayCall(const ServerId &Server) const {
   return Context_.Directory_.takesRequests(Server, Request_.regions()) &&
          !isPaused(Server);
 }
@@ -179,7 +181,7 @@
 bool GenerationCall::excludeUnusableEngines(const PlacementGrant &Grant) {
   bool IsRejected = false;
   const auto Reject = [&](const ChosenServer &Engine) {
-    if (takesRequests(Engine.Id_))
+    if (mayCall(Engine.Id_))
       return;
     if (Context_.Directory_.isLeavingOrRemoved(Engine.Id_))
       report(GenerationStep::ServerReplaced, Engine);
@@ -473,7 +475,7 @@
                        const std::string &KvSource) {
   CallerExchange &Exchange = Request_.Exchange_;
   const bool IsGrantOld = readBootClock() > PlacedAt_ + MaxGrantAge;
-  if (isPaused(Engine.Id_) || (IsGrantOld && !takesRequests(Engine.Id_)))
+  if (isPaused(Engine.Id_) || (IsGrantOld && !mayCall(Engine.Id_)))
     co_return StepOutcome::Rejected;
   Retries_.countRequest();
   Retries_.sendReserved();
@@ -659,7 +661,7 @@
     if (IsKvReady) {
       Outcome = co_await decode(Grant.Decode_, KvSource);
       if (Outcome == StepOutcome::Rejected && !KvSource.empty() &&
-          !Replacement_ && takesRequests(Grant.Decode_.Id_) &&
+          !Replacement_ && mayCall(Grant.Decode_.Id_) &&
           Retries_.tryReserve()) {
         if (Grant.Prefill_)
           report(GenerationStep::HandleLost, *Grant.Prefill_);
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -61,10 +61,10 @@
     return !Names.contains(Entry.first);
   });
   Selector_.setInstances(Candidates);
-  const auto Rank = std::ranges::count_if(
+  const auto Index = std::ranges::count_if(
       Names, [this](const InstanceId &Each) { return Each < Self_; });
   Coordinator_.setInstanceCount(instanceCount(),
-                                static_cast<std::size_t>(Rank));
+                                static_cast<std::size_t>(Index));
   if (Transport_)
     Transport_->setMembers(Members_);
 }
@@ -113,7 +113,7 @@
       continue;
     HomeHeartbeat Message = makeHeartbeat();
     Message.IsAttached_ = Member.Id_.Name_ == Home_;
-    addServerLoads(Message);
+    takeServerLoads(Message);
     send(Member.Id_.Name_, Message);
   }
   updateHome(Now);
@@ -208,7 +208,7 @@
   Heartbeat.RequestSuspects_ = RequestSuspects_;
   Heartbeat.ServerLimits_ = StatedLimits_.all();
   Heartbeat.LeavingServers_ = Directory_.announcedLeaving();
-  addServerLoads(Heartbeat);
+  takeServerLoads(Heartbeat);
   UnreportedUsage_.clear();
   for (const auto &[Request, Generation] : RunningGenerations_)
     Heartbeat.RunningGenerations_.push_back(Generation);
@@ -251,7 +251,7 @@
     Message.IsAttached_ = Instance == Home_;
     if (Message.IsAttached_) {
       Message.LeavingServers_ = Directory_.announcedLeaving();
-      addServerLoads(Message);
+      takeServerLoads(Message);
       for (const auto &[Organisation, Tokens] : UnreportedUsage_)
         Message.TokenUsage_.push_back({Organisation, Tokens, {}});
       // An exhausted organisation sends no tokens. It is listed with 0 tokens
--- a/src/relayd/HomeLinkServerLoads.cpp
+++ b/src/relayd/HomeLinkServerLoads.cpp
@@ -6,7 +6,8 @@
   ServerLoadHandlers_ = std::move(Handlers);
 }
 
-void HomeLink::addServerLoads(HomeHeartbeat &Message) {
+// Resets the counts. Those of a lost message only delay the averages.
+void HomeLink::takeServerLoads(HomeHeartbeat &Message) {
   if (Message.IsAttached_ && ServerLoadHandlers_)
     Message.ServerLoads_ = ServerLoadHandlers_->TakeReports_();
 }
--- a/src/relayd/ServerLoadSharing.cpp
+++ b/src/relayd/ServerLoadSharing.cpp
@@ -20,8 +20,9 @@
   if (WasInForce == isInForce())
     return;
   logLine(LogPart::Service, LogLevel::Info,
-          isInForce() ? "Load estimates of the home are used."
-                      : "Load estimates of the home are no longer used.",
+          isInForce() ? "Choosing servers by load estimates from the home."
+                      : "No recent load estimates from the home; choosing "
+                        "servers by own attempts.",
           {{"servers",
             std::to_string(Estimates_ ? Estimates_->Servers_.size() : 0)}});
 }
--- a/tests/ColdServersTest.cpp
+++ b/tests/ColdServersTest.cpp
@@ -174,8 +174,10 @@
 
 } // namespace
 
-TEST_CASE("Engines that return at once under load survive being cold",
-          "[relay][cold]") {
+TEST_CASE(
+    "Engines that return cold together get no more than they survive: guards "
+    "against homes or instances that each grant the whole rate",
+    "[relay][cold]") {
   EnginesUnderLoad Engines(5, 5);
   SECTION("their rows say that they are cold") {
     Engines.onRows(ColdTime);
@@ -232,7 +234,8 @@
   CHECK(Engines.worstSecond(Since) <= MaxPerSecond);
 }
 
-TEST_CASE("The latest that is known of a server says until when it is cold",
+TEST_CASE("The newest registration decides until when a server is cold: guards "
+          "against a limit that stays without its reason",
           "[relay][cold]") {
   ColdServers Cold;
   TimePoint Now{100s};
--- a/tests/EvacuationTest.cpp
+++ b/tests/EvacuationTest.cpp
@@ -1,3 +1,4 @@
+#include "gooseberrybeam/fairness/RankSchedule.h"
 #include "support/PoolFixture.h"
 #include "support/RelayUnderTest.h"
 #include "support/ServerAnswers.h"
@@ -102,26 +103,27 @@
   for (int I = 0; I != Repetitions; ++I) {
     Relay.call("/check/1", idOf(std::string(Prefix) + "c", I));
     Relay.call("/book/1", idOf(std::string(Prefix) + "b", I));
-    Relay.call("/write/1", idOf(std::string(Prefix) + "w", I));
   }
+  Relay.call("/write/1", std::string(Prefix) + "w");
 }
 
 } // namespace
 
-TEST_CASE("A server gets no request that may not go to its data centre",
+TEST_CASE("No path sends a request to a forbidden data centre: guards against "
+          "retries, resumed streams and prefills that skip the filter",
           "[relay][regions]") {
   RelayOfThreeDataCentres Relay;
-  const DataCentreId Excluded = GENERATE(Evacuated, Distant);
-  if (Excluded == Evacuated)
+  const DataCentreId Forbidden = GENERATE(Evacuated, Distant);
+  if (Forbidden == Evacuated)
     Relay.evacuate();
   else
     Relay.restrictRegions();
   ScriptedBackend &Plain =
-      Relay.addIn(Excluded, "plain", std::nullopt, answerPlain());
+      Relay.addIn(Forbidden, "plain", std::nullopt, answerPlain());
   ScriptedBackend &Prefill =
-      Relay.addIn(Excluded, "prefill", EngineRole::Prefill, prefill());
+      Relay.addIn(Forbidden, "prefill", EngineRole::Prefill, prefill());
   ScriptedBackend &Decode =
-      Relay.addIn(Excluded, "decode", EngineRole::Decode, stream());
+      Relay.addIn(Forbidden, "decode", EngineRole::Decode, stream());
 
   SECTION(
       "and callers hear at once that it has not run, if there is no other") {
@@ -247,6 +249,26 @@
     CHECK(Pool.grantOf(Pool.answerFor(Restricted.Request_)).Decode_.Id_ ==
           ServerId{"d1"});
   }
+  SECTION("while a less urgent generation that waits for room in its region "
+          "keeps no engine from urgent ones, also when its rank has its turn") {
+    for (const char *Id : {"p2", "d2"})
+      Move(Id, Near);
+    const std::vector<RegionId> Home = {{"home"}};
+    const int Granted = Pool.fill("f");
+    Pool.report(idOf("f", Granted).c_str(), GenerationStep::Ended, {});
+    Placement.Priority_ = 1;
+    Placement.Regions_ = makeRegionRestriction(Home, {});
+    CHECK_FALSE(Pool.place(Placement));
+    constexpr int MoreThanATurn = RankSchedule::GrantsPerTurn + 2;
+    for (int I = 0; I != MoreThanATurn; ++I) {
+      PlacementRequest Urgent = PoolFixture::makePlacement(idOf("u", I));
+      Urgent.PromptTokens_ = 10;
+      Urgent.MaxOutputTokens_ = 10;
+      const PlacementGrant Grant = Pool.grantOf(Pool.place(Urgent));
+      Pool.report(Urgent.Request_.Value_.c_str(), GenerationStep::Prefilled,
+                  Grant.Prefill_->Id_, 10, 1ms);
+    }
+  }
 }
 
 TEST_CASE("The newest state of an evacuation is in force, whatever its source",
--- a/tests/ServerChoiceTest.cpp
+++ b/tests/ServerChoiceTest.cpp
@@ -151,7 +151,9 @@
 
 } // namespace
 
-TEST_CASE("Instances that share load spread requests evenly", "[relay][load]") {
+TEST_CASE("Instances that share load spread requests evenly: guards against "
+          "instances that all choose the same server",
+          "[relay][load]") {
   const std::size_t Instances = GENERATE(10, 100, 300);
   const Duration Age = GENERATE(10ms, 150ms);
   CAPTURE(Instances, wholeMilliseconds(Age));
--- a/tests/ServerLoadBoardTest.cpp
+++ b/tests/ServerLoadBoardTest.cpp
@@ -110,7 +110,10 @@
   }
 }
 
-TEST_CASE("A home bounds absurd reports", "[relay][load]") {
+TEST_CASE(
+    "A home bounds out-of-range reports: guards against one faulty peer that "
+    "diverts all requests",
+    "[relay][load]") {
   Board Home;
   constexpr auto Max = std::numeric_limits<std::uint32_t>::max();
   SECTION("numbers are bounded, impossible times are dropped") {
@@ -142,7 +145,9 @@
   }
 }
 
-TEST_CASE("An instance bounds absurd estimates", "[relay][load]") {
+TEST_CASE(
+    "An instance bounds out-of-range estimates: guards against a faulty home",
+    "[relay][load]") {
   CHECK(makeLoadEstimates({}, TimePoint(1s)) == nullptr);
   const ServerLoadEstimate Absurd = {S1, INFINITY, NAN, -5, 17, -3s};
   const auto Bounded = makeLoadEstimates(std::span(&Absurd, 1), TimePoint(1s));
