--- a/include/gooseberrybeam/relay/BackendDirectory.h
+++ b/include/gooseberrybeam/relay/BackendDirectory.h
@@ -5,13 +5,17 @@
 
 #include "gooseberrybeam/base/Time.h"
 #include "gooseberrybeam/relay/BackendEntry.h"
+#include "gooseberrybeam/relay/ColdServers.h"
+#include "gooseberrybeam/relay/EvacuationState.h"
 #include "gooseberrybeam/relay/LeavingServer.h"
+#include "gooseberrybeam/relay/RegionMap.h"
 #include "gooseberrybeam/relay/StoreContact.h"
 
 #include <deque>
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace gooseberry {
@@ -33,6 +37,14 @@
 
   /// \returns since when the store has answered; to be told of its answers.
   StoreContact &storeContact() { return StoreContact_; }
+  /// \returns the servers that are cold; to be told of registrations.
+  ColdServers &coldServers() { return ColdServers_; }
+  const ColdServers &coldServers() const { return ColdServers_; }
+
+  /// \param Regions the region of each data centre.
+  void setRegions(RegionMap Regions) { Regions_ = std::move(Regions); }
+  /// \returns the data centres whose servers get no new requests.
+  EvacuationState &evacuation() { return Evacuation_; }
 
   /// Records that the store cannot be read.
   void onStoreUnavailable();
@@ -51,7 +63,8 @@
   /// \param Entries all registrations in the store.
   /// \param Now the current time.
   void replace(const std::vector<BackendEntry> &Entries, TimePoint Now);
-  /// Adds or updates a registration.
+  /// Adds or updates a registration. That a server stays cold is no change of
+  /// its entry.
   void put(const BackendEntry &Entry);
   /// Adds or updates a registration of a restored store. If the same process
   /// was removed before, the registration may be its old one, and counts only
@@ -87,6 +100,23 @@
   /// \returns whether the server takes no new work because it is leaving or was
   /// removed recently. False for servers that were never registered.
   bool isLeavingOrRemoved(const ServerId &Id) const;
+  /// \param Entry a registered server.
+  /// \param Regions the regions allowed for the request.
+  /// \returns whether the server may get a new request: it does not leave, its
+  /// data centre is not evacuated, and it is in an allowed region.
+  bool takesRequests(const BackendEntry &Entry,
+                     const RegionRestriction &Regions) const {
+    return !Entry.IsLeaving_ &&
+           !Evacuation_.DataCentres_.contains(Entry.DataCentre_) &&
+           Regions_.allows(Regions, Entry.DataCentre_);
+  }
+  /// The same for a server that another instance has chosen.
+  /// \param Id the server, which may not be registered here yet. Its data
+  /// centre is unknown then, so it takes requests only if none is evacuated and
+  /// all regions are allowed.
+  /// \param Regions the regions allowed for the request.
+  bool takesRequests(const ServerId &Id,
+                     const RegionRestriction &Regions) const;
   /// \returns the registered servers that have said in a response that they
   /// leave, for other instances.
   std::vector<LeavingServer> announcedLeaving() const;
@@ -128,6 +158,9 @@
 
   Duration Heartbeat_;
   StoreContact StoreContact_;
+  RegionMap Regions_;
+  EvacuationState Evacuation_;
+  ColdServers ColdServers_;
   std::map<ServerId, BackendEntry> Entries_;
   std::map<ServerId, RestoredEntry> RestoredEntries_;
   std::map<ServerId, TimePoint> LapseDeadlines_; ///< Renewal deadlines.
--- a/include/gooseberrybeam/relay/GenerationPlacer.h
+++ b/include/gooseberrybeam/relay/GenerationPlacer.h
@@ -6,6 +6,7 @@
 #include "gooseberrybeam/fairness/FairQueue.h"
 #include "gooseberrybeam/relay/BackendDirectory.h"
 #include "gooseberrybeam/relay/EngineHealth.h"
+#include "gooseberrybeam/relay/GrantPace.h"
 #include "gooseberrybeam/relay/KvForecast.h"
 #include "gooseberrybeam/relay/PlacementTypes.h"
 #include "gooseberrybeam/relay/PromptQuarantine.h"
@@ -15,6 +16,7 @@
 #include "gooseberrybeam/relay/ServerLimitLedger.h"
 
 #include <memory>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -25,7 +27,8 @@
 struct PlacementDecision {
   InstanceId Instance_;
   PlacementAnswer Answer_;
-  Duration WaitTime_{0}; ///< Time spent in the queue.
+  Duration WaitTime_{0};   ///< Time spent in the queue.
+  std::uint32_t Rank_ = 0; ///< Of the generation; 0 is the most urgent.
 };
 
 /// Queues generations until a decode engine is expected to have KV memory for
@@ -44,6 +47,10 @@
   /// \param Configuration the configuration to apply.
   void configure(std::shared_ptr<const RelayConfiguration> Configuration);
 
+  /// \param RefusesInTime whether generations that are forecast to miss their
+  /// deadline in the queue are refused at once; false initially.
+  void setRefusesInTime(bool RefusesInTime) { RefusesInTime_ = RefusesInTime; }
+
   /// Queues a generation. A repeated request with the same id replaces the
   /// earlier one.
   /// \param Instance the instance that runs the generation.
@@ -94,6 +101,9 @@
 
   /// \returns the limits that servers state; grants stay within them.
   ServerLimitLedger &serverLimits() { return ServerLimits_; }
+  /// \param Decode a decode engine.
+  /// \returns the number of its grants whose prefill has not ended yet.
+  std::size_t prefillingFor(const ServerId &Decode) const;
 
   /// \returns whether \p Request of \p Instance is waiting for engines.
   bool isWaiting(const InstanceId &Instance, const RequestId &Request) const;
@@ -144,6 +154,8 @@
     std::vector<KvStream> Streams_; ///< Forecasts of its streams.
     std::size_t Starting_ = 0;      ///< Streams without an event so far.
     bool HasStartingSuspect_ = false;
+    /// Kept for a request that may only use engines of some regions.
+    bool IsWithheld_ = false;
   };
 
   /// Queues and estimates of one service.
@@ -153,13 +165,14 @@
     std::vector<RequestId> MovedStreams_;
     /// Requests that wait for the trial of another one like them.
     std::vector<RequestId> HeldRequests_;
+    /// Requests that wait for engines of some regions, during one pass over the
+    /// queue.
+    std::vector<RequestId> SetAside_;
     double MeanOutputTokens_ = 0; ///< Smoothed; 0 before any sample.
     double PrefillTokensPerMs_ = 0;
     double DecodeTokensPerMs_ = 0;
-    TimePoint LastGrantAt_{Duration::zero()};
-    /// Smoothed time between grants while generations wait; 0 before any
-    /// sample.
-    double GrantIntervalMs_ = 0;
+    GrantPace Grants_;
+    TimePoint NextForecastAt_{Duration::zero()};
   };
 
   struct EnginePair {
@@ -203,6 +216,15 @@
                          PoolState &Pool, const EngineTraits &Traits,
                          TimePoint Now,
                          std::vector<PlacementDecision> &Decisions);
+  bool hasUsableDecode(std::span<const DecodeCandidate> Candidates,
+                       const PlacementRequest &Placement, TimePoint Now) const;
+  bool areAllEnginesForbidden(std::span<const DecodeCandidate> Candidates,
+                              const PlacementRequest &Placement) const;
+  void setAside(std::vector<DecodeCandidate> &Candidates, PoolState &Pool,
+                const RequestId &Request, bool WithholdsEngines);
+  bool placeNext(std::vector<DecodeCandidate> &Candidates, PoolState &Pool,
+                 const EngineTraits &Traits, TimePoint Now,
+                 std::vector<PlacementDecision> &Decisions);
   void placeQueued(std::vector<DecodeCandidate> &Candidates, PoolState &Pool,
                    const EngineTraits &Traits, TimePoint Now,
                    std::vector<PlacementDecision> &Decisions);
@@ -216,6 +238,10 @@
   std::optional<Duration> retryAfter(const PoolState &Pool,
                                      const GenerationState &Generation,
                                      TimePoint Now) const;
+  void refuseLate(const RequestId &Request, const PoolState &Pool,
+                  TimePoint Now, std::vector<PlacementDecision> &Decisions);
+  void refuseUnreachable(PoolState &Pool, TimePoint Now,
+                         std::vector<PlacementDecision> &Decisions);
   void refuseExpired(PoolState &Pool, TimePoint Now,
                      std::vector<PlacementDecision> &Decisions);
   void decidePool(const ServiceId &Service, PoolState &Pool, TimePoint Now,
@@ -237,6 +263,7 @@
   PromptQuarantine Quarantine_;
   RequestQuarantine RequestQuarantine_;
   ServerLimitLedger ServerLimits_;
+  bool RefusesInTime_ = false;
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/relay/HomeCoordinator.h
+++ b/include/gooseberrybeam/relay/HomeCoordinator.h
@@ -6,6 +6,7 @@
 #include "gooseberrybeam/relay/GenerationPlacer.h"
 #include "gooseberrybeam/relay/HomeMessages.h"
 #include "gooseberrybeam/relay/RelayRateLimiter.h"
+#include "gooseberrybeam/relay/ServerLoadBoard.h"
 
 #include <map>
 #include <unordered_map>
@@ -29,7 +30,14 @@
   void configure(std::shared_ptr<const RelayConfiguration> Configuration,
                  TimePoint Now);
   /// \param Count the number of instances that share the limits; at least 1.
-  void setInstanceCount(std::size_t Count);
+  /// \param Index the position of this instance in the ordered list of all,
+  /// from 0. It spreads the first tokens of instances that reach no other.
+  void setInstanceCount(std::size_t Count, std::size_t Index = 0);
+  /// \param RefusesInTime whether generations that are forecast to miss their
+  /// deadline in the queue are refused at once; false initially.
+  void setRefusesInTime(bool RefusesInTime) {
+    Placer_.setRefusesInTime(RefusesInTime);
+  }
 
   /// Records which process of an instance sends. If the instance has restarted,
   /// the generations of its former process have ended, and their engines are
@@ -93,12 +101,28 @@
   /// Records the limit that a backend server states.
   /// \param Now the current time.
   void onServerLimit(const ServerLimitReport &Report, TimePoint Now);
+  /// \param Server a server.
+  /// \returns the cold start of its service, or null if it has none or the
+  /// server is unknown.
+  const ColdStart *coldStartOf(const ServerId &Server) const;
+  /// \param Server a server.
+  /// \param Now the current time.
+  /// \returns its limit in requests per second if it is cold and limited.
+  std::optional<double> coldLimitOf(const ServerId &Server,
+                                    TimePoint Now) const;
   /// Takes a token for a request to a server of a plain service.
   /// \param Server the server.
   /// \param Now the current time.
   /// \returns zero if the request may be sent, else the time until another one
   /// may.
   Duration takeServerToken(const ServerId &Server, TimePoint Now);
+  /// \param Now the current time.
+  /// \returns the load of the servers of plain services; empty while too few
+  /// instances are attached to estimate it.
+  std::vector<ServerLoadEstimate> serverLoads(TimePoint Now) const {
+    return ServerLoads_.estimates(AttachedInstances_.size(), InstanceCount_,
+                                  Now);
+  }
   /// Passes a progress report to the placer.
   /// \param Now the current time.
   void onReport(const GenerationReport &Report, TimePoint Now);
@@ -140,11 +164,15 @@
   void detachSilent(TimePoint Now);
   void dropInstance(const InstanceId &Instance);
   void refund(const RequestId &Request);
-  void updateServerLimits();
+  void updateServerLimits(TimePoint Now);
+  void updateColdLimit(const ServerId &Server, TimePoint Now);
+  double coldTokenOffset() const;
 
   const BackendDirectory &Directory_;
+  std::shared_ptr<const RelayConfiguration> Configuration_;
   GenerationPlacer Placer_;
   RelayRateLimiter Limits_;
+  ServerLoadBoard ServerLoads_;
   std::map<InstanceId, AttachedInstance> AttachedInstances_;
   /// Incarnations of the processes heard last.
   std::unordered_map<InstanceId, std::uint64_t> Processes_;
@@ -153,6 +181,7 @@
   std::vector<LimitUtilisation> Utilisation_;
   TimePoint UtilisationUpdatedAt_{Duration::zero()};
   std::size_t InstanceCount_ = 1;
+  std::size_t InstanceIndex_ = 0;
 };
 
 } // namespace gooseberry
--- a/include/gooseberrybeam/relayd/RelayDaemon.h
+++ b/include/gooseberrybeam/relayd/RelayDaemon.h
@@ -10,6 +10,7 @@
 #include "gooseberrybeam/relayd/RelayContext.h"
 #include "gooseberrybeam/relayd/RelayHandler.h"
 #include "gooseberrybeam/relayd/RelaySettings.h"
+#include "gooseberrybeam/relayd/ServerLoadSharing.h"
 #include "gooseberrybeam/relayd/StoreSchema.h"
 #include "gooseberrybeam/relayd/TableFeeds.h"
 
@@ -71,11 +72,16 @@
   void openWhenReady();
   void applyConfiguration(std::string_view Source, std::string_view Origin);
   void applyConfigurationRows(std::span<const StoreRow> Changed);
+  EvacuationState storedEvacuation() const;
+  void applyStoredEvacuation();
   void applyServers(const TableFeeds::Changes &Changed);
+  void recordColdness(const BackendEntry &Entry, bool IsRestored);
+  void logWarmServers(TimePoint Now);
   void applyInstances(bool IsRestored);
   void registerSelf();
   void adoptPeerKey();
   HomeLink::Callbacks makeCallbacks();
+  void shareServerLoads();
   TableFeeds::Listener makeFeedListener();
   const std::map<std::string, StoreRow> &instanceRows() const;
   void updateMembers();
@@ -92,6 +98,7 @@
   TableFeeds Feeds_;
   HomeLink Home_;
   RelayContext Relay_;
+  ServerLoadSharing ServerLoads_;
   RelayHandler Handler_;
   CallerServer Callers_;
   std::unique_ptr<RowStore> Store_;
--- a/include/gooseberrybeam/relayd/RelaySettings.h
+++ b/include/gooseberrybeam/relayd/RelaySettings.h
@@ -7,6 +7,7 @@
 #include "gooseberrybeam/base/Time.h"
 #include "gooseberrybeam/relay/InstanceCapacity.h"
 #include "gooseberrybeam/relay/RateLimitBounds.h"
+#include "gooseberrybeam/relay/RegionMap.h"
 #include "gooseberrybeam/relay/RetryWindow.h"
 
 #include <cstdint>
@@ -34,6 +35,13 @@
   Duration ServerHeartbeat_ = std::chrono::milliseconds(1200);
   RetryWindowLimits RetryBounds_;
   RateLimitBounds LimitBounds_;
+  RegionMap Regions_; ///< Of all data centres.
+  /// Whether instances tell each other the load of plain servers through their
+  /// home.
+  bool SharesServerLoad_ = false;
+  /// Whether a home refuses generations that are forecast to wait in its queue
+  /// until their callers give up.
+  bool RefusesInTime_ = false;
 };
 
 } // namespace gooseberry
--- a/src/relay/GenerationPlacerChoice.cpp
+++ b/src/relay/GenerationPlacerChoice.cpp
@@ -53,7 +53,8 @@
                                 const EngineState &Engine,
                                 const PlacementRequest &Placement,
                                 TimePoint Now) const {
-  if (Entry.IsLeaving_ || !Engine.Health_.isUsable(Now))
+  if (!Directory_.takesRequests(Entry, Placement.Regions_) ||
+      !Engine.Health_.isUsable(Now))
     return false;
   return std::find(Placement.ExcludedEngines_.begin(),
                    Placement.ExcludedEngines_.end(),
@@ -135,7 +136,8 @@
       BookableKvFraction * static_cast<double>(Traits.KvTokens_);
   for (DecodeCandidate &Each : Candidates) {
     const EngineState &Engine = *Each.State_;
-    if (!isUsable(*Each.Entry_, Engine, Generation.Placement_, Now))
+    if (Each.IsWithheld_ ||
+        !isUsable(*Each.Entry_, Engine, Generation.Placement_, Now))
       continue;
     if (Each.Streams_.size() >= Traits.Slots_)
       continue;
--- a/src/relay/HomeCoordinator.cpp
+++ b/src/relay/HomeCoordinator.cpp
@@ -19,16 +19,60 @@
                                  const RateLimitBounds &Bounds)
     : Directory_(Directory), Placer_(Directory), Limits_(Bounds) {}
 
-void HomeCoordinator::setInstanceCount(std::size_t Count) {
+void HomeCoordinator::setInstanceCount(std::size_t Count, std::size_t Index) {
   InstanceCount_ = Count;
+  InstanceIndex_ = Index;
   Limits_.setInstanceCount(Count);
 }
 
-void HomeCoordinator::updateServerLimits() {
+const ColdStart *HomeCoordinator::coldStartOf(const ServerId &Server) const {
+  const BackendEntry *Entry = Directory_.find(Server);
+  const RelayService *Service =
+      Entry && Configuration_ ? Configuration_->findService(Entry->Service_)
+                              : nullptr;
+  return Service && Service->ColdStart_ ? &*Service->ColdStart_ : nullptr;
+}
+
+std::optional<double> HomeCoordinator::coldLimitOf(const ServerId &Server,
+                                                   TimePoint Now) const {
+  if (!Directory_.coldServers().isCold(Server, Now))
+    return std::nullopt;
+  const ColdStart *Start = coldStartOf(Server);
+  return Start ? std::optional(Start->RequestsPerSecond_) : std::nullopt;
+}
+
+void HomeCoordinator::updateColdLimit(const ServerId &Server, TimePoint Now) {
+  ServerLimitLedger &Ledger = Placer_.serverLimits();
+  if (!Ledger.onCold(Server, coldLimitOf(Server, Now), Now))
+    return;
+  // Grants whose prefill still runs bring their decode calls later.
+  const auto Expected = static_cast<double>(Placer_.prefillingFor(Server));
+  Ledger.take(Server, Now, Expected + coldTokenOffset());
+}
+
+// Instances that reach nobody all begin with no tokens and the same small rate.
+// Without evenly spaced offsets they would send to a cold server at the same
+// moment.
+double HomeCoordinator::coldTokenOffset() const {
+  const auto Count = static_cast<double>(InstanceCount_);
+  const double Attached =
+      static_cast<double>(AttachedInstances_.size()) / Count;
+  return static_cast<double>(InstanceIndex_) / Count *
+         std::max(0.0, 1 - Attached);
+}
+
+void HomeCoordinator::updateServerLimits(TimePoint Now) {
   ServerLimitLedger &Ledger = Placer_.serverLimits();
   Ledger.setInstanceCounts(AttachedInstances_.size(), InstanceCount_);
-  Ledger.retainIf(
-      [this](const ServerId &Id) { return Directory_.find(Id) != nullptr; });
+  const auto IsRegistered = [this](const ServerId &Id) {
+    return Directory_.find(Id) != nullptr;
+  };
+  Ledger.retainIf(IsRegistered);
+  ServerLoads_.retainIf(IsRegistered);
+  for (const ServerId &Each : Ledger.coldServers())
+    updateColdLimit(Each, Now);
+  for (const ServerId &Each : Directory_.coldServers().all(Now))
+    updateColdLimit(Each, Now);
 }
 
 void HomeCoordinator::onServerLimit(const ServerLimitReport &Report,
@@ -40,6 +84,7 @@
 Duration HomeCoordinator::takeServerToken(const ServerId &Server,
                                           TimePoint Now) {
   ServerLimitLedger &Ledger = Placer_.serverLimits();
+  updateColdLimit(Server, Now);
   const Duration Wait = Ledger.timeUntilAvailable(Server, Now);
   if (Wait == Duration::zero())
     Ledger.take(Server, Now);
@@ -68,8 +113,9 @@
 
 void HomeCoordinator::configure(
     std::shared_ptr<const RelayConfiguration> Configuration, TimePoint Now) {
-  Limits_.configure(Configuration, Now);
-  Placer_.configure(std::move(Configuration));
+  Configuration_ = std::move(Configuration);
+  Limits_.configure(Configuration_, Now);
+  Placer_.configure(Configuration_);
 }
 
 void HomeCoordinator::attach(const InstanceId &Instance,
@@ -90,6 +136,7 @@
 // there.
 void HomeCoordinator::dropInstance(const InstanceId &Instance) {
   Placer_.dropInstance(Instance);
+  ServerLoads_.dropInstance(Instance);
   std::erase_if(PendingCharges_, [&Instance](const auto &Each) {
     return Each.second.Instance_ == Instance;
   });
@@ -114,6 +161,7 @@
   for (const auto &Each : Message.RunningGenerations_)
     Placer_.adopt(Sender, Each, Now);
   recordUsage(Sender, Message, Now);
+  ServerLoads_.onReports(Sender, Message.ServerLoads_, Now);
   Placer_.mergeCrashSuspects(Message.CrashSuspects_, Now);
   mergeRequestSuspects(Message.RequestSuspects_, Now);
   Placer_.serverLimits().merge(Message.ServerLimits_, Now);
@@ -173,7 +221,8 @@
           {Sender,
            PlacementDenial{Placement.Request_, RefusalReason::RateExceeded,
                            Wait},
-           {}});
+           {},
+           Placement.Priority_});
       return;
     }
     PendingCharges_[Placement.Request_] = {Sender, Placement.Organisation_,
@@ -221,7 +270,7 @@
 
 std::vector<PlacementDecision> HomeCoordinator::decide(TimePoint Now) {
   detachSilent(Now);
-  updateServerLimits();
+  updateServerLimits(Now);
   std::vector<PlacementDecision> Decisions = std::move(PendingDenials_);
   PendingDenials_.clear();
   for (auto &Each : Placer_.decide(Now)) {
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -30,6 +30,10 @@
 /// Target time to the first event after a stream was moved.
 constexpr Duration ResumeTarget = std::chrono::milliseconds(300);
 constexpr Duration RetryAfterFailure = std::chrono::milliseconds(300);
+/// Grants are checked when they arrive. One that is older is checked again
+/// before the decode engine is called, as its data centre may have been
+/// evacuated during a slow prefill.
+constexpr Duration MaxGrantAge = std::chrono::seconds(1);
 constexpr Duration ReleaseTimeout = std::chrono::seconds(1);
 constexpr std::size_t MaxReleaseBody = std::size_t{64} << 10;
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
@@ -99,6 +103,9 @@
     Placement.ExcludedEngines_.push_back(Each);
   Placement.SharedSegments_ = Request_.CallerInfo_.SharedSegments_;
   Placement.Fingerprint_ = Request_.Fingerprint_;
+  Placement.Regions_ = Request_.regions();
+  if (Placements_ > 1)
+    excludeForbiddenEngines(Placement);
   if (LastEventId_) {
     Placement.NeedsPrefill_ = false;
     Placement.TargetLeft_ = ResumeTarget;
@@ -106,6 +113,17 @@
   return Placement;
 }
 
+// A home that knows neither of an evacuation nor of regions would grant one
+// engine after another that this instance rejects.
+void GenerationCall::excludeForbiddenEngines(
+    PlacementRequest &Placement) const {
+  const BackendDirectory &Directory = Context_.Directory_;
+  for (const auto &[Id, Entry] : Directory.entries())
+    if (Entry.Service_ == Request_.Service_ && !Entry.IsLeaving_ &&
+        !Directory.takesRequests(Entry, Placement.Regions_))
+      Placement.ExcludedEngines_.push_back(Id);
+}
+
 void GenerationCall::report(GenerationStep Step, const ChosenServer &Engine,
                             std::uint32_t Tokens, Duration Elapsed) {
   Context_.Home_.report(
@@ -143,6 +161,8 @@
   Target.RequestInfo_.Organisation_ = Request_.organisationName();
   Target.RequestInfo_.TimeLeft_ = Request_.timeLeft();
   Target.RequestInfo_.LastEventId_ = LastEventId_;
+  if (Request_.Configuration_->hasRanks(Request_.Service_))
+    Target.RequestInfo_.Priority_ = Request_.priority();
   return Target;
 }
 
@@ -150,15 +170,20 @@
   return Context_.Pauses_.pausedUntil(Server) > readBootClock();
 }
 
+bool GenerationCall::mayCall(const ServerId &Server) const {
+  return Context_.Directory_.takesRequests(Server, Request_.regions()) &&
+         !isPaused(Server);
+}
+
 // The home may have lost its connection to the store and therefore not know
-// that an engine is leaving, and does not know of pauses.
+// that an engine is leaving or evacuated, does not know of pauses, and one of
+// an earlier release does not know of regions.
 bool GenerationCall::excludeUnusableEngines(const PlacementGrant &Grant) {
   bool IsRejected = false;
   const auto Reject = [&](const ChosenServer &Engine) {
-    const bool IsLeaving = Context_.Directory_.isLeavingOrRemoved(Engine.Id_);
-    if (!IsLeaving && !isPaused(Engine.Id_))
+    if (mayCall(Engine.Id_))
       return;
-    if (IsLeaving)
+    if (Context_.Directory_.isLeavingOrRemoved(Engine.Id_))
       report(GenerationStep::ServerReplaced, Engine);
     ExcludedServers_.push_back(Engine.Id_);
     IsRejected = true;
@@ -173,9 +198,11 @@
 Duration GenerationCall::timeUntilDecodeEngine() const {
   std::optional<Duration> Least;
   const TimePoint Now = readBootClock();
+  const RegionRestriction Regions = Request_.regions();
   for (const auto &[Id, Entry] : Context_.Directory_.entries()) {
-    if (Entry.Service_ != Request_.Service_ || Entry.IsLeaving_ ||
-        Entry.Role_ != EngineRole::Decode)
+    if (Entry.Service_ != Request_.Service_ ||
+        Entry.Role_ != EngineRole::Decode ||
+        !Context_.Directory_.takesRequests(Entry, Regions))
       continue;
     const Duration Wait = Context_.Pauses_.pausedUntil(Id) - Now;
     Least = std::min(Least.value_or(Wait), Wait);
@@ -447,7 +474,8 @@
 GenerationCall::decode(const ChosenServer &Engine,
                        const std::string &KvSource) {
   CallerExchange &Exchange = Request_.Exchange_;
-  if (isPaused(Engine.Id_))
+  const bool IsGrantOld = readBootClock() > PlacedAt_ + MaxGrantAge;
+  if (isPaused(Engine.Id_) || (IsGrantOld && !mayCall(Engine.Id_)))
     co_return StepOutcome::Rejected;
   Retries_.countRequest();
   Retries_.sendReserved();
@@ -632,11 +660,9 @@
     }
     if (IsKvReady) {
       Outcome = co_await decode(Grant.Decode_, KvSource);
-      const bool TakesRequests =
-          !Context_.Directory_.isLeavingOrRemoved(Grant.Decode_.Id_) &&
-          !isPaused(Grant.Decode_.Id_);
       if (Outcome == StepOutcome::Rejected && !KvSource.empty() &&
-          !Replacement_ && TakesRequests && Retries_.tryReserve()) {
+          !Replacement_ && mayCall(Grant.Decode_.Id_) &&
+          Retries_.tryReserve()) {
         if (Grant.Prefill_)
           report(GenerationStep::HandleLost, *Grant.Prefill_);
         // The engine may have rejected the call because it could not fetch the
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
+#include "gooseberrybeam/relayd/ApplyEvacuation.h"
 #include "gooseberrybeam/relayd/HomeCodec.h"
 
 #include <algorithm>
@@ -60,7 +61,10 @@
     return !Names.contains(Entry.first);
   });
   Selector_.setInstances(Candidates);
-  Coordinator_.setInstanceCount(instanceCount());
+  const auto Index = std::ranges::count_if(
+      Names, [this](const InstanceId &Each) { return Each < Self_; });
+  Coordinator_.setInstanceCount(instanceCount(),
+                                static_cast<std::size_t>(Index));
   if (Transport_)
     Transport_->setMembers(Members_);
 }
@@ -109,6 +113,7 @@
       continue;
     HomeHeartbeat Message = makeHeartbeat();
     Message.IsAttached_ = Member.Id_.Name_ == Home_;
+    takeServerLoads(Message);
     send(Member.Id_.Name_, Message);
   }
   updateHome(Now);
@@ -144,6 +149,7 @@
   Message.Uptime_ = readBootClock() - StartedAt_;
   Message.Attachment_ = Attachment_;
   Message.IsLeaving_ = IsLeaving_;
+  Message.Evacuation_ = Directory_.evacuation();
   return Message;
 }
 
@@ -202,6 +208,7 @@
   Heartbeat.RequestSuspects_ = RequestSuspects_;
   Heartbeat.ServerLimits_ = StatedLimits_.all();
   Heartbeat.LeavingServers_ = Directory_.announcedLeaving();
+  takeServerLoads(Heartbeat);
   UnreportedUsage_.clear();
   for (const auto &[Request, Generation] : RunningGenerations_)
     Heartbeat.RunningGenerations_.push_back(Generation);
@@ -244,6 +251,7 @@
     Message.IsAttached_ = Instance == Home_;
     if (Message.IsAttached_) {
       Message.LeavingServers_ = Directory_.announcedLeaving();
+      takeServerLoads(Message);
       for (const auto &[Organisation, Tokens] : UnreportedUsage_)
         Message.TokenUsage_.push_back({Organisation, Tokens, {}});
       // An exhausted organisation sends no tokens. It is listed with 0 tokens
@@ -385,6 +393,8 @@
   if (Message.IsLeaving_ && Sender != Self_)
     Selector_.onLeaving(Sender);
   handleLeaving(Message.LeavingServers_, Sender);
+  applyEvacuation(Directory_, Configuration_.get(), Message.Evacuation_,
+                  Sender.Value_);
   handleStoreContact(Message.StoreContact_, Sender);
   HomeReply Reply;
   Reply.Sequence_ = Message.Sequence_;
@@ -394,6 +404,7 @@
   Reply.ServersVersion_ = Tables_.feedState(SharedTableId::Servers).LastChange_;
   Reply.StoreContact_ = Directory_.storeContact().span(Now);
   Reply.IsLeaving_ = IsLeaving_;
+  Reply.Evacuation_ = Directory_.evacuation();
   Reply.ExhaustedOrganisations_ =
       Coordinator_.onHeartbeat(Sender, Message, Now);
   if (Message.IsAttached_) {
@@ -402,6 +413,7 @@
     Reply.RequestSuspects_ = Coordinator_.requestQuarantine().suspects(Now);
     Reply.ServerLimits_ = Coordinator_.serverLimits();
     Reply.LeavingServers_ = Directory_.announcedLeaving();
+    addServerLoads(Reply);
   }
   if (Sender == Self_) {
     handleReply(Self_, Reply);
@@ -417,6 +429,8 @@
 }
 
 void HomeLink::handleReply(const InstanceId &Sender, const HomeReply &Message) {
+  applyEvacuation(Directory_, Configuration_.get(), Message.Evacuation_,
+                  Sender.Value_);
   handleStoreContact(Message.StoreContact_, Sender);
   if (Sender != Self_) {
     Selector_.onHeartbeatReply(Sender, readBootClock());
@@ -437,6 +451,7 @@
   RequestSuspects_ = Message.RequestSuspects_;
   handleLeaving(Message.LeavingServers_, Sender);
   StatedLimits_.assign(Message.ServerLimits_, readBootClock());
+  handleServerLoads(Message.ServerLoads_);
   ExhaustedOrganisations_.clear();
   ExhaustedOrganisations_.insert(Message.ExhaustedOrganisations_.begin(),
                                  Message.ExhaustedOrganisations_.end());
@@ -506,6 +521,7 @@
           Grant ? "Engines granted." : "Engines denied.",
           {{"request", Request.Value_},
            {"instance", Decision.Instance_.Value_},
+           {"rank", std::to_string(Decision.Rank_)},
            {"prefill", Prefill},
            {"decode", Grant ? Grant->Decode_.Id_.Value_ : ""},
            {"reason", Denial ? asCode(Denial->Reason_) : ""},
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -8,6 +8,7 @@
 #include "gooseberrybeam/http/SpawnTask.h"
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/peers/PeerAuth.h"
+#include "gooseberrybeam/relayd/ApplyEvacuation.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
@@ -113,14 +114,19 @@
              {},
              {},
              {}},
-      Handler_(Relay_),
+      ServerLoads_(Relay_.Balancers_, Relay_.Metrics_), Handler_(Relay_),
       Callers_(Context_, Handler_,
                makeCallerLimits(RelayCallerLimits(), Relay_.Pool_.bodies()),
                Settings_.Name_.Value_ + "-"),
       Store_(Adapter_.MakeStore_(Context_)), Incarnation_(makeIncarnation(0)),
       StartedAt_(readBootClock()), HomeSince_(StartedAt_),
       StopSignals_(Context_, SIGTERM, SIGINT),
-      HangupSignals_(Context_, SIGHUP) {}
+      HangupSignals_(Context_, SIGHUP) {
+  Directory_.setRegions(Settings_.Regions_);
+  Home_.setRefusesInTime(Settings_.RefusesInTime_);
+  if (Settings_.SharesServerLoad_)
+    shareServerLoads();
+}
 
 RelayDaemon::~RelayDaemon() { Context_.stop(); }
 
@@ -133,6 +139,15 @@
   return Handlers;
 }
 
+void RelayDaemon::shareServerLoads() {
+  HomeLink::ServerLoadHandlers Handlers;
+  Handlers.TakeReports_ = [this] { return ServerLoads_.takeReports(); };
+  Handlers.OnEstimates_ = [this](std::span<const ServerLoadEstimate> Received) {
+    ServerLoads_.onEstimates(Received, readBootClock());
+  };
+  Home_.shareServerLoads(std::move(Handlers));
+}
+
 TableFeeds::Listener RelayDaemon::makeFeedListener() {
   TableFeeds::Listener Handlers;
   Handlers.OnChanges_ = [this](const TableFeeds::Changes &Changed) {
@@ -253,6 +268,22 @@
   for (const auto &Row : Changed)
     if (Row.Key_ == Adapter_.Schema_->configurationKey() && !Row.IsRemoved_)
       applyConfiguration(Row.Value_, "store");
+  applyStoredEvacuation();
+}
+
+void RelayDaemon::applyStoredEvacuation() {
+  applyEvacuation(Directory_, Relay_.Configuration_.get(), storedEvacuation(),
+                  "store");
+}
+
+EvacuationState RelayDaemon::storedEvacuation() const {
+  const TableCache &Copy = Feeds_.table(SharedTableId::Configuration).cache();
+  EvacuationState State;
+  State.Version_ = Copy.version();
+  for (const auto &[Key, Row] : Copy.rows())
+    if (const auto DataCentre = Adapter_.Schema_->parseEvacuation(Row))
+      State.DataCentres_.insert(*DataCentre);
+  return State;
 }
 
 void RelayDaemon::applyConfiguration(std::string_view Source,
@@ -296,13 +327,19 @@
         Row.IsRemoved_ ? std::nullopt : Adapter_.Schema_->parseServer(Row);
     if (!Entry && !Row.IsRemoved_)
       logOddRow(Row);
+    const std::uint64_t ChangesBefore = Directory_.changeCount();
     if (Entry && Changed.IsRestored_)
       Directory_.putRestored(*Entry, Now);
     else if (Entry)
       Directory_.put(*Entry);
     else
       Directory_.remove({Row.Key_}, Now);
-    if (!HasServers_)
+    if (Entry)
+      recordColdness(*Entry, Changed.IsRestored_);
+    // A cold server's row is written with each heartbeat.
+    const bool IsRenewal = Entry && Entry->ColdRemaining_ > Duration::zero() &&
+                           Directory_.changeCount() == ChangesBefore;
+    if (!HasServers_ || IsRenewal)
       continue;
     logLine(LogPart::Service, LogLevel::Info, "Backend server changed.",
             {{"server", std::string_view(Row.Key_).substr(0, MaxLoggedKey)},
@@ -317,6 +354,31 @@
   openWhenReady();
 }
 
+void RelayDaemon::recordColdness(const BackendEntry &Entry, bool IsRestored) {
+  // A row of a restored store may have been written before the server became
+  // cold, so it does not make the server warm.
+  if (IsRestored && Entry.ColdRemaining_ <= Duration::zero())
+    return;
+  const TimePoint Now = readBootClock();
+  if (!Directory_.coldServers().onRegistration(Entry, Now))
+    return;
+  const auto Limit = Home_.coordinator().coldLimitOf(Entry.Id_, Now);
+  if (!Limit)
+    return;
+  logLine(LogPart::Service, LogLevel::Info, "Backend server is cold.",
+          {{"server", Entry.Id_.Value_},
+           {"remaining_ms",
+            std::to_string(wholeMilliseconds(Entry.ColdRemaining_))},
+           {"per_second", std::to_string(*Limit)}});
+}
+
+void RelayDaemon::logWarmServers(TimePoint Now) {
+  for (const ServerId &Server : Directory_.coldServers().takeWarm(Now))
+    if (Home_.coordinator().coldStartOf(Server))
+      logLine(LogPart::Service, LogLevel::Info, "Backend server is warm.",
+              {{"server", Server.Value_}});
+}
+
 RelayMember RelayDaemon::self() const {
   RelayMember Member;
   Member.Peer_.Id_ = {Settings_.Name_, Incarnation_};
@@ -500,11 +562,17 @@
       logLine(LogPart::Service, LogLevel::Info,
               "Pause of a backend server is over.",
               {{"server", Server.Value_}});
+    Directory_.coldServers().retainIf(
+        [this](const ServerId &Id) { return Directory_.find(Id) != nullptr; });
+    logWarmServers(Now);
     for (auto &[Service, Balancer] : Relay_.Balancers_)
       Balancer.retainIf([this](const ServerId &Id) {
         return Directory_.find(Id) != nullptr;
       });
+    ServerLoads_.tick(Now);
     Feeds_.tick();
+    // The copy of the table may become newer without a changed row.
+    applyStoredEvacuation();
     if (Instances_.hasJustSettled(Now))
       updateMembers();
     removeUnresponsiveMembers();
--- a/tests/HomeLinkTest.cpp
+++ b/tests/HomeLinkTest.cpp
@@ -86,6 +86,20 @@
                         PlacementBytes{encodeHomeMessage(Reply)});
   }
 
+  /// Delivers a reply of the home that tells of evacuated data centres.
+  void tellEvacuation(const EvacuationState &State) {
+    HomeReply Reply;
+    Reply.Sequence_ = heartbeats().back().Sequence_;
+    Reply.Evacuation_ = State;
+    Transport_->deliver({Home_, 7}, PlacementBytes{encodeHomeMessage(Reply)});
+  }
+  /// Delivers a heartbeat of the other instance that tells of them.
+  void probeWithEvacuation(const EvacuationState &State) {
+    HomeHeartbeat Probe;
+    Probe.Evacuation_ = State;
+    Transport_->deliver({Home_, 7}, PlacementBytes{encodeHomeMessage(Probe)});
+  }
+
   /// Starts a placement, which stays pending.
   void startPlacement() {
     asio::co_spawn(Context_, place(), asio::detached);
@@ -133,6 +147,26 @@
   /// \returns the outcome of the question; none while it is open.
   std::optional<bool> mayCall() const { return MayCall_; }
 
+  /// Delivers a reply of the home with load estimates.
+  void replyWithLoads(std::vector<ServerLoadEstimate> Estimates) {
+    HomeReply Reply;
+    Reply.Sequence_ = heartbeats().back().Sequence_;
+    Reply.ServerLoads_ = std::move(Estimates);
+    Transport_->deliver({Home_, 7}, PlacementBytes{encodeHomeMessage(Reply)});
+  }
+  /// Delivers a heartbeat of the other instance.
+  /// \returns this instance's reply.
+  HomeReply replyTo(const HomeHeartbeat &Heartbeat) {
+    Transport_->deliver({Home_, 7},
+                        PlacementBytes{encodeHomeMessage(Heartbeat)});
+    return Transport_->sent<HomeReply>().back();
+  }
+  /// Lets time pass until the instance has sent \p Count heartbeats.
+  void awaitHeartbeats(std::size_t Count) {
+    while (heartbeats().size() < Count)
+      Context_.run_one();
+  }
+
   HomeLink &link() { return *Link_; }
   BackendDirectory &directory() { return Directory_; }
   std::vector<HomeHeartbeat> heartbeats() const {
@@ -290,6 +324,40 @@
   }
 }
 
+TEST_CASE("Requests to a cold server of a plain service wait for a token, too",
+          "[relay][cold]") {
+  AttachedInstance Instance;
+  BackendEntry Server;
+  Server.Id_ = {"s1"};
+  Server.Service_ = {"plain"};
+  Server.ColdRemaining_ = 1min;
+  Instance.directory().put(Server);
+  Instance.directory().coldServers().onRegistration(Server, readBootClock());
+  const auto Configure = [&](std::optional<ColdStart> Start) {
+    RelayConfigurationParts Parts;
+    Parts.Services_ = {{{"plain"}, 64, std::nullopt, Start}};
+    Instance.link().configure(
+        std::make_shared<const RelayConfiguration>(std::move(Parts)));
+    Instance.askForServer({"s1"});
+  };
+  SECTION("and spare it until there is one") {
+    Configure(ColdStart{10s, 2});
+    REQUIRE_FALSE(Instance.mayCall());
+    Instance.answerFromHome(10s);
+    CHECK(Instance.mayCall() == false);
+    CHECK(Instance.link().availableAt({"s1"}) > readBootClock() + 5s);
+  }
+  SECTION("and use another one if the home does not answer") {
+    Configure(ColdStart{10s, 2});
+    Instance.awaitTimeout();
+    CHECK(Instance.mayCall() == false);
+  }
+  SECTION("but no message is sent if the service has no cold start") {
+    Configure(std::nullopt);
+    CHECK(Instance.mayCall() == true);
+  }
+}
+
 TEST_CASE("An instance asks its home about suspect requests only",
           "[relay][budget]") {
   const RequestFingerprint Quarantined = {1, 1};
@@ -352,3 +420,84 @@
   CHECK(Link.budgetSharers().Count_ == 2);
   Context.stop();
 }
+
+TEST_CASE("An instance that the store rejects learns of an evacuation",
+          "[relay][regions]") {
+  AttachedInstance Instance;
+  const EvacuationState Evacuation = {{12, 0}, {{"dc"}}};
+
+  SECTION("from its home, and tells the next one") {
+    Instance.tellEvacuation(Evacuation);
+    CHECK(Instance.directory().evacuation() == Evacuation);
+    Instance.replyFromHome(8);
+    CHECK(Instance.heartbeats().back().Evacuation_ == Evacuation);
+  }
+  SECTION("from any heartbeat, if it is a home itself") {
+    Instance.probeWithEvacuation(Evacuation);
+    CHECK(Instance.directory().evacuation() == Evacuation);
+  }
+  SECTION("and that it has ended, but not from an older message") {
+    Instance.tellEvacuation(Evacuation);
+    Instance.tellEvacuation({{11, 0}, {}});
+    CHECK(Instance.directory().evacuation() == Evacuation);
+    Instance.tellEvacuation({{13, 0}, {}});
+    CHECK(Instance.directory().evacuation().DataCentres_.empty());
+  }
+}
+
+TEST_CASE("Instances exchange the load of servers through their home",
+          "[relay][load]") {
+  const std::vector<ServerLoadReport> Reports = {{{"s1"}, 3, 2, 20, 1}};
+  const std::vector<ServerLoadEstimate> Estimates = {
+      {{"s1"}, 30, 20, 25, 0, 10ms}};
+  HomeHeartbeat FromOther;
+  FromOther.Sequence_ = 1;
+  FromOther.IsAttached_ = true;
+  FromOther.ServerLoads_ = Reports;
+  AttachedInstance Instance;
+
+  SECTION("if they share it") {
+    int Received = 0;
+    std::vector<ServerLoadEstimate> Latest;
+    HomeLink::ServerLoadHandlers Handlers;
+    Handlers.TakeReports_ = [&Reports] { return std::vector(Reports); };
+    Handlers.OnEstimates_ = [&](std::span<const ServerLoadEstimate> Estimated) {
+      ++Received;
+      Latest.assign(Estimated.begin(), Estimated.end());
+    };
+    Instance.link().shareServerLoads(std::move(Handlers));
+    Instance.replyWithLoads(Estimates);
+    CHECK(Latest == Estimates);
+
+    SECTION("with each heartbeat to the home") {
+      Instance.awaitHeartbeats(2);
+      CHECK(Instance.heartbeats().back().ServerLoads_ == Reports);
+    }
+    SECTION("and again after the home has restarted") {
+      Instance.replyFromHome(8);
+      CHECK(Instance.heartbeats().back().IsAttached_);
+      CHECK(Instance.heartbeats().back().ServerLoads_ == Reports);
+      // The new process has no estimates yet.
+      Instance.replyFromHome(8);
+      CHECK(Latest.empty());
+    }
+    SECTION("and the next home states it to those that attach: guards against "
+            "two homes of which one knows nothing") {
+      BackendEntry Server;
+      Server.Id_ = {"s1"};
+      Instance.directory().put(Server);
+      const HomeReply Reply = Instance.replyTo(FromOther);
+      REQUIRE(Reply.ServerLoads_.size() == 1);
+      // Scaled from one attached instance to both.
+      CHECK(Reply.ServerLoads_.front().InFlight_ == 6);
+      CHECK(Reply.ServerLoads_.front().LastingMs_ == 20);
+    }
+  }
+  SECTION("and send none if they do not: guards against a change for "
+          "deployments without the setting") {
+    Instance.replyWithLoads(Estimates);
+    Instance.awaitHeartbeats(2);
+    CHECK(Instance.heartbeats().back().ServerLoads_.empty());
+    CHECK(Instance.replyTo(FromOther).ServerLoads_.empty());
+  }
+}
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -17,6 +17,7 @@
   "bounds": {"grace_s": 8, "quota_window_s": 5, "retry_budget_ratio": 0.3,
              "budget_slack": 56, "fail_closed": false},
   "provider": {"address": "10.200.1.7:8361", "form": "table"},
+  "zones": {"dc-a": "eu", "dc-b": "us", "dc-odd": 7},
   "unknown": [1, 2]
 })";
 
@@ -62,6 +63,27 @@
   CHECK(Settings.LimitBounds_.Window_ == 5s);
   CHECK(Settings.RetryBounds_.RetriesPerRequest_ == 0.3);
 
+  SECTION("the region of each data centre is known") {
+    const RegionRestriction Europe = {true, {{"eu"}}};
+    CHECK(Settings.Regions_.allows(Europe, {"dc-a"}));
+    CHECK_FALSE(Settings.Regions_.allows(Europe, {"dc-b"}));
+    CHECK_FALSE(Settings.Regions_.allows(Europe, {"dc-odd"}));
+  }
+  SECTION("load is shared only if the list of contracts has it") {
+    CHECK_FALSE(Settings.SharesServerLoad_);
+    const auto SharesLoad = [](std::string_view Contracts) {
+      std::string Text = "{\"contracts\": " + std::string(Contracts) + ",";
+      const auto Changed =
+          parseNodeSettings(Text.append(SettingsText.substr(1)));
+      REQUIRE(isOk(Changed));
+      return valueOf(Changed).SharesServerLoad_;
+    };
+    CHECK(SharesLoad(R"(["ranks", "pressure"])"));
+    CHECK_FALSE(SharesLoad(R"(["ranks"])"));
+    // Of a wrong type: ignored.
+    CHECK_FALSE(SharesLoad(R"("pressure")"));
+    CHECK_FALSE(SharesLoad(R"([1, null, ["pressure"]])"));
+  }
   SECTION("the error names the missing field") {
     const auto Missing = parseNodeSettings(R"({"node_name": "edge-1"})");
     REQUIRE_FALSE(isOk(Missing));
@@ -98,12 +120,80 @@
     CHECK(Acme->Limit_->RatePerSecond_ == 1000);
     CHECK(Acme->DefaultRequestTokens_ == 200);
   }
+  SECTION("regions of routes and organisations are decoded") {
+    const auto Restricted = Schema.parseConfiguration(R"({"version": 1,
+      "routes": [{"name": "r", "host": "a", "path_prefix": "/", "service": "s",
+                  "kind": "idempotent", "allowed_regions": ["eu", "us"]}],
+      "tenants": [{"name": "acme", "api_keys": ["k"],
+                   "allowed_regions": ["eu"]}]})");
+    REQUIRE(Restricted);
+    CHECK(Restricted->parts().Routes_.front().AllowedRegions_ ==
+          std::vector<RegionId>{{"eu"}, {"us"}});
+    CHECK(Restricted->parts().Organisations_.front().AllowedRegions_ ==
+          std::vector<RegionId>{{"eu"}});
+  }
+  SECTION("regions that cannot be read reject the configuration, as requests "
+          "would be served anywhere otherwise") {
+    for (const char *Regions : {R"("eu")", "[1]", "{}", R"(["eu", null])"}) {
+      const std::string Text =
+          R"({"version": 1, "routes": [{"name": "r", "host": "a",
+          "path_prefix": "/", "service": "s", "kind": "idempotent",
+          "allowed_regions": )" +
+          std::string(Regions) + "}]}";
+      CHECK_FALSE(Schema.parseConfiguration(Text));
+    }
+  }
+  SECTION("rows beside the configuration evacuate a data centre") {
+    StoreRow Row;
+    Row.Key_ = "evacuate/lhr-a";
+    Row.Value_ = "{}";
+    CHECK(Schema.parseEvacuation(Row) == DataCentreId{"lhr-a"});
+    for (const char *Key :
+         {"evacuate/", "evacuate", "config", "x/evacuate/a"}) {
+      Row.Key_ = Key;
+      CHECK_FALSE(Schema.parseEvacuation(Row));
+    }
+  }
+  SECTION("a rank out of range is read as the most urgent") {
+    // Failure: a mistyped priority makes the configuration malformed.
+    for (const char *Bad : {"4294967296", "-1", "1.5", "\"high\""}) {
+      std::string Text(ConfigurationText);
+      Text.replace(Text.find("\"priority\": 1") + 12, 1, Bad);
+      const auto Read = Schema.parseConfiguration(Text);
+      REQUIRE(Read);
+      INFO(Bad);
+      CHECK(Read->findRoute("a.example", "/x/1")->Priority_ == 0);
+    }
+  }
   SECTION("text that is not a configuration is rejected") {
     CHECK_FALSE(Schema.parseConfiguration("{}"));
     CHECK_FALSE(Schema.parseConfiguration("no json"));
   }
 }
 
+TEST_CASE("A cold start is limited if both of its fields are usable",
+          "[platform][cold]") {
+  const PlatformStoreSchema Schema;
+  const auto ColdStartOf = [&](const std::string &Fields) {
+    const auto Parsed = Schema.parseConfiguration(
+        R"({"version": 1, "services": [{"name": "s1")" + Fields + "}]}");
+    REQUIRE(Parsed);
+    return Parsed->findService({"s1"})->ColdStart_;
+  };
+  CHECK(ColdStartOf(R"(, "cold_start_s": 8, "cold_per_s": 2.5)") ==
+        ColdStart{8s, 2.5});
+  CHECK(ColdStartOf(R"(, "cold_start_s": 1e12, "cold_per_s": 3)") ==
+        ColdStart{10min, 3});
+  for (const char *Fields :
+       {"", R"(, "cold_start_s": 8)", R"(, "cold_per_s": 3)",
+        R"(, "cold_start_s": 8, "cold_per_s": 0)",
+        R"(, "cold_start_s": 8, "cold_per_s": -3)",
+        R"(, "cold_start_s": -8, "cold_per_s": 3)",
+        R"(, "cold_start_s": "8", "cold_per_s": 3)",
+        R"(, "cold_start_s": 8, "cold_per_s": null)"})
+    CHECK_FALSE(ColdStartOf(Fields));
+}
+
 TEST_CASE("Backend server rows are decoded", "[platform]") {
   const PlatformStoreSchema Schema;
   const std::string Good =
@@ -116,6 +206,22 @@
   CHECK(Entry->StartTimeMs_ == 1700000000000);
   CHECK_FALSE(Entry->IsLeaving_);
 
+  SECTION("the time that a server stays cold is bounded, and bad values mean "
+          "none") {
+    CHECK(Entry->ColdRemaining_ == 0s);
+    const auto RemainingOf = [&](const std::string &Value) {
+      const std::string Start = Good.substr(0, Good.size() - 1);
+      return Schema
+          .parseServer(makeRow(Start + ",\"cold_remaining_ms\":" + Value + "}"))
+          ->ColdRemaining_;
+    };
+    CHECK(RemainingOf("1500") == 1500ms);
+    CHECK(RemainingOf("0.5") == 500us);
+    for (const char *Value : {"600001", "1e300", "18446744073709551615"})
+      CHECK(RemainingOf(Value) == 10min);
+    for (const char *Value : {"-1", "-1e300", "\"9\"", "null", "[9]"})
+      CHECK(RemainingOf(Value) == 0s);
+  }
   SECTION("rows with malformed values or unknown states register no server") {
     CHECK_FALSE(Schema.parseServer(makeRow("\xff\x01")));
     CHECK_FALSE(Schema.parseServer(makeRow(R"({"service":"s1"})")));
@@ -165,6 +271,21 @@
     CHECK(Head["Last-Event-Id"] == "12");
     CHECK(Head["Request-Id"] == "r1");
   }
+  SECTION("the caller cannot choose the priority at the server") {
+    Head.set("Request-Priority", "0");
+    ServerRequestInfo RequestInfo;
+    RequestInfo.Server_ = {"i-1"};
+    Protocol.writeServerRequest(Head, RequestInfo);
+    CHECK(Head.count("Request-Priority") == 0);
+    RequestInfo.Priority_ = 3;
+    Protocol.writeServerRequest(Head, RequestInfo);
+    CHECK(Head["Request-Priority"] == "3");
+    SECTION("and a rank beyond the field's range is bounded") {
+      RequestInfo.Priority_ = 4'294'967'295;
+      Protocol.writeServerRequest(Head, RequestInfo);
+      CHECK(Head["Request-Priority"] == "9");
+    }
+  }
   SECTION("fields that are not numbers are malformed") {
     Head.set("Deadline-Ms", "soon");
     CHECK_FALSE(Protocol.parseCallerRequest(Head).IsWellFormed_);
