Bound what a home sends of the load of servers

Cause: each reply to a heartbeat lists all servers with load, so the home's traffic grows with servers times instances.

Change: a home states nothing beyond 2,000 estimates an interval for all attached instances; they choose by their own attempts then, as without the setting. ServerLoadBoardTest shows the bound.

--- a/include/gooseberrybeam/relay/ServerLoadBoard.h
+++ b/include/gooseberrybeam/relay/ServerLoadBoard.h
@@ -43,7 +43,8 @@
   /// \param All the number of instances.
   /// \param Now the current time.
   /// \returns the estimates for all instances, scaled from the attached ones.
-  /// Empty if those are too few to conclude from.
+  /// Empty if those are too few to conclude from, or so many that the replies
+  /// would take much of the link of the home.
   std::vector<ServerLoadEstimate>
   estimates(std::size_t Attached, std::size_t All, TimePoint Now) const;
 
--- a/src/relay/ServerLoadBoard.cpp
+++ b/src/relay/ServerLoadBoard.cpp
@@ -24,6 +24,10 @@
 /// If a smaller part of the instances is attached, as at a home that has just
 /// taken over or is cut off, its reports do not represent the whole.
 constexpr std::size_t MinAttachedDivisor = 4;
+/// Estimates that a home sends in one heartbeat interval, to all instances
+/// together. At 45 bytes and 6.7 intervals a second, 2,000 take 5 Mbit/s. With
+/// more servers or instances, each instance chooses by its own attempts.
+constexpr std::size_t MaxStatedEstimates = 2000;
 
 } // namespace
 
@@ -90,7 +94,8 @@
 ServerLoadBoard::estimates(std::size_t Attached, std::size_t All,
                            TimePoint Now) const {
   std::vector<ServerLoadEstimate> Estimates;
-  if (Attached == 0 || Attached * MinAttachedDivisor < All)
+  if (Attached == 0 || Attached * MinAttachedDivisor < All ||
+      Attached * Servers_.size() > MaxStatedEstimates)
     return Estimates;
   const double Scale =
       std::max(1.0, static_cast<double>(All) / static_cast<double>(Attached));
--- a/tests/ServerLoadBoardTest.cpp
+++ b/tests/ServerLoadBoardTest.cpp
@@ -75,6 +75,11 @@
       CHECK(Home.Loads_.estimates(0, 0, Home.Now_).empty());
     }
   }
+  SECTION("but states none if replies would fill its link: guards against "
+          "traffic that grows with servers times instances") {
+    CHECK(Home.Loads_.estimates(2000, 2000, Home.Now_).size() == 1);
+    CHECK(Home.Loads_.estimates(2001, 2001, Home.Now_).empty());
+  }
   SECTION("without servers that are gone, also if they return") {
     Home.Loads_.retainIf([](const ServerId &) { return false; });
     CHECK(Home.Loads_.estimates(2, 2, Home.Now_).empty());
