--- a/review/6/run.py
+++ b/review/6/run.py
@@ -1,9 +1,9 @@
-"""Two relays, a store that comes back from a copy, a server that leaves.
+"""Two relays, a store that comes back from a copy, an engine that leaves.
 
-Server a-0 starts again under its id, later leaves and says so in all its
+Decode engine d-0 starts again under its id, later leaves and says so in all its
 answers. Then the store comes back from a copy that is older than that start.
-Counts requests that reach a-0 too late from a relay that had passed on such an
-answer.
+Counts requests that reach d-0 too late from a relay that had passed on such an
+answer, and notes how their streams ended.
 """
 
 import asyncio
@@ -24,15 +24,20 @@
 RELAYS = 2
 DRAIN_S = 2.0  # drain_ms of the bounds
 HEARTBEAT_S = 1.2
-COPY_AT_S = 3.0  # all times from the start of the traffic
-RESTART_AT_S = 4.0
-LEAVE_AT_S = 6.5
-ENTRY_GONE_AT_S = 7.0  # less than a heartbeat later
+FIRST_BEAT_S = 0.8  # all times from the start of the traffic
+COPY_AT_S = 2.1
+RESTART_AT_S = 2.3
+LEAVE_AT_S = 6.0
+ENTRY_GONE_AT_S = 7.1  # less than a heartbeat later
 DRILL_AT_S = 9.0
-DRILL_FOR_S = 2.0  # the copy is 8 s old when the store is back
-LAPSE_S = 3 * HEARTBEAT_S
-END_AT_S = 16.0
-RATE_PER_S = 30.0  # of each relay's callers
+DRILL_FOR_S = 2.0  # the copy is 8.9 s old when the store is back
+EXIT_AT_S = 12.0  # drain_ms after its entry was removed, and 2.9 s longer
+END_AT_S = 13.0
+RATE_PER_S = 6.5  # of each relay's callers; the sheet has 13 generations a second
+EVENTS = 35
+EVENT_S = 0.08
+PREFILL_S = 0.09
+DOWN_S = 0.3
 
 
 def now():
@@ -146,78 +151,116 @@
             await asyncio.sleep(0.01)
 
     def transact(self, call):
+        is_met, present = True, []
         for each in call["expected_revision"]:
-            value, version = self.rows.get((each["table"], each["key"]), (None, 0))
-            if each["ver"] != (0 if value is None else version):
-                return 412, '{"rows":[]}'
+            name = each["table"], each["key"]
+            value, version = self.rows.get(name, (None, 0))
+            is_met &= each["ver"] == (0 if value is None else version)
+            if value is not None:
+                present.append((name, (value, version)))
+        if not is_met:
+            return 412, self.page(present)
+        self.version += 1
         for each in call["puts"]:
-            self.put(each["table"], each["key"], base64.b64decode(each["value"]).decode())
+            text = base64.b64decode(each["value"]).decode()
+            self.rows[each["table"], each["key"]] = (text, self.version)
         for each in call["remove"]:
-            self.remove(each["table"], each["key"])
-        return 200, json.dumps({"ver": self.version, "now_ms": 0})
+            self.rows[each["table"], each["key"]] = (None, self.version)
+        return 200, json.dumps({"ver": self.version, "now_ms": int(now() * 1000)})
 
 
 class Server:
-    """A sound server of the plain service."""
+    """A sound engine."""
 
-    def __init__(self, store, name):
-        self.store, self.name = store, name
+    def __init__(self, store, name, stage):
+        self.store, self.name, self.stage = store, name, stage
+        self.port = free_ports(1)
         self.born = int(time.time() * 1000)
         self.is_leaving = False
-        self.is_registered = True
+        self.has_left = False  # the store
         self.arrivals = []
         self.open = set()
 
-    async def start(self, port=0):
-        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", port)
-        self.port = self.listener.sockets[0].getsockname()[1]
+    async def start(self):
+        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
 
-    def register(self):
-        if not self.is_registered:
+    def stop(self):
+        self.listener.close()
+        for writer in list(self.open):
+            writer.transport.abort()
+
+    def write_entry(self):
+        """Writes what it wrote last, also after the store was restored."""
+        if self.has_left:
+            if self.store.rows.get(("servers", self.name), (None, 0))[0] is not None:
+                self.store.remove("servers", self.name)
             return
         self.store.put("servers", self.name, json.dumps({
-            "service": "app", "address": f"127.0.0.1:{self.port}", "zone": "z1", "version": "1",
-            "slots": 6, "state": "ready", "cold_remaining_ms": 0, "seq": int(now() * 1000),
-            "born": self.born}))
+            "service": "llm", "address": f"127.0.0.1:{self.port}", "zone": "z1", "version": "1",
+            "slots": 16, "state": "ready", "cold_remaining_ms": 0, "seq": int(now() * 1000),
+            "stage": self.stage, "born": self.born}))
 
-    async def beat(self):
+    async def beat(self, first_at):
+        await asyncio.sleep(first_at - now())
         while True:
-            await asyncio.sleep(HEARTBEAT_S)
             if not self.store.is_away:
-                self.register()
+                self.write_entry()
+            first_at += HEARTBEAT_S
+            await asyncio.sleep(max(0, first_at - now()))
 
     async def restart(self):
-        self.listener.close()
-        for writer in list(self.open):
-            writer.close()
-        await asyncio.sleep(0.3)
+        self.stop()
+        await asyncio.sleep(DOWN_S)
         self.born = int(time.time() * 1000)
-        await self.start(self.port)
-        self.register()
+        await self.start()
+        self.write_entry()
 
     async def serve(self, reader, writer):
         self.open.add(writer)
         try:
             while True:
-                _, fields = await read_head(reader)
+                first, fields = await read_head(reader)
                 await read_body(reader, fields)
-                request = fields.get("request-id", "")
-                out = {"Request-Id": request, "Instance-Id": self.name}
-                if self.is_leaving:
-                    out["Server-Leaving"] = "1"
-                if fields.get("expect-instance") != self.name:
-                    write_message(writer, "HTTP/1.1 421 X", dict(out, **{"Not-Executed": "1"}))
+                if first.startswith("DELETE "):
+                    write_message(writer, "HTTP/1.1 200 X", {})
                     continue
-                self.arrivals.append((now(), request))
-                await asyncio.sleep(0.015)
-                out["Response-Signature"] = self.name
-                write_message(writer, "HTTP/1.1 200 X", out, b"answer to " + request.encode())
+                await self.run(fields, writer)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         self.open.discard(writer)
         writer.close()
 
+    async def run(self, fields, writer):
+        request = fields.get("request-id", "")
+        out = {"Request-Id": request, "Instance-Id": self.name}
+        if self.is_leaving:
+            out["Server-Leaving"] = "1"
+        is_prefill = fields.get("stage") == "prefill"
+        is_mine = fields.get("expect-instance") == self.name
+        if not is_mine or is_prefill != (self.stage == "prefill"):
+            write_message(writer, "HTTP/1.1 421 X", dict(out, **{"Not-Executed": "1"}))
+            return
+        self.arrivals.append((now(), request))
+        if is_prefill:
+            await asyncio.sleep(PREFILL_S)
+            handle = json.dumps({"kv_handle": "%012x" % random.getrandbits(48), "tokens": 5000,
+                                 "version": 1})
+            write_message(writer, "HTTP/1.1 200 X", dict(out, **{"Content-Type": "application/json"}),
+                          handle.encode())
+            return
+        out.update({"Response-Signature": self.name, "Content-Type": "text/event-stream",
+                    "Transfer-Encoding": "chunked", "Weight-Versions": "1"})
+        for number in range(1, EVENTS + 1):
+            await asyncio.sleep(EVENT_S)
+            if number == 1:
+                text = "".join(f"{k}: {v}\r\n" for k, v in out.items())
+                writer.write(("HTTP/1.1 200 X\r\n" + text + "\r\n").encode())
+            event = f"id: {number}\ndata: {request}\n\n".encode()
+            writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
 
 def free_ports(count):
     for _ in range(200):
@@ -273,7 +316,7 @@
             [os.path.join(ROOT, "target", "gooseberry-relay")], cwd=ROOT,
             env={"PATH": os.environ.get("PATH", ""), "GOOSEBERRYBEAM_SETTINGS": path},
             stdout=self.log, stderr=subprocess.STDOUT)
-        self.passed_on_at = None  # a leaving answer of a-0, at the caller
+        self.passed_on_at = None  # a leaving answer of d-0, at the caller
 
     async def wait_ready(self):
         for _ in range(200):
@@ -296,31 +339,50 @@
         self.log.close()
 
 
-async def send(relay, sent, statuses):
+async def read_chunks(reader):
+    while True:
+        line = await reader.readline()
+        if not line:
+            raise asyncio.IncompleteReadError(b"", None)
+        size = int(line, 16)
+        await reader.readexactly(size + 2)
+        if size == 0:
+            return
+
+
+async def send(relay, sent, ends):
     request = "%016x" % random.getrandbits(64)
     try:
         reader, writer = await asyncio.open_connection("127.0.0.1", relay.first)
-        sent[request] = (now(), relay)
-        write_message(writer, "POST /book/1 HTTP/1.1",
-                      {"Host": "h.example", "Request-Id": request, "Deadline-Ms": 1000,
-                       "Authorization": "Token key-one"}, b"b" * 600)
-        first, fields = await asyncio.wait_for(read_head(reader), 3)
-        await asyncio.wait_for(read_body(reader, fields), 3)
-        writer.close()
-    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-        statuses["none"] = statuses.get("none", 0) + 1
+    except OSError:
         return
-    status = first.split(" ")[1]
-    statuses[status] = statuses.get(status, 0) + 1
-    is_told = fields.get("server-leaving") == "1" and fields.get("instance-id") == "a-0"
-    if is_told and relay.passed_on_at is None:
-        relay.passed_on_at = now()
+    sent[request] = (now(), relay)
+    write_message(writer, "POST /summary/1 HTTP/1.1",
+                  {"Host": "h.example", "Request-Id": request, "Deadline-Ms": 14000, "Model": "m",
+                   "Token-Count": "5000,70", "Prompt-Prefix": f"aa:200,{request}:4800",
+                   "Authorization": "Token key-one"}, b"b" * 5000)
+    end = "no answer"
+    try:
+        first, fields = await asyncio.wait_for(read_head(reader), 14)
+        is_told = fields.get("server-leaving") == "1" and fields.get("instance-id") == "d-0"
+        if is_told and relay.passed_on_at is None:
+            relay.passed_on_at = now()
+        end = "cut in the stream"
+        if fields.get("transfer-encoding") == "chunked":
+            await asyncio.wait_for(read_chunks(reader), 14)
+        else:
+            await asyncio.wait_for(read_body(reader, fields), 14)
+        end = first.split(" ")[1] + " whole"
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+        pass
+    writer.close()
+    ends[request] = end
 
 
-async def press(relay, sent, statuses, end):
+async def press(relay, sent, ends, end):
     tasks = set()
     while now() < end:
-        task = asyncio.create_task(send(relay, sent, statuses))
+        task = asyncio.create_task(send(relay, sent, ends))
         tasks.add(task)
         task.add_done_callback(tasks.discard)
         await asyncio.sleep(random.expovariate(RATE_PER_S))
@@ -330,11 +392,13 @@
 def put_configuration(store):
     store.put("op", "config", json.dumps({
         "version": 7,
-        "routes": [{"name": "book", "host": "h.example", "path_prefix": "/book/",
-                    "kind": "non_idempotent", "service": "app", "timeout_ms": 1000,
-                    "target_latency_ms": 100, "max_attempts": 1, "priority": 2}],
-        "services": [{"name": "app", "slots": 6, "health_path": "/healthz",
-                      "max_connections": 110}],
+        "routes": [{"name": "summary", "host": "h.example", "path_prefix": "/summary/",
+                    "kind": "streaming", "service": "llm", "timeout_ms": 14000,
+                    "target_latency_ms": 900, "gap_target_ms": 300, "max_attempts": 1,
+                    "priority": 1, "public": False, "sticky": True, "resumable": False}],
+        "services": [{"name": "llm", "slots": 16, "health_path": "/healthz",
+                      "max_connections": 180,
+                      "engine": {"slots": 16, "kv_tokens": 91723, "stride": 2, "kv_hold_s": 0.5}}],
         "tenants": [{"name": "one", "api_keys": ["key-one"]}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}))
@@ -343,13 +407,13 @@
 async def play(folder, record):
     store = Store()
     put_configuration(store)
-    servers = [Server(store, f"a-{i}") for i in range(3)]
+    names = [("d-%d" % i, "decode") for i in range(4)] + [("p-%d" % i, "prefill") for i in range(3)]
+    servers = [Server(store, name, stage) for name, stage in names]
     for each in servers:
         await each.start()
-        each.register()
-        asyncio.create_task(each.beat())
-    listener = await asyncio.start_server(store.serve, "127.0.0.1", 0)
-    store_port = listener.sockets[0].getsockname()[1]
+        each.write_entry()
+    store_port = free_ports(1)
+    listener = await asyncio.start_server(store.serve, "127.0.0.1", store_port)
     relays = []
     try:
         for i in range(RELAYS):
@@ -359,8 +423,10 @@
                 return 2
         await asyncio.sleep(1)
         start = now()
-        sent, statuses = {}, {}
-        traffic = [asyncio.create_task(press(r, sent, statuses, start + END_AT_S)) for r in relays]
+        for each in servers:
+            asyncio.create_task(each.beat(start + FIRST_BEAT_S))
+        sent, ends = {}, {}
+        traffic = [asyncio.create_task(press(r, sent, ends, start + END_AT_S)) for r in relays]
 
         async def until(at):
             await asyncio.sleep(max(0, start + at - now()))
@@ -374,41 +440,40 @@
         # Some servers never report `draining`: their entry is removed.
         leaver.is_leaving = True
         await until(ENTRY_GONE_AT_S)
-        leaver.is_registered = False
-        store.remove("servers", leaver.name)
+        leaver.has_left = True
+        leaver.write_entry()
         await until(DRILL_AT_S)
         if TROUBLE:
             store.go_away()
             await asyncio.sleep(DRILL_FOR_S)
             store.come_back(copy)
-            back = now()
-            # The operator and the servers write again what they wrote; the one
-            # that leaves has no entry, so what the copy has of it lapses.
+            # The servers write again what they wrote at their next heartbeat.
             put_configuration(store)
-            for each in servers:
-                each.register()
-            await asyncio.sleep(LAPSE_S)
-            store.remove("servers", leaver.name)
-            record.write(f"store back at {back - start:.2f} s, entry lapsed at {now() - start:.2f} s\n")
+            record.write(f"store back at {now() - start:.2f} s\n")
+        await until(EXIT_AT_S)
+        leaver.stop()
+        record.write(f"d-0 ended at {now() - start:.2f} s\n")
         await asyncio.gather(*traffic)
         late = []
         for at, request in leaver.arrivals:
             sent_at, relay = sent[request]
             told = relay.passed_on_at
             if told is not None and sent_at > told + DRAIN_S:
-                late.append((sent_at - start, at - start, relay.name, sent_at - told))
-        record.write(f"sent {len(sent)}, answered {statuses}\n")
+                late.append((sent_at - start, at - start, relay.name, sent_at - told, ends[request]))
+        kinds = sorted(set(ends.values()))
+        record.write(f"sent {len(sent)}: "
+                     + ", ".join(f"{k}: {list(ends.values()).count(k)}" for k in kinds) + "\n")
         for each in servers:
             record.write(f"{each.name}: {len(each.arrivals)} requests run\n")
         for each in relays:
             told = each.passed_on_at
             record.write(f"{each.name}: passed on an answer with Server-Leaving first at "
                          f"{'never' if told is None else format(told - start, '.2f')} s\n")
-        for sent_at, at, relay, after in late:
+        for sent_at, at, relay, after, end in late:
             record.write(f"late: sent to {relay} at {sent_at:.3f} s, {after:.3f} s after that, "
-                         f"reached a-0 at {at:.3f} s\n")
-        record.write(f"{len(late)} requests reached a-0 more than {DRAIN_S} s after that\n")
-        if any(each.passed_on_at is None for each in relays):
+                         f"reached d-0 at {at:.3f} s, end: {end}\n")
+        record.write(f"{len(late)} requests reached d-0 more than {DRAIN_S} s after that\n")
+        if all(each.passed_on_at is None for each in relays):
             return 2
         return 1 if late else 0
     finally:
@@ -426,6 +491,9 @@
             loop = asyncio.new_event_loop()
             code = loop.run_until_complete(asyncio.wait_for(play(folder, record), 100))
             record.write(f"exit {code}\n")
+    except Exception as error:  # the case couldn't run
+        code = 2
+        print("not run:", repr(error), file=sys.stderr)
     finally:
         if not os.environ.get("KEEP"):
             shutil.rmtree(folder, ignore_errors=True)
