Log which software versions write a stream and which stream a caller continues

The directory keeps the version of an entry (logged with each change of a server), the protocol reads Resumes and Last-Event-Id, and the line at the end of a generation names the resumed request and the versions that wrote it. No decision uses them yet.

--- a/include/gooseberrybeam/base/Ids.h
+++ b/include/gooseberrybeam/base/Ids.h
@@ -44,6 +44,8 @@
 using RegionId = NamedId<struct RegionTag>;
 /// A request, unique across instances.
 using RequestId = NamedId<struct RequestTag>;
+/// A version of the software of backend servers. Versions have no order.
+using SoftwareVersionId = NamedId<struct SoftwareVersionTag>;
 /// A segment of a prompt that other prompts may contain too.
 using PromptSegmentId = NamedId<struct PromptSegmentTag>;
 
--- a/include/gooseberrybeam/relay/BackendEntry.h
+++ b/include/gooseberrybeam/relay/BackendEntry.h
@@ -23,6 +23,8 @@
   std::optional<EngineRole> Role_; ///< Set for engines only.
   /// Unix time of the process start in ms; a change means that it restarted.
   std::int64_t StartTimeMs_ = 0;
+  /// Empty if its registration states none that can be read.
+  SoftwareVersionId SoftwareVersion_ = {};
   /// How much longer it stays cold, as of when the registration was written.
   /// `ColdServers` keeps it; entries of `BackendDirectory` have zero.
   Duration ColdRemaining_{0};
--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -92,6 +92,7 @@
   void releaseHandleAsync(const BackendId &Address, const std::string &Handle);
   Task<void> relayDenial(const PlacementDenial &Denial);
   std::string msSinceArrival(TimePoint At) const;
+  void recordAuthor(const ChosenServer &Engine);
   Task<void> finish(StepOutcome Outcome);
 
   RelayContext &Context_;
@@ -118,6 +119,8 @@
   TimePoint LastEventAt_;
   std::uint32_t EngineEvents_ = 0; ///< Events from the current decode engine.
   TimePoint EngineFirstEventAt_;   ///< Time of its first event.
+  /// The software of the engines that have sent events, for the log.
+  std::string Authors_;
   bool HasArrived_ = false;        ///< Sent for decoding, or a prefill failed.
   bool MayHaveRun_ = false;        ///< An engine may have run the request.
   bool IsComplete_ = false;        ///< The stream reached its regular end.
--- a/include/gooseberrybeam/relayd/RelayProtocol.h
+++ b/include/gooseberrybeam/relayd/RelayProtocol.h
@@ -28,6 +28,11 @@
   /// The segments of the prompt that other prompts may contain too, in order.
   /// The last segment of a prompt is its own and not listed.
   std::vector<PromptSegmentId> SharedSegments_;
+  /// The request continues a stream that the caller has in part.
+  bool ContinuesStream_ = false;
+  /// Of those that continue a stream: the request that brought its first event.
+  /// Empty if the caller does not name it.
+  RequestId ResumedRequest_;
   bool IsWellFormed_ = true; ///< False if a field is malformed.
 };
 
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -290,6 +290,13 @@
   co_return StepOutcome::Failed;
 }
 
+void GenerationCall::recordAuthor(const ChosenServer &Engine) {
+  const BackendEntry *Entry = Context_.Directory_.find(Engine.Id_);
+  if (!Authors_.empty())
+    Authors_ += ',';
+  Authors_ += Entry ? Entry->SoftwareVersion_.Value_ : "";
+}
+
 Task<GenerationCall::StepOutcome>
 GenerationCall::relayEvents(const ChosenServer &Engine, ServerResponse Response,
                             FailoverSearch *Search) {
@@ -326,6 +333,8 @@
                                     {CallFailure::Malformed, true});
     // Tells the home that the engine is producing events. The rate follows in
     // later reports, since it takes at least two events.
+    if (PreviousEvents == 0 && EngineEvents_ != 0)
+      recordAuthor(Engine);
     if (PreviousEvents == 0 && EngineEvents_ != 0)
       report(GenerationStep::Progressed, Engine);
     else if (EngineEvents_ != PreviousEvents)
@@ -469,6 +478,8 @@
        {"placements", std::to_string(Placements_)},
        {"engines", std::to_string(StartedDecodes_)},
        {"events", std::to_string(EventsSent_)},
+       {"resumes", Request_.CallerInfo_.ResumedRequest_.Value_},
+       {"software", Authors_},
        {"placed_ms", msSinceArrival(PlacedAt_)},
        {"prefilled_ms", msSinceArrival(PrefilledAt_)},
        {"first_event_ms", msSinceArrival(FirstEventAt_)},
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -346,6 +346,7 @@
              {"state", !Entry              ? "gone"
                        : Entry->IsLeaving_ ? "leaving"
                                            : "ready"},
+             {"software", Entry ? Entry->SoftwareVersion_.Value_ : ""},
              {"version", asText(Row.Version_)}});
   }
   if (!std::exchange(HasServers_, true))
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -206,6 +206,17 @@
   CHECK(Entry->StartTimeMs_ == 1700000000000);
   CHECK_FALSE(Entry->IsLeaving_);
 
+  SECTION("the version of the software is a text") {
+    CHECK(Entry->SoftwareVersion_.isEmpty());
+    const auto VersionOf = [&](const std::string &Value) {
+      const std::string Start = Good.substr(0, Good.size() - 1);
+      return Schema.parseServer(makeRow(Start + ",\"version\":" + Value + "}"))
+          ->SoftwareVersion_.Value_;
+    };
+    CHECK(VersionOf("\"v1.2\"") == "v1.2");
+    for (const char *Value : {"1", "null", "[\"v1\"]", "\"\""})
+      CHECK(VersionOf(Value).empty());
+  }
   SECTION("the time that a server stays cold is bounded, and bad values mean "
           "none") {
     CHECK(Entry->ColdRemaining_ == 0s);
@@ -254,6 +265,16 @@
   CHECK(Info.SharedSegments_ ==
         std::vector<PromptSegmentId>{{"5c1e07a2"}, {"91bd3f06"}});
 
+  SECTION("a caller that continues a stream says where and of which request") {
+    CHECK_FALSE(Info.ContinuesStream_);
+    CHECK(Info.ResumedRequest_.isEmpty());
+    Head.set("Last-Event-Id", "12");
+    CHECK(Protocol.parseCallerRequest(Head).ContinuesStream_);
+    Head.set("Resumes", "r0");
+    CHECK(Protocol.parseCallerRequest(Head).ResumedRequest_.Value_ == "r0");
+    Head.erase("Last-Event-Id");
+    CHECK(Protocol.parseCallerRequest(Head).ContinuesStream_);
+  }
   SECTION("the server receives the fields of the relay and no credentials") {
     ServerRequestInfo RequestInfo;
     RequestInfo.Server_ = {"i-1"};
