--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -121,9 +121,9 @@
   TimePoint EngineFirstEventAt_;   ///< Time of its first event.
   /// The software of the engines that have sent events, for the log.
   std::string Authors_;
-  bool HasArrived_ = false;        ///< Sent for decoding, or a prefill failed.
-  bool MayHaveRun_ = false;        ///< An engine may have run the request.
-  bool IsComplete_ = false;        ///< The stream reached its regular end.
+  bool HasArrived_ = false; ///< Sent for decoding, or a prefill failed.
+  bool MayHaveRun_ = false; ///< An engine may have run the request.
+  bool IsComplete_ = false; ///< The stream reached its regular end.
 };
 
 } // namespace gooseberry
--- a/tests/support/RelayUnderTest.h
+++ b/tests/support/RelayUnderTest.h
@@ -19,6 +19,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace gooseberry {
@@ -35,6 +36,7 @@
 struct CallerContent {
   std::string Method_ = "POST";
   std::string Body_;
+  std::vector<std::pair<std::string, std::string>> Fields_ = {};
 };
 
 /// An instance that is its own home. Its routes are `/check/` (idempotent, two
@@ -73,10 +75,12 @@
   /// \param Id its id.
   /// \param Role its role; none for a server of the plain service.
   /// \param Answers its answers.
+  /// \param Version the version of its software.
   /// \returns the server.
   ScriptedBackend &addServer(std::string_view Id,
                              std::optional<EngineRole> Role,
-                             ScriptedBackend::Script Answers) {
+                             ScriptedBackend::Script Answers,
+                             std::string_view Version = "v1") {
     Servers_.push_back(
         std::make_unique<ScriptedBackend>(Context_, std::move(Answers)));
     BackendEntry Entry;
@@ -86,6 +90,7 @@
     Entry.Role_ = Role;
     Entry.Slots_ = 4;
     Entry.StartTimeMs_ = 1;
+    Entry.SoftwareVersion_ = {std::string(Version)};
     Directory_.put(Entry);
     return *Servers_.back();
   }
@@ -253,6 +258,8 @@
     Request.set("Request-Id", Id);
     Request.set("Deadline-Ms", "3000");
     Request.set("Token-Count", "100,20");
+    for (const auto &[Name, Value] : Content.Fields_)
+      Request.set(Name, Value);
     Request.prepare_payload();
     co_await http::async_write(Stream, Request, AsTuple);
     beast::flat_buffer Buffer;
