Save what began each stream, so that it outlives the loss of all instances

Change: the home of the instances, which is told the origin of each stream with its first events, saves new origins every 250 ms in one row (StreamOriginKeeper). Rows are written in turn and overwritten after 20 s; a stream that lasts longer is saved again. A home that does not know a stream reads the table, at most four times a second, before it refuses the caller. What the last interval did not save, and what the store cannot tell, is refused as not run.

StreamOriginKeeperTest: a new process goes on with what was saved, refuses the rest, also while the store is away; 1 to 5,900 streams a second, killed at any moment: more than half are known and none wrongly.

--- a/include/gooseberrybeam/relayd/RelayDaemon.h
+++ b/include/gooseberrybeam/relayd/RelayDaemon.h
@@ -12,6 +12,7 @@
 #include "gooseberrybeam/relayd/RelaySettings.h"
 #include "gooseberrybeam/relayd/ServerLoadSharing.h"
 #include "gooseberrybeam/relayd/StoreSchema.h"
+#include "gooseberrybeam/relayd/StreamOriginKeeper.h"
 #include "gooseberrybeam/relayd/TableFeeds.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -102,6 +103,7 @@
   RelayHandler Handler_;
   CallerServer Callers_;
   std::unique_ptr<RowStore> Store_;
+  StreamOriginKeeper StreamOrigins_;
   std::vector<std::unique_ptr<Port>> Ports_;
   /// Versions of rows of unresponsive instances that are being removed.
   std::map<InstanceId, StoreVersion> RowsBeingRemoved_;
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -118,9 +118,10 @@
       Callers_(Context_, Handler_,
                makeCallerLimits(RelayCallerLimits(), Relay_.Pool_.bodies()),
                Settings_.Name_.Value_ + "-"),
-      Store_(Adapter_.MakeStore_(Context_)), Incarnation_(makeIncarnation(0)),
-      StartedAt_(readBootClock()), HomeSince_(StartedAt_),
-      StopSignals_(Context_, SIGTERM, SIGINT),
+      Store_(Adapter_.MakeStore_(Context_)),
+      StreamOrigins_(Context_, *Store_, Home_, Settings_.Name_),
+      Incarnation_(makeIncarnation(0)), StartedAt_(readBootClock()),
+      HomeSince_(StartedAt_), StopSignals_(Context_, SIGTERM, SIGINT),
       HangupSignals_(Context_, SIGHUP) {
   Directory_.setRegions(Settings_.Regions_);
   Home_.setRefusesInTime(Settings_.RefusesInTime_);
@@ -208,6 +209,7 @@
             [this] { return ignoreHangups(HangupSignals_); });
   spawnLoop(Context_, "ticks", [this] { return runTicks(); });
   Home_.start();
+  StreamOrigins_.start();
   Feeds_.start(*Store_);
   logLine(LogPart::Daemon, LogLevel::Info, "Instance starting.",
           {{"instance", Settings_.Name_.Value_},
