--- a/tests/support/RelayUnderTest.h
+++ b/tests/support/RelayUnderTest.h
@@ -53,11 +53,20 @@
   explicit RelayUnderTest(double RetrySlack = 100,
                           Duration RetryWindow = std::chrono::seconds(10),
                           std::size_t BodyBytes = PoolLimits().MaxHeldBytes_)
-      : PoolLimits_{.MaxHeldBytes_ = BodyBytes} {
-    Settings_.Name_ = Self;
+      : RelayUnderTest({"one"}, nullptr, RetrySlack, RetryWindow, BodyBytes) {}
+  /// \param Self the name of the instance.
+  /// \param Shared runs it and others; null to run alone.
+  RelayUnderTest(InstanceId Self, asio::io_context *Shared,
+                 double RetrySlack = 100,
+                 Duration RetryWindow = std::chrono::seconds(10),
+                 std::size_t BodyBytes = PoolLimits().MaxHeldBytes_)
+      : OwnContext_(Shared ? nullptr : std::make_unique<asio::io_context>()),
+        Context_(Shared ? *Shared : *OwnContext_),
+        Self_(std::move(Self)), PoolLimits_{.MaxHeldBytes_ = BodyBytes} {
+    Settings_.Name_ = Self_;
     Settings_.RetryBounds_.Slack_ = RetrySlack;
     Settings_.RetryBounds_.Window_ = RetryWindow;
-    const std::vector<RelayMember> Members = {{{{Self, 1}, "", {}}, {}}};
+    const std::vector<RelayMember> Members = {{{{Self_, 1}, "", {}}, {}}};
     Home_.setMembers(Members);
     Relay_.Configuration_ = Schema_.parseConfiguration(ConfigurationText);
     Relay_.Startup_.open();
@@ -191,6 +200,10 @@
       Each->restart();
   }
 
+  /// \returns where callers connect to, `ip:port`.
+  std::string callerAddress() const {
+    return "127.0.0.1:" + std::to_string(Acceptor_.local_endpoint().port());
+  }
   /// \returns what all bodies hold together.
   const ByteBudget &bodies() const { return *Relay_.Pool_.bodies(); }
 
@@ -204,7 +217,6 @@
   BackendDirectory &directory() { return Directory_; }
 
 private:
-  inline static const InstanceId Self = {"one"};
   static constexpr std::string_view ConfigurationText = R"({
     "version": 1,
     "routes": [
@@ -281,14 +293,16 @@
     return Limits;
   }
 
-  asio::io_context Context_;
+  std::unique_ptr<asio::io_context> OwnContext_;
+  asio::io_context &Context_;
+  InstanceId Self_;
   PoolLimits PoolLimits_;
   RelaySettings Settings_;
   ThrowingProtocol Protocol_;
   platform::PlatformStoreSchema Schema_;
   BackendDirectory Directory_;
   FakeTables Tables_;
-  HomeLink Home_{Context_,          Self,    Directory_,
+  HomeLink Home_{Context_,          Self_,   Directory_,
                  RateLimitBounds(), Tables_, makeCallbacks()};
   RelayContext Relay_{Context_,
                       Settings_,
