Have other instances serve the callers of one that is cut off from all servers

Cause: each server was judged by itself, so a cut of the instance's own path looked like many servers that fail, one after the other. Class: a fault of the observer taken for faults of all that it observes.

Change: ServerContact decides, without I/O: when two servers are unreachable at a time and no new connection is made meanwhile, three are connected to, and if that fails with all, the instance is cut off until one can be connected to. Answers on old connections do not count, as these may live on while new ones are refused. A cut-off instance tells its home, whose replies then name some instances that reach servers, and passes each new request on to one of them over its port for callers (ProxyCall), which does all the rest: key, limits, placement, retries. What is passed on to an instance that is cut off too gets 421, not run, and goes to the next one. A request that may have run is repeated only where its route allows it. If all instances are cut off, or the home is of an earlier release, none is named, and requests are tried here as before.

Ruled out: readiness alone, as a data centre with less than half of its instances ready is used whole, and kept connections stay.

--- a/include/gooseberrybeam/base/Refusal.h
+++ b/include/gooseberrybeam/base/Refusal.h
@@ -40,11 +40,12 @@
   Internal,
   SoftwareGone,  ///< No engine of the software that began the stream is left.
   OriginUnknown, ///< Nobody knows what began the stream.
+  ServersUnreachable, ///< This instance is cut off from all backend servers.
 };
 
 /// Number of refusal reasons.
 inline constexpr int RefusalReasonCount =
-    static_cast<int>(RefusalReason::OriginUnknown) + 1;
+    static_cast<int>(RefusalReason::ServersUnreachable) + 1;
 
 /// Whether a refused request may have been run by a backend server.
 enum class Execution : std::uint8_t {
--- a/include/gooseberrybeam/http/ConnectionPool.h
+++ b/include/gooseberrybeam/http/ConnectionPool.h
@@ -7,6 +7,8 @@
 #include "gooseberrybeam/http/ByteBudget.h"
 #include "gooseberrybeam/http/ClientConnection.h"
 
+#include <functional>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -30,17 +32,25 @@
 /// Keeps connections for reuse. Used on one thread only.
 class ConnectionPool {
 public:
+  /// Makes a connection, as `ClientConnection::connect` does.
+  using Connector = std::function<Task<ClientConnection::Made>(
+      tcp::endpoint, Duration, CancelScope &)>;
+
   /// \param Limits bounds of the pool.
-  explicit ConnectionPool(PoolLimits Limits);
+  /// \param Connect makes connections.
+  explicit ConnectionPool(PoolLimits Limits,
+                          Connector Connect = &ClientConnection::connect);
 
   /// Takes an idle connection or makes one.
   /// \param Server `ip:port`.
   /// \param Scope aborts the attempt when cancelled.
   /// \param Use which connections may be taken.
+  /// \param Timeout bounds connecting; none for that of the limits.
   /// \returns a connection or a failure.
-  Task<ClientConnection::Made> acquire(const BackendId &Server,
-                                       CancelScope &Scope,
-                                       ConnectionUse Use = ConnectionUse::Any);
+  Task<ClientConnection::Made>
+  acquire(const BackendId &Server, CancelScope &Scope,
+          ConnectionUse Use = ConnectionUse::Any,
+          std::optional<Duration> Timeout = std::nullopt);
 
   /// Takes a connection back; it is closed unless it can be reused.
   /// \param Server whose connection it is.
@@ -65,6 +75,7 @@
   std::unique_ptr<ClientConnection> takeIdle(const BackendId &Server);
 
   PoolLimits Limits_;
+  Connector Connect_;
   std::shared_ptr<ByteBudget> Bodies_;
   std::unordered_map<BackendId, std::vector<Idle>> Idle_;
 };
--- a/include/gooseberrybeam/relay/HomeCoordinator.h
+++ b/include/gooseberrybeam/relay/HomeCoordinator.h
@@ -145,6 +145,9 @@
   /// \returns the decisions to send to the instances.
   std::vector<PlacementDecision> decide(TimePoint Now);
 
+  /// \param Instance an instance that reaches no backend server.
+  /// \returns some attached instances that do; others for each instance.
+  std::vector<InstanceId> proxiesFor(const InstanceId &Instance) const;
   /// \returns the attached instances.
   std::vector<InstanceId> attachedInstances() const;
   /// \returns the number of attached instances.
@@ -156,6 +159,7 @@
   /// The state of an attached instance.
   struct AttachedInstance {
     TimePoint LastHeardAt_;
+    bool IsCutOff_ = false;
     std::uint64_t Attachment_ = 0; ///< The last one with full usage.
     TimePoint UsageReportedAt_{Duration::zero()}; ///< When it was recorded.
   };
--- a/include/gooseberrybeam/relay/HomeMessages.h
+++ b/include/gooseberrybeam/relay/HomeMessages.h
@@ -72,6 +72,7 @@
   /// If attached: servers that have said in a response that they leave.
   std::vector<LeavingServer> LeavingServers_;
   EvacuationState Evacuation_; ///< As the sender knows it.
+  bool IsCutOff_ = false;      ///< The sender reaches no backend server.
   /// If attached and load is shared: the servers that the sender uses.
   std::vector<ServerLoadReport> ServerLoads_;
 
@@ -99,6 +100,8 @@
   /// Servers that have said in a response that they leave.
   std::vector<LeavingServer> LeavingServers_;
   EvacuationState Evacuation_; ///< As the sender knows it.
+  /// To an instance that reaches no backend server: some that do.
+  std::vector<InstanceId> Proxies_;
   /// If load is shared: the servers of plain services.
   std::vector<ServerLoadEstimate> ServerLoads_;
 
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -160,6 +160,12 @@
   /// \returns when its limit admits another request; in the past if now.
   TimePoint availableAt(const ServerId &Server) const;
 
+  /// Tells the home whether this instance reaches no backend server.
+  void setCutOff(bool IsCutOff) { IsCutOff_ = IsCutOff; }
+  /// \returns where callers connect to instances that reach backend servers,
+  /// `ip:port`; each call begins with another one. Empty while this instance is
+  /// not known to be cut off, and if the home is of an earlier release.
+  std::vector<BackendId> proxies();
   /// Sends rows of a shared table to all instances that are attached to this
   /// one.
   /// \param Update the rows.
@@ -312,6 +318,10 @@
   SharerStatus SharerStatus_;
   TimePoint LastDecisionAt_{Duration::zero()};
   CopyRequestSchedule ConfigurationRequests_;
+  /// Where callers connect to each registered instance.
+  std::unordered_map<InstanceId, BackendId> CallerAddresses_;
+  std::vector<InstanceId> Proxies_; ///< From the latest reply of the home.
+  bool IsCutOff_ = false;
   bool IsLeaving_ = false;
 };
 
--- a/include/gooseberrybeam/relayd/RelayContext.h
+++ b/include/gooseberrybeam/relayd/RelayContext.h
@@ -9,6 +9,7 @@
 #include "gooseberrybeam/relay/DrainSchedule.h"
 #include "gooseberrybeam/relay/RelayConfiguration.h"
 #include "gooseberrybeam/relay/RetryWindow.h"
+#include "gooseberrybeam/relay/ServerContact.h"
 #include "gooseberrybeam/relay/ServerPauses.h"
 #include "gooseberrybeam/relay/ServiceBalancer.h"
 #include "gooseberrybeam/relayd/HomeLink.h"
@@ -40,6 +41,7 @@
   /// Beside the directory, which says what holds for all instances: a pause
   /// binds this one only.
   ServerPauses Pauses_{Directory_};
+  ServerContact Contact_ = {};
   TimePoint StartedAt_ = readBootClock(); ///< Of the process.
   std::uint64_t InFlight_ = 0;
   /// Set once the instance shuts down.
--- a/include/gooseberrybeam/relayd/RelayDaemon.h
+++ b/include/gooseberrybeam/relayd/RelayDaemon.h
@@ -10,6 +10,7 @@
 #include "gooseberrybeam/relayd/RelayContext.h"
 #include "gooseberrybeam/relayd/RelayHandler.h"
 #include "gooseberrybeam/relayd/RelaySettings.h"
+#include "gooseberrybeam/relayd/ServerContactMonitor.h"
 #include "gooseberrybeam/relayd/ServerLoadSharing.h"
 #include "gooseberrybeam/relayd/StoreSchema.h"
 #include "gooseberrybeam/relayd/StreamOriginKeeper.h"
@@ -100,6 +101,7 @@
   HomeLink Home_;
   RelayContext Relay_;
   ServerLoadSharing ServerLoads_;
+  ServerContactMonitor Contact_;
   RelayHandler Handler_;
   CallerServer Callers_;
   std::unique_ptr<RowStore> Store_;
--- a/include/gooseberrybeam/relayd/RelayMember.h
+++ b/include/gooseberrybeam/relayd/RelayMember.h
@@ -12,6 +12,8 @@
 struct RelayMember {
   EpochMember Peer_; ///< Its identity and address for peers.
   InstanceCapacity Capacity_;
+  /// Where callers connect, `ip:port`; empty if it is not known.
+  BackendId CallerAddress_ = {};
 
   friend bool operator==(const RelayMember &, const RelayMember &) = default;
 };
--- a/include/gooseberrybeam/relayd/RelayProtocol.h
+++ b/include/gooseberrybeam/relayd/RelayProtocol.h
@@ -33,6 +33,8 @@
   /// Of those that continue a stream: the request that brought its first event.
   /// Empty if the caller does not name it.
   RequestId ResumedRequest_;
+  /// Another instance has passed the request on.
+  bool IsForwarded_ = false;
   bool IsWellFormed_ = true; ///< False if a field is malformed.
 };
 
@@ -90,6 +92,10 @@
   /// \param Info the metadata to write.
   virtual void writeServerRequest(HttpFields &Head,
                                   const ServerRequestInfo &Info) const = 0;
+  /// Marks a request as passed on by an instance to another one.
+  /// \param Head the head of the caller's request.
+  /// \param TimeLeft the time until the deadline.
+  virtual void writeForwarded(HttpFields &Head, Duration TimeLeft) const = 0;
   /// \param Head the head of a server's response.
   /// \returns its metadata.
   virtual ServerResponseInfo
--- a/src/base/Refusal.cpp
+++ b/src/base/Refusal.cpp
@@ -40,6 +40,7 @@
     {RefusalReason::Internal, "internal", 500},
     {RefusalReason::SoftwareGone, "software_gone", 503},
     {RefusalReason::OriginUnknown, "origin_unknown", 503},
+    {RefusalReason::ServersUnreachable, "servers_unreachable", 421},
 }};
 
 const ReasonInfo &infoOf(RefusalReason Reason) {
--- a/src/http/ConnectionPool.cpp
+++ b/src/http/ConnectionPool.cpp
@@ -12,8 +12,8 @@
 
 } // namespace
 
-ConnectionPool::ConnectionPool(PoolLimits Limits)
-    : Limits_(Limits),
+ConnectionPool::ConnectionPool(PoolLimits Limits, Connector Connect)
+    : Limits_(Limits), Connect_(std::move(Connect)),
       Bodies_(std::make_shared<ByteBudget>(Limits.MaxHeldBytes_)) {}
 
 Duration ConnectionPool::maxIdleOf(const ClientConnection &Connection) const {
@@ -40,17 +40,17 @@
   return nullptr;
 }
 
-Task<ClientConnection::Made> ConnectionPool::acquire(const BackendId &Server,
-                                                     CancelScope &Scope,
-                                                     ConnectionUse Use) {
+Task<ClientConnection::Made>
+ConnectionPool::acquire(const BackendId &Server, CancelScope &Scope,
+                        ConnectionUse Use, std::optional<Duration> Timeout) {
   if (Use == ConnectionUse::Any)
     if (auto Connection = takeIdle(Server))
       co_return std::move(Connection);
   const auto Endpoint = parseEndpoint(Server.Value_);
   if (!Endpoint)
     co_return CallError{CallFailure::Connect, false};
-  co_return co_await ClientConnection::connect(*Endpoint,
-                                               Limits_.ConnectTimeout_, Scope);
+  co_return co_await Connect_(*Endpoint,
+                              Timeout.value_or(Limits_.ConnectTimeout_), Scope);
 }
 
 void ConnectionPool::release(const BackendId &Server,
--- a/src/http/ErrorBody.cpp
+++ b/src/http/ErrorBody.cpp
@@ -58,6 +58,8 @@
      "left."},
     {RefusalReason::OriginUnknown,
      "The stream cannot go on: it is not known what began it."},
+    {RefusalReason::ServersUnreachable,
+     "This instance reaches no backend server."},
 }};
 
 std::string_view typeOf(int Status) {
--- a/src/relay/HomeCoordinator.cpp
+++ b/src/relay/HomeCoordinator.cpp
@@ -13,6 +13,10 @@
 /// reply, so it is cached for this long.
 constexpr Duration UtilisationCacheTime = std::chrono::milliseconds(250);
 
+/// Named to an instance that reaches no backend server, which spreads its
+/// requests over them.
+constexpr std::size_t MaxProxies = 6;
+
 } // namespace
 
 HomeCoordinator::HomeCoordinator(const BackendDirectory &Directory,
@@ -161,6 +165,7 @@
     return Exhausted;
   }
   attach(Sender, Now - Message.Uptime_, Now);
+  AttachedInstances_[Sender].IsCutOff_ = Message.IsCutOff_;
   for (const auto &Each : Message.RunningGenerations_) {
     Placer_.adopt(Sender, Each, Now);
     if (Each.Origin_)
@@ -312,6 +317,23 @@
   return Instances;
 }
 
+// Neighbours in the order of names, so that no instance gets the requests of
+// all.
+std::vector<InstanceId>
+HomeCoordinator::proxiesFor(const InstanceId &Instance) const {
+  std::vector<InstanceId> Proxies;
+  auto Next = AttachedInstances_.upper_bound(Instance);
+  for (std::size_t I = 0; I != AttachedInstances_.size(); ++I, ++Next) {
+    if (Next == AttachedInstances_.end())
+      Next = AttachedInstances_.begin();
+    if (!Next->second.IsCutOff_ && Next->first != Instance)
+      Proxies.push_back(Next->first);
+    if (Proxies.size() == MaxProxies)
+      break;
+  }
+  return Proxies;
+}
+
 void HomeCoordinator::detachSilent(TimePoint Now) {
   std::vector<InstanceId> Silent;
   for (const auto &[Instance, State] : AttachedInstances_)
--- a/src/relayd/GenerationCallFailover.cpp
+++ b/src/relayd/GenerationCallFailover.cpp
@@ -35,6 +35,7 @@
 // work either.
 void GenerationCall::reportStall(const ChosenServer &Engine) {
   Context_.Pool_.discard(Engine.Address_);
+  Context_.Contact_.onUnreachable(Engine.Address_, readBootClock());
   report(GenerationStep::ServerStalled, Engine);
   logLine(LogPart::Engine, LogLevel::Info,
           "Engine is silent; another one is searched.",
--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -30,6 +30,7 @@
   writeLeaving(Body, Message.LeavingServers_);
   writeEvacuation(*Body.mutable_evacuation(), Message.Evacuation_);
   writeLoadReports(Body, Message.ServerLoads_);
+  Body.set_is_cut_off(Message.IsCutOff_);
   Body.set_is_leaving(Message.IsLeaving_);
   for (const auto &Used : Message.TokenUsage_) {
     auto &Usage = *Body.add_used();
@@ -67,6 +68,8 @@
   writeLeaving(Body, Message.LeavingServers_);
   writeEvacuation(*Body.mutable_evacuation(), Message.Evacuation_);
   writeLoadEstimates(Body, Message.ServerLoads_);
+  for (const auto &Each : Message.Proxies_)
+    Body.add_proxies(Each.Value_);
   for (const auto &Source : Message.Feeds_) {
     auto &Feed = *Body.add_feeds();
     Feed.set_era(Source.Version_.Era_);
@@ -221,6 +224,7 @@
   Message.LeavingServers_ = readLeaving(Body);
   Message.Evacuation_ = readEvacuation(Body.evacuation());
   Message.ServerLoads_ = readLoadReports(Body);
+  Message.IsCutOff_ = Body.is_cut_off();
   Message.IsLeaving_ = Body.is_leaving();
   for (const auto &Usage : Body.used())
     if (isAmount(Usage.tokens()))
@@ -254,6 +258,8 @@
   Message.LeavingServers_ = readLeaving(Body);
   Message.Evacuation_ = readEvacuation(Body.evacuation());
   Message.ServerLoads_ = readLoadEstimates(Body);
+  for (const auto &Each : Body.proxies())
+    Message.Proxies_.push_back({Each});
   // An instance of an earlier release states no feeds: they count as unread.
   const int FeedCount =
       std::min(Body.feeds_size(), static_cast<int>(SharedTableCount));
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -55,6 +55,7 @@
     Candidates.push_back({Id.Name_, Member.Capacity_});
     Names.insert(Id.Name_);
     MemberIds_[Id.Name_] = Id;
+    CallerAddresses_[Id.Name_] = Member.CallerAddress_;
     LastHeardAt_.try_emplace(Id.Name_, Now);
   }
   std::erase_if(LastHeardAt_, [&Names](const auto &Entry) {
@@ -149,6 +150,7 @@
   Message.Uptime_ = readBootClock() - StartedAt_;
   Message.Attachment_ = Attachment_;
   Message.IsLeaving_ = IsLeaving_;
+  Message.IsCutOff_ = IsCutOff_;
   Message.Evacuation_ = Directory_.evacuation();
   return Message;
 }
@@ -412,6 +414,8 @@
     Reply.RequestSuspects_ = Coordinator_.requestQuarantine().suspects(Now);
     Reply.ServerLimits_ = Coordinator_.serverLimits();
     Reply.LeavingServers_ = Directory_.announcedLeaving();
+    if (Message.IsCutOff_)
+      Reply.Proxies_ = Coordinator_.proxiesFor(Sender);
     addServerLoads(Reply);
   }
   if (Sender == Self_) {
@@ -450,6 +454,7 @@
   RequestSuspects_ = Message.RequestSuspects_;
   handleLeaving(Message.LeavingServers_, Sender);
   StatedLimits_.assign(Message.ServerLimits_, readBootClock());
+  Proxies_ = Message.Proxies_;
   handleServerLoads(Message.ServerLoads_);
   ExhaustedOrganisations_.clear();
   ExhaustedOrganisations_.insert(Message.ExhaustedOrganisations_.begin(),
--- a/src/relayd/InstanceRows.cpp
+++ b/src/relayd/InstanceRows.cpp
@@ -45,7 +45,8 @@
                                    {"data_centre", Peer.DataCentre_.Value_},
                                    {"incarnation", Peer.Id_.Incarnation_},
                                    {"cores", Member.Capacity_.Cores_},
-                                   {"link_mbps", Member.Capacity_.LinkMbps_}});
+                                   {"link_mbps", Member.Capacity_.LinkMbps_},
+                                   {"callers", Member.CallerAddress_.Value_}});
   return Row;
 }
 
@@ -70,6 +71,8 @@
   Member.Peer_.PeerAddress_ = *Address;
   Member.Peer_.DataCentre_ = {*DataCentre};
   Member.Capacity_ = readCapacity(Object);
+  // An instance of an earlier release does not state it.
+  Member.CallerAddress_ = {readString(Object, "callers").value_or("")};
   return Member;
 }
 
--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -114,7 +114,8 @@
              {},
              {},
              {}},
-      ServerLoads_(Relay_.Balancers_, Relay_.Metrics_), Handler_(Relay_),
+      ServerLoads_(Relay_.Balancers_, Relay_.Metrics_), Contact_(Relay_),
+      Handler_(Relay_),
       Callers_(Context_, Handler_,
                makeCallerLimits(RelayCallerLimits(), Relay_.Pool_.bodies()),
                Settings_.Name_.Value_ + "-"),
@@ -210,6 +211,7 @@
   spawnLoop(Context_, "ticks", [this] { return runTicks(); });
   Home_.start();
   StreamOrigins_.start();
+  Contact_.start();
   Feeds_.start(*Store_);
   logLine(LogPart::Daemon, LogLevel::Info, "Instance starting.",
           {{"instance", Settings_.Name_.Value_},
@@ -388,6 +390,7 @@
   Member.Peer_.PeerAddress_ = Settings_.PeerListen_;
   Member.Peer_.DataCentre_ = Settings_.DataCentre_;
   Member.Capacity_ = Settings_.Capacity_;
+  Member.CallerAddress_ = {Settings_.CallerListen_};
   return Member;
 }
 
--- a/src/relayd/RelayHandler.cpp
+++ b/src/relayd/RelayHandler.cpp
@@ -5,6 +5,7 @@
 #include "gooseberrybeam/log/Log.h"
 #include "gooseberrybeam/relayd/GenerationCall.h"
 #include "gooseberrybeam/relayd/PlainCall.h"
+#include "gooseberrybeam/relayd/ProxyCall.h"
 #include "gooseberrybeam/relayd/RelayResponse.h"
 
 #include <algorithm>
@@ -147,6 +148,15 @@
 }
 
 Task<void> RelayHandler::relay(RelayRequest &Request) {
+  const bool IsCutOff = Context_.Contact_.isCutOff();
+  if (IsCutOff && Request.CallerInfo_.IsForwarded_) {
+    co_await refuse(Context_, Request.Exchange_,
+                    makeNotRunRefusal(RefusalReason::ServersUnreachable),
+                    "passed on to an instance that is cut off too");
+    co_return;
+  }
+  if (IsCutOff && co_await ProxyCall(Context_, Request).run())
+    co_return;
   const RelayService *Service =
       Request.Configuration_->findService(Request.Service_);
   if (Request.Route_.IsGeneration_ && Service && Service->Engine_) {
--- a/src/relayd/ServerCall.cpp
+++ b/src/relayd/ServerCall.cpp
@@ -12,6 +12,8 @@
 constexpr int HttpVersion = 11;
 /// A connection that delivers more responses to other requests is closed.
 constexpr int MaxForeignResponses = 2;
+/// A server from which nothing has come for so long is silent.
+constexpr Duration MinSilence = std::chrono::milliseconds(400);
 /// A connection that delivers a larger one is closed.
 constexpr std::size_t MaxForeignBody = std::size_t{1} << 20;
 
@@ -70,6 +72,17 @@
          {"pause_ms", std::to_string(wholeMilliseconds(*Info.PauseTime_))}});
 }
 
+// A call that is given up early says nothing of the server.
+void recordFailure(RelayContext &Context, const ServerTarget &Target,
+                   const CallError &Error, TimePoint Started) {
+  const TimePoint Now = readBootClock();
+  const bool IsSilent =
+      Error.Failure_ == CallFailure::Timeout ||
+      (Error.Failure_ == CallFailure::Cancelled && Now >= Started + MinSilence);
+  if (Error.Failure_ == CallFailure::Connect || IsSilent)
+    Context.Contact_.onUnreachable(Target.Address_, Now);
+}
+
 ConnectionUse recordCall(RelayRequest &Request, const BackendId &Server) {
   auto &Called = Request.CalledServers_;
   if (std::find(Called.begin(), Called.end(), Server) != Called.end())
@@ -84,9 +97,12 @@
                                                      Duration ResponseTimeout,
                                                      CancelScope &Scope) {
   const ConnectionUse Use = recordCall(Request, Target.Address_);
+  const TimePoint Started = readBootClock();
   auto Acquired = co_await Context.Pool_.acquire(Target.Address_, Scope, Use);
-  if (!isOk(Acquired))
+  if (!isOk(Acquired)) {
+    recordFailure(Context, Target, errorOf(Acquired), Started);
     co_return errorOf(Acquired);
+  }
   const ServerId &Server = Target.RequestInfo_.Server_;
   Context.Pauses_.onSent(Server, readBootClock());
   ServerResponse Response;
@@ -100,9 +116,12 @@
       // do not work either.
       if (errorOf(Head).Failure_ == CallFailure::Timeout)
         Context.Pool_.discard(Target.Address_);
+      recordFailure(Context, Target, errorOf(Head), Started);
       Context.Pauses_.onEnd(Server, false);
       co_return errorOf(Head);
     }
+    if (!Response.Connection_->wasReused())
+      Context.Contact_.onReached();
     Response.Head_ = takeValue(std::move(Head));
     Response.Info_ = Context.Protocol_.parseServerResponse(Response.Head_);
     if (!isForeign(Response, Request)) {
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -292,6 +292,17 @@
     CHECK(Head["Last-Event-Id"] == "12");
     CHECK(Head["Request-Id"] == "r1");
   }
+  SECTION("a request that is passed on says so, and a server does not see it") {
+    CHECK_FALSE(Info.IsForwarded_);
+    Protocol.writeForwarded(Head, 700ms);
+    CHECK(Protocol.parseCallerRequest(Head).IsForwarded_);
+    CHECK(Protocol.parseCallerRequest(Head).TimeLeft_ == Duration(700ms));
+    CHECK(Head["Authorization"] == "Token k1");
+    ServerRequestInfo RequestInfo;
+    RequestInfo.Server_ = {"i-1"};
+    Protocol.writeServerRequest(Head, RequestInfo);
+    CHECK_FALSE(Protocol.parseCallerRequest(Head).IsForwarded_);
+  }
   SECTION("the caller cannot choose the priority at the server") {
     Head.set("Request-Priority", "0");
     ServerRequestInfo RequestInfo;
--- a/tests/support/ScriptedBackend.h
+++ b/tests/support/ScriptedBackend.h
@@ -65,6 +65,8 @@
   std::string address() const {
     return "127.0.0.1:" + std::to_string(Endpoint_.port());
   }
+  /// \returns the port that it listens on.
+  unsigned short port() const { return Endpoint_.port(); }
   /// Listens again if it went down.
   void restart() {
     if (Acceptor_.is_open())
--- a/tests/support/ThrowingProtocol.h
+++ b/tests/support/ThrowingProtocol.h
@@ -35,6 +35,9 @@
     throwIf(ThrowingStep::WriteServerRequest);
     Platform_.writeServerRequest(Head, Info);
   }
+  void writeForwarded(HttpFields &Head, Duration TimeLeft) const override {
+    Platform_.writeForwarded(Head, TimeLeft);
+  }
   ServerResponseInfo
   parseServerResponse(const ResponseHead &Head) const override {
     throwIf(ThrowingStep::ReadServerResponse);
