--- a/src/relayd/RelayDaemon.cpp
+++ b/src/relayd/RelayDaemon.cpp
@@ -23,17 +23,15 @@
 
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
 constexpr Duration WriteRetryInterval = std::chrono::milliseconds(300);
-/// Between two writes of the quarantined prompts.
-constexpr Duration QuarantineSaveInterval = std::chrono::seconds(1);
 /// New connections are accepted for this long after SIGTERM, until the load
 /// balancer has noticed that the instance is not ready.
 constexpr Duration ReadinessNoticeTime = std::chrono::milliseconds(2500);
-constexpr Duration DrainPollInterval = std::chrono::milliseconds(20);
 /// Reserved at the end of `RelaySettings::ShutdownTimeout_` for the exit
 /// itself.
 constexpr Duration ExitMargin = std::chrono::milliseconds(300);
 /// Reserved before that for the refusals of requests without a response.
 constexpr Duration FinalAnswerTime = std::chrono::milliseconds(200);
+constexpr Duration DrainPollInterval = std::chrono::milliseconds(20);
 constexpr Duration OperatorTimeout = std::chrono::seconds(3);
 /// Readiness checks and requests for metrics have no body.
 constexpr std::uint64_t MaxOperatorBody = 4096;
@@ -408,56 +406,6 @@
   loadQuarantine();
 }
 
-void RelayDaemon::loadQuarantine() {
-  const auto Row = instanceRows().find(std::string(QuarantineRowKey));
-  const bool IsPresent = Row != instanceRows().end();
-  const StoreVersion Version =
-      IsPresent ? Row->second.Version_ : StoreVersion();
-  if (Version == QuarantineVersion_)
-    return;
-  QuarantineVersion_ = Version;
-  SavedQuarantine_ =
-      IsPresent ? parseQuarantineRow(Row->second) : std::vector<CrashSuspect>();
-  SavedRequests_ = IsPresent ? parseQuarantinedRequests(Row->second)
-                             : std::vector<RequestSuspect>();
-  Home_.mergeCrashSuspects(SavedQuarantine_);
-  Home_.mergeRequestSuspects(SavedRequests_);
-}
-
-// The home keeps the row, so that what was learned from crashed engines
-// outlives the loss of all instances.
-void RelayDaemon::saveQuarantine() {
-  if (Home_.home() != Settings_.Name_ || Relay_.isDraining())
-    return;
-  const HomeCoordinator &Coordinator = Home_.coordinator();
-  const TimePoint Now = readBootClock();
-  const auto Prompts = quarantinedOnly(Coordinator.crashSuspects(Now));
-  const auto Requests =
-      quarantinedOnly(Coordinator.requestQuarantine().suspects(Now));
-  const bool IsSaved =
-      Prompts == SavedQuarantine_ && Requests == SavedRequests_;
-  if (IsSaved || std::exchange(IsQuarantineBeingWritten_, true))
-    return;
-  spawnTask(Context_, "quarantine row",
-            writeQuarantineRow(makeQuarantineRow(Prompts, Requests)));
-}
-
-Task<void> RelayDaemon::writeQuarantineRow(StoreRow Row) {
-  CancelScope Scope;
-  RowWrite Write;
-  Write.Row_ = std::move(Row);
-  Write.ExpectedVersion_ = QuarantineVersion_;
-  const auto Written = co_await Store_->write(std::move(Write), Scope);
-  if (!isOk(Written))
-    logLine(LogPart::Membership, LogLevel::Warn,
-            "Quarantined prompts could not be saved; retrying.",
-            {{"failure", asCode(errorOf(Written))}});
-  // The feed brings the new row, or the one that another home has written.
-  asio::steady_timer Timer(Context_, QuarantineSaveInterval);
-  co_await Timer.async_wait(AsTuple);
-  IsQuarantineBeingWritten_ = false;
-}
-
 void RelayDaemon::registerSelf() {
   const auto Row = instanceRows().find(makeInstanceRowKey(Settings_.Name_));
   const auto Listed = Row == instanceRows().end()
