Forget what began a stream soon after its regular end

At 5,900 streams a second a home would keep 20 s of them, some 30 MB; 3 s after the regular end suffice for a caller whose instance was lost at that moment, as the saved row stays.

--- a/include/gooseberrybeam/relay/PlacementTypes.h
+++ b/include/gooseberrybeam/relay/PlacementTypes.h
@@ -118,7 +118,8 @@
   /// Of the prompt; set for `CrashedAtStart` only.
   std::vector<PromptSegmentId> SharedSegments_;
   RequestFingerprint Fingerprint_ = {}; ///< Set for `CrashedAtStart` only.
-  /// Of a stream that callers may take up; set for `Progressed` only.
+  /// Of a stream that callers may take up; set for `Progressed`, and for
+  /// `Ended` at its regular end.
   std::optional<StreamOrigin> Origin_ = {};
 
   friend bool operator==(const GenerationReport &,
--- a/include/gooseberrybeam/relay/StreamOriginLedger.h
+++ b/include/gooseberrybeam/relay/StreamOriginLedger.h
@@ -20,6 +20,9 @@
 public:
   /// How long a caller may take up a stream after its last event.
   static constexpr Duration Lifetime = std::chrono::seconds(20);
+  /// The same after its regular end: its caller may have missed that, if its
+  /// instance was lost at that moment.
+  static constexpr Duration EndedLifetime = std::chrono::seconds(3);
   /// A stream that lasts longer is saved again, so that what is saved may be
   /// overwritten after `Lifetime`.
   static constexpr Duration SaveInterval = Lifetime / 2;
@@ -27,6 +30,10 @@
   /// Records the origin of a stream that produces events.
   /// \param Now the current time.
   void record(const StreamOrigin &Origin, TimePoint Now);
+  /// Records that a stream has come to its regular end.
+  /// \param Stream the stream.
+  /// \param Now the current time.
+  void onEnded(const RequestId &Stream, TimePoint Now);
   /// Adds what homes have saved; it need not be saved again.
   /// \param Saved origins, in any order.
   /// \param Now the current time.
--- a/src/relay/HomeCoordinator.cpp
+++ b/src/relay/HomeCoordinator.cpp
@@ -305,7 +305,9 @@
       return Each.Placement_.Request_ == Report.Request_;
     });
   }
-  if (Report.Origin_)
+  if (Report.Origin_ && Report.Step_ == GenerationStep::Ended)
+    Origins_.onEnded(Report.Origin_->Stream_, Now);
+  else if (Report.Origin_)
     Origins_.record(*Report.Origin_, Now);
   Placer_.onReport(Report, Now);
 }
--- a/src/relay/StreamOriginLedger.cpp
+++ b/src/relay/StreamOriginLedger.cpp
@@ -20,6 +20,12 @@
     dispute(Known);
 }
 
+void StreamOriginLedger::onEnded(const RequestId &Stream, TimePoint Now) {
+  const auto Found = Entries_.find(Stream);
+  if (Found != Entries_.end())
+    Found->second.SeenAt_ = Now - Lifetime + EndedLifetime;
+}
+
 void StreamOriginLedger::merge(std::span<const StreamOrigin> Saved,
                                TimePoint Now) {
   for (const StreamOrigin &Each : Saved) {
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -108,7 +108,7 @@
                             std::uint32_t Tokens, Duration Elapsed) {
   GenerationReport Report = {BookingId_, Step, Engine.Id_, Tokens,
                              Elapsed,    {},   {},         {}};
-  if (Step == GenerationStep::Progressed)
+  if (Step == GenerationStep::Progressed || IsComplete_)
     Report.Origin_ = origin();
   Context_.Home_.report(Report);
 }
--- a/tests/StreamOriginLedgerTest.cpp
+++ b/tests/StreamOriginLedgerTest.cpp
@@ -53,6 +53,15 @@
     CHECK(Ledger.takeUnsaved(Any, Now + Lifetime + 1s).empty());
     CHECK(Ledger.size() == 0);
   }
+  SECTION("one whose stream has ended is forgotten soon after") {
+    Ledger.onEnded({"r1"}, Now);
+    Ledger.onEnded({"unknown"}, Now);
+    Ledger.takeUnsaved(Any, Now + 2s);
+    CHECK(Ledger.find({"r1"}, Now + 2s));
+    Ledger.onEnded({"r1"}, Now + 2s);
+    Ledger.takeUnsaved(Any, Now + 6s);
+    CHECK_FALSE(Ledger.find({"r1"}, Now + 6s));
+  }
   SECTION("taking it up keeps it") {
     CHECK(Ledger.find({"r1"}, Now + Lifetime / 2));
     Ledger.takeUnsaved(Any, Now + Lifetime + 1s);
--- a/tests/support/RelayUnderTest.h
+++ b/tests/support/RelayUnderTest.h
@@ -261,7 +261,7 @@
 
   ConnectionPool::Connector makeConnector() {
     return [this](tcp::endpoint Server, Duration Timeout, CancelScope &Scope) {
-      return connect(Server, Timeout, Scope);
+      return connect(std::move(Server), Timeout, Scope);
     };
   }
 
