Passing on: close kept connections while draining, forget removed instances

Found in the last reading of the diff: a response that was passed on did not close its connection during a shutdown, and the addresses of instances that were removed were kept.

--- a/src/relay/GenerationPlacerQueue.cpp
+++ b/src/relay/GenerationPlacerQueue.cpp
@@ -97,7 +97,7 @@
   return HasEngine;
 }
 
-// The stream cannot go on, now or later: engines do not return to a version.
+// The stream cannot go on: engines that start now run newer software.
 bool GenerationPlacer::isSoftwareGone(
     std::span<const DecodeCandidate> Candidates,
     const PlacementRequest &Placement) const {
--- a/src/relayd/HomeLink.cpp
+++ b/src/relayd/HomeLink.cpp
@@ -46,6 +46,7 @@
 
 void HomeLink::setMembers(std::span<const RelayMember> Members) {
   Members_.clear();
+  CallerAddresses_.clear();
   std::vector<HomeCandidate> Candidates;
   std::unordered_set<InstanceId> Names;
   const TimePoint Now = readBootClock();
--- a/src/relayd/ProxyCall.cpp
+++ b/src/relayd/ProxyCall.cpp
@@ -79,6 +79,8 @@
                  std::unique_ptr<ClientConnection> Connection,
                  ResponseHead Head) {
   CallerExchange &Exchange = Request_.Exchange_;
+  if (Context_.isDraining())
+    Exchange.closeAfter();
   if (Request_.Route_.Kind_ == RouteKind::Stream && Head.Status_ == HttpOk) {
     co_await relayStream(*Connection, std::move(Head));
     Context_.Pool_.release(Instance, std::move(Connection));
