--- a/src/relay/GenerationPlacerQueue.cpp
+++ b/src/relay/GenerationPlacerQueue.cpp
@@ -97,7 +97,7 @@
   return HasEngine;
 }
 
-// The stream cannot go on: engines that start now run newer software.
+// Whether no engine of the required version is left that takes requests.
 bool GenerationPlacer::isSoftwareGone(
     std::span<const DecodeCandidate> Candidates,
     const PlacementRequest &Placement) const {
