State a software version in the registrations of the stand-ins

Without one, no stream of the soak would go on at another engine any more: the version that began it is not known. The rows of OddRowsTest are mutated with it.

--- a/tests/OddRowsTest.cpp
+++ b/tests/OddRowsTest.cpp
@@ -24,6 +24,7 @@
 
 const std::string GoodServer =
     R"({"service":"s1","address":"10.0.0.9:8080","zone":"dc-a","slots":16,)"
+    R"("version":"v1",)"
     R"("state":"ready","stage":"decode","born":1700000000000})";
 
 const std::string GoodConfiguration = R"({
--- a/tools/standin_platform/PlatformTexts.cpp
+++ b/tools/standin_platform/PlatformTexts.cpp
@@ -19,7 +19,7 @@
   std::string Row = R"({"service":")" + Server.Service_;
   Row += R"(","address":")" + Server.Address_ + R"(","zone":")" + Server.Zone_ +
          R"(",)";
-  Row += R"("slots":8,"born":)" + std::to_string(Server.Starts_);
+  Row += R"("version":"v1","slots":8,"born":)" + std::to_string(Server.Starts_);
   Row += R"(,"state":")";
   Row += Server.IsLeaving_ ? "draining" : "ready";
   Row += R"(")";
