Let callers that do not name their stream go on while one version serves

They had gone on before, and rightly so, as only one version served.

Change: RecentVersions. If engines of a service have had one version only in the last 20 s, by the registrations, the reported and the saved origins, no other can have begun the stream, named or not. After a start the saved origins are read before that is said; if they cannot be read, or near an outage of the store, nothing is known. Looked up anew at each question, as a version may have registered since the last tick (a test found that).

--- a/include/gooseberrybeam/relay/HomeCoordinator.h
+++ b/include/gooseberrybeam/relay/HomeCoordinator.h
@@ -5,6 +5,7 @@
 
 #include "gooseberrybeam/relay/GenerationPlacer.h"
 #include "gooseberrybeam/relay/HomeMessages.h"
+#include "gooseberrybeam/relay/RecentVersions.h"
 #include "gooseberrybeam/relay/RelayRateLimiter.h"
 #include "gooseberrybeam/relay/ServerLoadBoard.h"
 #include "gooseberrybeam/relay/StreamOriginLedger.h"
@@ -73,11 +74,11 @@
   bool needsSavedOrigins() const { return !UnknownStreams_.empty(); }
   /// Adds saved origins and decides on the placement requests that waited for
   /// them; those whose origin is still unknown are denied.
-  /// \param Saved what was read.
+  /// \param Saved what was read; none if that failed.
   /// \param ReadAt when the read began; later requests go on waiting.
   /// \param Now the current time.
-  void onSavedOrigins(std::span<const StreamOrigin> Saved, TimePoint ReadAt,
-                      TimePoint Now);
+  void onSavedOrigins(const std::optional<std::vector<StreamOrigin>> &Saved,
+                      TimePoint ReadAt, TimePoint Now);
   /// \returns the origins of streams that this home knows.
   StreamOriginLedger &streamOrigins() { return Origins_; }
   /// Adds prompt segments that were found earlier.
@@ -179,7 +180,10 @@
     TimePoint RequestedAt_;
   };
 
+  std::optional<SoftwareVersionId> softwareOf(const PlacementRequest &Resumed,
+                                              TimePoint Now);
   bool findOrigin(PlacementRequest &Placement, TimePoint Now);
+  void recordOrigin(const StreamOrigin &Origin, TimePoint Now);
   void place(const InstanceId &Sender, const PlacementRequest &Placement,
              TimePoint Now);
   void recordUsage(const InstanceId &Sender, const HomeHeartbeat &Message,
@@ -203,6 +207,8 @@
   /// Incarnations of the processes heard last.
   std::unordered_map<InstanceId, std::uint64_t> Processes_;
   StreamOriginLedger Origins_;
+  RecentVersions Versions_;
+  TimePoint VersionsObservedAt_{Duration::zero()};
   std::vector<UnknownStream> UnknownStreams_; ///< Oldest first.
   std::vector<PlacementDecision> PendingDenials_;
   std::unordered_map<RequestId, PendingCharge> PendingCharges_;
--- a/include/gooseberrybeam/relay/PlacementTypes.h
+++ b/include/gooseberrybeam/relay/PlacementTypes.h
@@ -43,9 +43,9 @@
   /// The software that began the stream; only engines of it may go on. Empty if
   /// it has not begun, or if the home has to find out.
   SoftwareVersionId RequiredSoftware_ = {};
-  /// A stream that the caller takes up; the home knows what began it. Empty for
-  /// a new one.
-  RequestId ResumedStream_ = {};
+  /// The caller takes a stream up; the home finds out what began it.
+  bool IsResumed_ = false;
+  RequestId ResumedStream_ = {}; ///< That stream; empty if it is not named.
 
   friend bool operator==(const PlacementRequest &,
                          const PlacementRequest &) = default;
--- a/include/gooseberrybeam/relayd/GenerationCall.h
+++ b/include/gooseberrybeam/relayd/GenerationCall.h
@@ -47,7 +47,7 @@
   const RequestId &stream() const;
   bool acceptOrigin(const PlacementGrant &Grant);
   std::optional<StreamOrigin> origin() const;
-  Task<void> refuseUnknownOrigin(std::string_view Detail);
+  Task<void> refuseUnknownOrigin();
   PlacementRequest makePlacementRequest() const;
   Task<bool> prepareKv(const PlacementGrant &Grant, std::string &KvSource);
   Task<StepOutcome> prefill(const ChosenServer &Engine, std::string &KvSource);
--- a/include/gooseberrybeam/relayd/HomeLink.h
+++ b/include/gooseberrybeam/relayd/HomeLink.h
@@ -85,7 +85,8 @@
     OriginReader_ = std::move(Reader);
   }
   /// \copydoc HomeCoordinator::onSavedOrigins
-  void onSavedOrigins(std::span<const StreamOrigin> Saved, TimePoint ReadAt);
+  void onSavedOrigins(const std::optional<std::vector<StreamOrigin>> &Saved,
+                      TimePoint ReadAt);
   /// \copydoc HomeCoordinator::needsSavedOrigins
   bool needsSavedOrigins() const { return Coordinator_.needsSavedOrigins(); }
   /// \returns the origins of streams that were reported to this instance.
--- a/src/relay/HomeCoordinator.cpp
+++ b/src/relay/HomeCoordinator.cpp
@@ -16,6 +16,8 @@
 /// Named to an instance that reaches no backend server, which spreads its
 /// requests over them.
 constexpr std::size_t MaxProxies = 6;
+/// Engines register for longer than this.
+constexpr Duration VersionsInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -169,7 +171,7 @@
   for (const auto &Each : Message.RunningGenerations_) {
     Placer_.adopt(Sender, Each, Now);
     if (Each.Origin_)
-      Origins_.record(*Each.Origin_, Now);
+      recordOrigin(*Each.Origin_, Now);
   }
   recordUsage(Sender, Message, Now);
   ServerLoads_.onReports(Sender, Message.ServerLoads_, Now);
@@ -231,23 +233,42 @@
   UnknownStreams_.push_back({Sender, Placement, Now});
 }
 
+void HomeCoordinator::recordOrigin(const StreamOrigin &Origin, TimePoint Now) {
+  Origins_.record(Origin, Now);
+  Versions_.onOrigin(Origin, Now);
+}
+
+// The software that began the stream that a caller takes up; none if it is not
+// known.
+std::optional<SoftwareVersionId>
+HomeCoordinator::softwareOf(const PlacementRequest &Resumed, TimePoint Now) {
+  if (const auto Origin = Origins_.find(Resumed.ResumedStream_, Now)) {
+    const bool IsSameService = Origin->Service_ == Resumed.Service_;
+    return IsSameService ? std::optional(Origin->Software_) : std::nullopt;
+  }
+  if (Directory_.isNearOutage(Now))
+    return std::nullopt;
+  Versions_.observe(Directory_, Now);
+  return Versions_.sole(Resumed.Service_, Now);
+}
+
 // Whether the placement request may go on: it is for a new stream, or for one
 // whose software is known.
 bool HomeCoordinator::findOrigin(PlacementRequest &Placement, TimePoint Now) {
-  const bool IsSettled = Placement.ResumedStream_.isEmpty() ||
-                         !Placement.RequiredSoftware_.isEmpty();
-  if (IsSettled)
+  if (!Placement.IsResumed_ || !Placement.RequiredSoftware_.isEmpty())
     return true;
-  const auto Origin = Origins_.find(Placement.ResumedStream_, Now);
-  if (!Origin || Origin->Service_ != Placement.Service_)
-    return false;
-  Placement.RequiredSoftware_ = Origin->Software_;
-  return true;
+  const auto Software = softwareOf(Placement, Now);
+  Placement.RequiredSoftware_ = Software.value_or(SoftwareVersionId());
+  return Software.has_value();
 }
 
-void HomeCoordinator::onSavedOrigins(std::span<const StreamOrigin> Saved,
-                                     TimePoint ReadAt, TimePoint Now) {
-  Origins_.merge(Saved, Now);
+void HomeCoordinator::onSavedOrigins(
+    const std::optional<std::vector<StreamOrigin>> &Saved, TimePoint ReadAt,
+    TimePoint Now) {
+  if (Saved) {
+    Origins_.merge(*Saved, Now);
+    Versions_.onSaved(*Saved, Now);
+  }
   for (UnknownStream &Each : std::exchange(UnknownStreams_, {})) {
     if (findOrigin(Each.Placement_, Now))
       place(Each.Instance_, Each.Placement_, Now);
@@ -308,7 +329,7 @@
   if (Report.Origin_ && Report.Step_ == GenerationStep::Ended)
     Origins_.onEnded(Report.Origin_->Stream_, Now);
   else if (Report.Origin_)
-    Origins_.record(*Report.Origin_, Now);
+    recordOrigin(*Report.Origin_, Now);
   Placer_.onReport(Report, Now);
 }
 
@@ -351,6 +372,10 @@
 std::vector<PlacementDecision> HomeCoordinator::decide(TimePoint Now) {
   detachSilent(Now);
   updateServerLimits(Now);
+  if (Now >= VersionsObservedAt_ + VersionsInterval) {
+    VersionsObservedAt_ = Now;
+    Versions_.observe(Directory_, Now);
+  }
   std::vector<PlacementDecision> Decisions = std::move(PendingDenials_);
   PendingDenials_.clear();
   for (auto &Each : Placer_.decide(Now)) {
--- a/src/relayd/GenerationCall.cpp
+++ b/src/relayd/GenerationCall.cpp
@@ -82,8 +82,8 @@
   Placement.Fingerprint_ = Request_.Fingerprint_;
   Placement.Regions_ = Request_.regions();
   Placement.RequiredSoftware_ = Software_;
-  if (continuesStream())
-    Placement.ResumedStream_ = stream();
+  Placement.IsResumed_ = continuesStream();
+  Placement.ResumedStream_ = Request_.CallerInfo_.ResumedRequest_;
   if (Placements_ > 1)
     excludeForbiddenEngines(Placement);
   if (LastEventId_) {
@@ -531,10 +531,6 @@
 }
 
 Task<void> GenerationCall::runPlacements() {
-  if (continuesStream() && stream().isEmpty()) {
-    co_await refuseUnknownOrigin("the caller does not name the stream");
-    co_return;
-  }
   StepOutcome Outcome = StepOutcome::Rejected;
   while (mayRetry(Outcome)) {
     // Rejected calls count as arrivals at the service too, so any further call
@@ -556,7 +552,7 @@
     PlacedAt_ = readBootClock();
     if (!acceptOrigin(Grant)) {
       report(GenerationStep::Ended, Grant.Decode_);
-      co_await refuseUnknownOrigin("the home does not state what began it");
+      co_await refuseUnknownOrigin();
       co_return;
     }
     if (excludeUnusableEngines(Grant)) {
--- a/src/relayd/GenerationCallFailover.cpp
+++ b/src/relayd/GenerationCallFailover.cpp
@@ -76,8 +76,8 @@
 }
 
 const RequestId &GenerationCall::stream() const {
-  return continuesStream() ? Request_.CallerInfo_.ResumedRequest_
-                           : Request_.Exchange_.id();
+  const RequestId &Resumed = Request_.CallerInfo_.ResumedRequest_;
+  return Resumed.isEmpty() ? Request_.Exchange_.id() : Resumed;
 }
 
 // Takes the software that began a stream from the grant of a home that knows
@@ -94,10 +94,10 @@
   return StreamOrigin{stream(), Request_.Service_, Software_};
 }
 
-Task<void> GenerationCall::refuseUnknownOrigin(std::string_view Detail) {
+Task<void> GenerationCall::refuseUnknownOrigin() {
   co_await refuse(Context_, Request_.Exchange_,
                   {RefusalReason::OriginUnknown, Execution::NotRun, {}},
-                  Detail);
+                  "the home does not state what began the stream");
 }
 
 // A stream that has begun goes on only at the software that began it.
--- a/src/relayd/HomeCodec.cpp
+++ b/src/relayd/HomeCodec.cpp
@@ -101,6 +101,7 @@
   writeFingerprint(Body, Message.Fingerprint_);
   writeRegions(Body, Message.Regions_);
   Body.set_required_software(Message.RequiredSoftware_.Value_);
+  Body.set_is_resumed(Message.IsResumed_);
   Body.set_resumed_stream(Message.ResumedStream_.Value_);
 }
 
@@ -295,6 +296,7 @@
   Message.Fingerprint_ = readFingerprint(Body);
   Message.Regions_ = readRegions(Body);
   Message.RequiredSoftware_ = {Body.required_software()};
+  Message.IsResumed_ = Body.is_resumed();
   Message.ResumedStream_ = {Body.resumed_stream()};
   return Message;
 }
--- a/src/relayd/HomeLinkGenerations.cpp
+++ b/src/relayd/HomeLinkGenerations.cpp
@@ -19,8 +19,8 @@
   sendDecisionsRateLimited();
 }
 
-void HomeLink::onSavedOrigins(std::span<const StreamOrigin> Saved,
-                              TimePoint ReadAt) {
+void HomeLink::onSavedOrigins(
+    const std::optional<std::vector<StreamOrigin>> &Saved, TimePoint ReadAt) {
   Coordinator_.onSavedOrigins(Saved, ReadAt, readBootClock());
   sendDecisions();
 }
--- a/src/relayd/StreamOriginKeeper.cpp
+++ b/src/relayd/StreamOriginKeeper.cpp
@@ -88,7 +88,8 @@
                        : "Saved origins of streams could not be read.",
             {{"failure", isOk(Read) ? "" : asCode(errorOf(Read))},
              {"streams", std::to_string(Saved.size())}});
-    Home_.onSavedOrigins(Saved, ReadAt);
+    Home_.onSavedOrigins(
+        isOk(Read) ? std::optional(std::move(Saved)) : std::nullopt, ReadAt);
     Timer.expires_after(ReadInterval);
     co_await Timer.async_wait(AsTuple);
   }
--- a/tests/HomeCodecTest.cpp
+++ b/tests/HomeCodecTest.cpp
@@ -79,6 +79,7 @@
     checkRoundTrip(Request);
     Request.Regions_ = {true, {}};
     Request.RequiredSoftware_ = {"v1.2"};
+    Request.IsResumed_ = true;
     Request.ResumedStream_ = {"r0"};
     checkRoundTrip(Request);
     checkRoundTrip(PlacementGrant{{"r"},
--- a/tests/StreamOriginLedgerTest.cpp
+++ b/tests/StreamOriginLedgerTest.cpp
@@ -154,6 +154,7 @@
     Placement.Service_ = {std::move(Service)};
     Placement.PromptTokens_ = 100;
     Placement.TimeLeft_ = 10s;
+    Placement.IsResumed_ = true;
     Placement.ResumedStream_ = {std::move(Stream)};
     Coordinator_.onPlacementRequest({"edge"}, Placement, Now_);
   }
@@ -216,11 +217,13 @@
       CHECK(Pool.decide() == "d-v2");
     }
     SECTION("else the request is denied") {
-      Pool.Coordinator_.onSavedOrigins({}, Pool.Now_, Pool.Now_);
+      Pool.Coordinator_.onSavedOrigins(std::vector<StreamOrigin>(), Pool.Now_,
+                                       Pool.Now_);
       CHECK(Pool.decide() == "origin_unknown");
     }
     SECTION("not by one that began before the request came") {
-      Pool.Coordinator_.onSavedOrigins({}, Pool.Now_ - 1ms, Pool.Now_);
+      Pool.Coordinator_.onSavedOrigins(std::vector<StreamOrigin>(),
+                                       Pool.Now_ - 1ms, Pool.Now_);
       CHECK(Pool.decide().empty());
       CHECK(Pool.Coordinator_.needsSavedOrigins());
     }
@@ -233,7 +236,8 @@
   SECTION("but not for a stream of another service") {
     Pool.reportEvents(makeOrigin("r1", "v2"));
     Pool.takeUp("r2", "r1", "other");
-    Pool.Coordinator_.onSavedOrigins({}, Pool.Now_, Pool.Now_);
+    Pool.Coordinator_.onSavedOrigins(std::vector<StreamOrigin>(), Pool.Now_,
+                                     Pool.Now_);
     CHECK(Pool.decide() == "origin_unknown");
   }
   SECTION("and says at once that none is left") {
@@ -242,3 +246,49 @@
     CHECK(Pool.decide() == "software_gone");
   }
 }
+
+TEST_CASE("A stream that is not known goes on if its service has had one "
+          "version only",
+          "[relay][versions]") {
+  Home Pool;
+  Pool.Directory_.remove({"d-v2"}, Pool.Now_);
+  Pool.decide();
+  const std::string Stream = GENERATE("", "unknown");
+  Pool.takeUp("r2", Stream);
+  CHECK(Pool.decide().empty());
+
+  SECTION("as the saved origins show") {
+    const std::vector Saved = {makeOrigin("r0", "v1")};
+    Pool.Coordinator_.onSavedOrigins(Saved, Pool.Now_, Pool.Now_);
+    CHECK(Pool.decide() == "d-v1");
+  }
+  SECTION("as the home has seen for long enough") {
+    Pool.Coordinator_.onSavedOrigins({}, Pool.Now_, Pool.Now_);
+    CHECK(Pool.decide() == "origin_unknown");
+    for (; Pool.Now_ <= TimePoint(100s) + Lifetime; Pool.Now_ += 100ms)
+      Pool.decide();
+    Pool.takeUp("r3", Stream);
+    CHECK(Pool.decide() == "d-v1");
+    SECTION("and not any more from the first registration of another one") {
+      BackendEntry Engine = *Pool.Directory_.find({"d-v1"});
+      Engine.Id_ = {"d-v3"};
+      Engine.SoftwareVersion_ = {"v3"};
+      Pool.Directory_.put(Engine);
+      Pool.Now_ += 100ms;
+      Pool.decide();
+      Pool.Directory_.remove({"d-v3"}, Pool.Now_);
+      Pool.takeUp("r4", Stream);
+      Pool.Coordinator_.onSavedOrigins({}, Pool.Now_, Pool.Now_);
+      CHECK(Pool.decide() == "origin_unknown");
+    }
+  }
+  SECTION("but not if another one was saved") {
+    const std::vector Saved = {makeOrigin("r0", "v0")};
+    Pool.Coordinator_.onSavedOrigins(Saved, Pool.Now_, Pool.Now_);
+    CHECK(Pool.decide() == "origin_unknown");
+  }
+  SECTION("but not if nothing could be read") {
+    Pool.Coordinator_.onSavedOrigins({}, Pool.Now_, Pool.Now_);
+    CHECK(Pool.decide() == "origin_unknown");
+  }
+}
